--- /dev/null
+++ b/clock/service.go
@@ -0,0 +1,26 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Service tells the time and delivers ticks; the real one is System and tests use Manual.
+type Service interface {
+	// Now returns the current time.
+	Now() time.Time
+	// After returns a channel that receives one time once d has passed.
+	After(d time.Duration) <-chan time.Time
+	// Every returns a channel that receives a time each interval until ctx ends.
+	Every(ctx context.Context, interval time.Duration) <-chan time.Time
+}
+
+// Wait blocks for d and returns ctx's error if that ends first.
+func Wait(ctx context.Context, service Service, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-service.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/siskincove/main.go
@@ -0,0 +1,45 @@
+// Command siskincove is the operators' tool: it checks, plans and publishes objects, shows what is in force and loads a service.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"siskincove/commands"
+)
+
+type options struct {
+	Output string `short:"o" help:"Output format: text or json." enum:"text,json" default:"text"`
+}
+
+func main() {
+	var o options
+	parser, err := kong.New(&o, append([]kong.Option{
+		kong.Name("siskincove"),
+		kong.Description("Operates a database proxy with session consistency by declarations."),
+		kong.UsageOnError(),
+		kong.Exit(exit),
+	}, commands.Options()...)...)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(commands.ExitInvalid)
+	}
+	parsed, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := parsed.Run(&commands.Output{Writer: os.Stdout, Format: o.Output}); err != nil {
+		if text := err.Error(); text != "" {
+			fmt.Fprintln(os.Stderr, "siskincove:", text)
+		}
+		os.Exit(commands.Code(err))
+	}
+}
+
+// exit ends with the code for wrong arguments wherever the parser would end with its own.
+func exit(code int) {
+	if code != 0 {
+		code = commands.ExitInvalid
+	}
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,29 @@
+// Command standin runs the stand-ins for a database group and for the platform, for tests and experiments.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+type options struct {
+	Group    groupCommand    `cmd:"" help:"Runs a database group."`
+	Platform platformCommand `cmd:"" help:"Runs the platform: table, object store and list of instances."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var o options
+	parsed := kong.Parse(&o, kong.Name("standin"), kong.Description("Stand-ins for what lies outside siskincove."))
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(); err != nil {
+		parsed.Errorf("%v", err)
+		stop()
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/commands/history.go
@@ -0,0 +1,35 @@
+package commands
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/config"
+	"siskincove/platform"
+)
+
+func init() {
+	register("history", "List published revisions, newest first.", &historyCommand{})
+}
+
+type historyCommand struct {
+	PlatformFlags `embed:"" prefix:"platform-"`
+	Most          int `help:"How many revisions to list." default:"20"`
+}
+
+// Run prints the heads.
+func (c *historyCommand) Run(out *Output) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	heads, err := config.History(ctx, c.table(), c.Most)
+	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+		return err
+	}
+	return out.print(heads, func(w io.Writer) {
+		for _, h := range heads {
+			line(w, "%6d  %s  %s  %.12s  %s", h.Revision, h.Time, h.Publisher, h.Hash, h.Note)
+		}
+	})
+}
--- /dev/null
+++ b/commands/plan.go
@@ -0,0 +1,57 @@
+package commands
+
+import (
+	"context"
+	"io"
+
+	"siskincove/config"
+)
+
+func init() {
+	register("plan", "Show what publishing a set would change; ends with 3 when it would change something.", &planCommand{})
+}
+
+type planCommand struct {
+	PlatformFlags `embed:"" prefix:"platform-"`
+	Path          string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
+}
+
+type planReport struct {
+	Base    uint64          `json:"base"`
+	Changes []config.Change `json:"changes"`
+}
+
+// Run prints the difference to what is in force.
+func (c *planCommand) Run(out *Output) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	source, problems := loadChecked(c.Path)
+	if err := problems.Err(); err != nil {
+		return &ExitError{Code: ExitInvalid, Cause: err}
+	}
+	current, err := readInForce(ctx, &c.PlatformFlags)
+	if err != nil {
+		return err
+	}
+	report := planReport{Base: current.head.Revision, Changes: config.Diff(current.set, source.Set)}
+	if err := out.print(report, func(w io.Writer) { printChanges(w, report) }); err != nil {
+		return err
+	}
+	if len(report.Changes) > 0 {
+		return &ExitError{Code: ExitDiffers}
+	}
+	return nil
+}
+
+func printChanges(w io.Writer, report planReport) {
+	line(w, "against revision %d: %d changes", report.Base, len(report.Changes))
+	for _, c := range report.Changes {
+		line(w, "%-6s %s %s", c.Action, c.Kind, c.Name)
+		if c.Before != "" {
+			line(w, "       before %s", c.Before)
+		}
+		if c.After != "" {
+			line(w, "       after  %s", c.After)
+		}
+	}
+}
--- /dev/null
+++ b/commands/publish.go
@@ -0,0 +1,69 @@
+package commands
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"os/user"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/config"
+	"siskincove/platform"
+)
+
+func init() {
+	register("publish", "Check a set of objects and put it in force.", &publishCommand{})
+}
+
+type publishCommand struct {
+	PlatformFlags `embed:"" prefix:"platform-"`
+	Path          string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
+	Base          int64  `help:"Revision that the plan was made against; publishing fails if another is in force." default:"-1"`
+	Note          string `help:"Why the set is published, for the history."`
+}
+
+// Run publishes the set; 4 means that another operator came first.
+func (c *publishCommand) Run(out *Output) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	source, problems := loadChecked(c.Path)
+	if err := problems.Err(); err != nil {
+		return &ExitError{Code: ExitInvalid, Cause: err}
+	}
+	current, err := readInForce(ctx, &c.PlatformFlags)
+	if err != nil {
+		return err
+	}
+	if problems := config.CheckChange(current.set, source.Set); len(problems) > 0 {
+		return &ExitError{Code: ExitInvalid, Cause: problems}
+	}
+	base := current.head.Revision
+	if c.Base >= 0 {
+		base = uint64(c.Base)
+	}
+	head, err := config.Publish(ctx, c.table(), c.objects(), config.Publication{
+		Set: source.Set, Publisher: publisher(), Note: c.Note, Time: time.Now().UTC().Format(time.RFC3339), Operation: rand.Text(), Base: base,
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		return &ExitError{Code: ExitConflict, Cause: err}
+	}
+	if err != nil && !errors.Is(err, config.ErrUnrecorded) {
+		return err
+	}
+	return out.print(head, func(w io.Writer) {
+		line(w, "revision %d is in force (%s)", head.Revision, head.Hash)
+		if err != nil {
+			line(w, "warning: %v", err)
+		}
+	})
+}
+
+func publisher() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
--- /dev/null
+++ b/commands/show.go
@@ -0,0 +1,41 @@
+package commands
+
+import (
+	"context"
+	"io"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"siskincove/config"
+)
+
+func init() {
+	register("show", "Print the set in force, without secrets.", &showCommand{})
+}
+
+type showCommand struct {
+	PlatformFlags `embed:"" prefix:"platform-"`
+}
+
+type showReport struct {
+	Head config.Head `json:"head"`
+	Set  config.Set  `json:"set"`
+}
+
+// Run prints the set as TOML or JSON.
+func (c *showCommand) Run(out *Output) error {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	current, err := readInForce(ctx, &c.PlatformFlags)
+	if err != nil {
+		return err
+	}
+	report := showReport{Head: current.head, Set: current.set.Masked()}
+	return out.print(report, func(w io.Writer) {
+		line(w, "# revision %d, published by %s at %s", report.Head.Revision, report.Head.Publisher, report.Head.Time)
+		data, err := toml.Marshal(report.Set)
+		if err == nil {
+			_, _ = w.Write(data)
+		}
+	})
+}
--- /dev/null
+++ b/commands/verifier.go
@@ -0,0 +1,39 @@
+package commands
+
+import (
+	"bufio"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/verifier"
+)
+
+func init() {
+	register("verifier", "Make the verifier of a caller's password, which is read from standard input.", &verifierCommand{})
+}
+
+type verifierCommand struct{}
+
+type verifierReport struct {
+	Verifier string `json:"verifier"`
+}
+
+// Run prints the verifier.
+func (c *verifierCommand) Run(out *Output) error {
+	password, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "reading the password")
+	}
+	password = strings.TrimRight(password, "\r\n")
+	if password == "" {
+		return &ExitError{Code: ExitInvalid, Cause: errors.New("no password on standard input")}
+	}
+	text, err := verifier.New(password)
+	if err != nil {
+		return err
+	}
+	return out.print(verifierReport{Verifier: text}, func(w io.Writer) { line(w, "%s", text) })
+}
--- /dev/null
+++ b/config/caller.go
@@ -0,0 +1,10 @@
+package config
+
+// Caller is who may connect, by user name.
+type Caller struct {
+	Name string `toml:"name" json:"name"`
+	// Services are the names of the services that the caller may use.
+	Services []string `toml:"services" json:"services"`
+	// Verifier is the SCRAM-SHA-256 verifier of the caller's password.
+	Verifier string `toml:"verifier" json:"verifier"`
+}
--- /dev/null
+++ b/config/catalog.go
@@ -0,0 +1,66 @@
+package config
+
+// Catalog is a checked set with its objects by name; it is immutable.
+type Catalog struct {
+	Set        Set
+	services   map[string]Service
+	databases  map[string]Database
+	endpoints  map[string]Endpoint
+	routes     map[string]Route
+	allowances map[string]Allowance
+	limits     map[string]Limit
+	callers    map[string]Caller
+	members    map[string][]Endpoint
+}
+
+// NewCatalog indexes a set.
+func NewCatalog(s Set) *Catalog {
+	s = s.Sorted()
+	c := &Catalog{
+		Set:        s,
+		services:   index(s.Services, func(o Service) string { return o.Name }),
+		databases:  index(s.Databases, func(o Database) string { return o.Name }),
+		endpoints:  index(s.Endpoints, func(o Endpoint) string { return o.Name }),
+		routes:     index(s.Routes, func(o Route) string { return o.Name }),
+		allowances: index(s.Allowances, func(o Allowance) string { return o.Name }),
+		limits:     index(s.Limits, func(o Limit) string { return o.Name }),
+		callers:    index(s.Callers, func(o Caller) string { return o.Name }),
+		members:    make(map[string][]Endpoint),
+	}
+	for _, e := range s.Endpoints {
+		c.members[e.Database] = append(c.members[e.Database], e)
+	}
+	return c
+}
+
+func index[T any](objects []T, name func(T) string) map[string]T {
+	out := make(map[string]T, len(objects))
+	for _, o := range objects {
+		out[name(o)] = o
+	}
+	return out
+}
+
+// Service returns the service called name.
+func (c *Catalog) Service(name string) (Service, bool) { o, ok := c.services[name]; return o, ok }
+
+// Database returns the database called name.
+func (c *Catalog) Database(name string) (Database, bool) { o, ok := c.databases[name]; return o, ok }
+
+// Endpoint returns the endpoint called name.
+func (c *Catalog) Endpoint(name string) (Endpoint, bool) { o, ok := c.endpoints[name]; return o, ok }
+
+// Route returns the route called name.
+func (c *Catalog) Route(name string) (Route, bool) { o, ok := c.routes[name]; return o, ok }
+
+// Allowance returns the allowance called name.
+func (c *Catalog) Allowance(name string) (Allowance, bool) { o, ok := c.allowances[name]; return o, ok }
+
+// Limit returns the limit called name.
+func (c *Catalog) Limit(name string) (Limit, bool) { o, ok := c.limits[name]; return o, ok }
+
+// Caller returns the caller called name.
+func (c *Catalog) Caller(name string) (Caller, bool) { o, ok := c.callers[name]; return o, ok }
+
+// Members returns the endpoints of a database, ordered by name.
+func (c *Catalog) Members(database string) []Endpoint { return c.members[database] }
--- /dev/null
+++ b/config/endpoint.go
@@ -0,0 +1,15 @@
+package config
+
+// Endpoint is one member of a database group.
+type Endpoint struct {
+	Name     string `toml:"name" json:"name"`
+	Database string `toml:"database" json:"database"`
+	// Address is an IP:port.
+	Address string `toml:"address" json:"address"`
+	// Domain is the failure domain, as region/domain.
+	Domain string `toml:"domain" json:"domain"`
+	// Limit is the name of the limit on slots and connections.
+	Limit string `toml:"limit" json:"limit"`
+	// Leaving endpoints get no new work.
+	Leaving bool `toml:"leaving" json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/config/limit.go
@@ -0,0 +1,22 @@
+package config
+
+import "siskincove/document"
+
+// Limit bounds an endpoint (slots, connections, reserve, rate) or a route (weight, queue, deadline).
+type Limit struct {
+	Name string `toml:"name" json:"name"`
+	// Slots is how many transactions an endpoint runs at once.
+	Slots int `toml:"slots" json:"slots,omitempty"`
+	// Connections is how many connections an endpoint admits, those for status and failover included.
+	Connections int `toml:"connections" json:"connections,omitempty"`
+	// Reserve is how many of the connections are kept for status and failover.
+	Reserve int `toml:"reserve" json:"reserve,omitempty"`
+	// Rate is how many new connections a second may be opened.
+	Rate int `toml:"rate" json:"rate,omitempty"`
+	// Weight is a route's share of an endpoint's slots against other routes.
+	Weight int `toml:"weight" json:"weight,omitempty"`
+	// Queue is how many requests of a route may wait for a slot.
+	Queue int `toml:"queue" json:"queue,omitempty"`
+	// Deadline is how long a request of a route may wait and run.
+	Deadline document.Duration `toml:"deadline" json:"deadline,omitempty"`
+}
--- /dev/null
+++ b/config/set.go
@@ -0,0 +1,60 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Set is a whole set of declared objects.
+type Set struct {
+	Services   []Service   `toml:"service" json:"service"`
+	Databases  []Database  `toml:"database" json:"database"`
+	Endpoints  []Endpoint  `toml:"endpoint" json:"endpoint"`
+	Routes     []Route     `toml:"route" json:"route"`
+	Allowances []Allowance `toml:"allowance" json:"allowance"`
+	Limits     []Limit     `toml:"limit" json:"limit"`
+	Callers    []Caller    `toml:"caller" json:"caller"`
+}
+
+// Sorted returns a copy whose objects are ordered by name.
+func (s Set) Sorted() Set {
+	return Set{
+		Services:   sorted(s.Services, func(o Service) string { return o.Name }),
+		Databases:  sorted(s.Databases, func(o Database) string { return o.Name }),
+		Endpoints:  sorted(s.Endpoints, func(o Endpoint) string { return o.Name }),
+		Routes:     sorted(s.Routes, func(o Route) string { return o.Name }),
+		Allowances: sorted(s.Allowances, func(o Allowance) string { return o.Name }),
+		Limits:     sorted(s.Limits, func(o Limit) string { return o.Name }),
+		Callers:    sorted(s.Callers, func(o Caller) string { return o.Name }),
+	}
+}
+
+func sorted[T any](objects []T, name func(T) string) []T {
+	out := slices.Clone(objects)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
+
+// Encode returns the set's canonical bytes.
+func (s Set) Encode() ([]byte, error) {
+	data, err := json.Marshal(s.Sorted())
+	return data, errors.Wrap(err, "encoding objects")
+}
+
+// Decode reads canonical bytes.
+func Decode(data []byte) (Set, error) {
+	var s Set
+	err := json.Unmarshal(data, &s)
+	return s, errors.Wrap(err, "decoding objects")
+}
+
+// Hash returns the content hash under which bytes of a set are stored.
+func Hash(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/endpoint/role.go
@@ -0,0 +1,29 @@
+package endpoint
+
+// Role is what an endpoint does in its group.
+type Role uint8
+
+const (
+	// Unknown means that the endpoint did not answer.
+	Unknown Role = iota
+	// Primary accepts writes.
+	Primary
+	// Replica follows a primary.
+	Replica
+	// Stopped follows nobody and refuses writes, as after a fence.
+	Stopped
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	switch r {
+	case Primary:
+		return "primary"
+	case Replica:
+		return "replica"
+	case Stopped:
+		return "stopped"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/entry/classify.go
@@ -0,0 +1,132 @@
+package entry
+
+import "strings"
+
+// class is what a statement does, as far as its first words tell.
+type class uint8
+
+const (
+	classRead class = iota
+	classWrite
+	classBegin
+	classBeginRead
+	classCommit
+	classRollback
+	classSet
+	classReset
+	classShow
+	classDiscard
+	classDeallocate
+	classCopy
+	classRefused
+	classEmpty
+)
+
+// classify tells the class of one statement. A write that looks like a read is refused by the endpoint, which runs
+// reads on read-only connections, and then sent to the primary; so this need not be exact.
+func classify(sql string) class {
+	words := fields(sql)
+	if len(words) == 0 {
+		return classEmpty
+	}
+	switch words[0] {
+	case "select", "table", "values", "with", "explain":
+		return classifyRead(sql)
+	case "show":
+		return classShow
+	case "begin", "start":
+		if strings.Contains(strings.ToLower(sql), "read only") {
+			return classBeginRead
+		}
+		return classBegin
+	case "commit", "end":
+		return classCommit
+	case "rollback", "abort":
+		if len(words) > 1 && containsText(words, "to") {
+			return classWrite
+		}
+		return classRollback
+	default:
+		return classifyOther(words, sql)
+	}
+}
+
+func classifyRead(sql string) class {
+	lower := strings.ToLower(sql)
+	switch {
+	case strings.Contains(lower, "pg_advisory_lock"), strings.Contains(lower, "pg_try_advisory_lock"):
+		return classRefused
+	case strings.Contains(lower, "for update"), strings.Contains(lower, "for share"), strings.Contains(lower, "for no key update"):
+		return classWrite
+	case strings.Contains(lower, "set_config("):
+		return classRefused
+	default:
+		return classRead
+	}
+}
+
+func classifyOther(words []string, sql string) class {
+	switch words[0] {
+	case "set":
+		if len(words) > 1 && (words[1] == "local" || words[1] == "transaction" || words[1] == "constraints") {
+			return classWrite
+		}
+		return classSet
+	case "reset":
+		return classReset
+	case "discard":
+		return classDiscard
+	case "deallocate":
+		return classDeallocate
+	case "copy":
+		return classCopy
+	case "listen", "unlisten", "prepare", "execute", "load":
+		return classRefused
+	case "create":
+		if strings.Contains(strings.ToLower(sql), "create temp") {
+			return classRefused
+		}
+	case "declare":
+		if strings.Contains(strings.ToLower(sql), "with hold") {
+			return classRefused
+		}
+	}
+	return classWrite
+}
+
+const wordsMaximum = 4
+
+// fields returns the first words of a statement in lower case, comments and parentheses left out.
+func fields(sql string) []string {
+	sql = skipComments(sql)
+	words := strings.FieldsFunc(sql[:min(len(sql), 128)], func(r rune) bool {
+		return r <= ' ' || r == '(' || r == ')' || r == ';'
+	})
+	words = words[:min(len(words), wordsMaximum)]
+	for i, w := range words {
+		words[i] = strings.ToLower(w)
+	}
+	return words
+}
+
+func skipComments(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n;")
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			_, rest, _ := strings.Cut(sql, "\n")
+			sql = rest
+		case strings.HasPrefix(sql, "/*"):
+			_, rest, _ := strings.Cut(sql, "*/")
+			sql = rest
+		default:
+			return sql
+		}
+	}
+}
+
+// several reports whether a simple query may hold more than one statement.
+func several(sql string) bool {
+	cut := strings.IndexByte(sql, ';')
+	return cut >= 0 && skipComments(sql[cut:]) != ""
+}
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"context"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/event"
+	"siskincove/peer"
+	"siskincove/pool"
+)
+
+// Owners reaches the owners of endpoints.
+type Owners interface {
+	Open(ctx context.Context, e config.Endpoint) (peer.Stream, error)
+	Ask(ctx context.Context, e config.Endpoint, q pool.Question) (pool.Report, error)
+}
+
+// Catalogs gives the configuration in force, nil before there is one.
+type Catalogs interface {
+	Catalog() *config.Catalog
+}
+
+// Options are what an entry needs to know and to use.
+type Options struct {
+	// ID is the instance's name and Domain its failure domain.
+	ID     string
+	Domain string
+	// Keys authenticate tokens; the first signs.
+	Keys     [][]byte
+	Clock    clock.Service
+	Logger   *event.Logger
+	Owners   Owners
+	Catalogs Catalogs
+	// Doubt is told the address of an instance where a stream failed.
+	Doubt func(e config.Endpoint)
+	// Forward sends a caller's cancel request to the instances that may hold its session.
+	Forward func(ctx context.Context, process, secret uint32)
+}
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,70 @@
+package event
+
+import "github.com/apex/log"
+
+// Daemon events, 100 to 199.
+var (
+	Started       = define(100, log.InfoLevel, "daemon", "started", "The instance runs; it serves once event 302 was logged.")
+	Stopping      = define(101, log.InfoLevel, "daemon", "stopping", "A signal asked the instance to leave; requests in flight are finished.")
+	Stopped       = define(102, log.InfoLevel, "daemon", "stopped", "The instance ended with nothing in flight.")
+	StoppedForced = define(103, log.WarnLevel, "daemon", "stopped by force", "The drain limit passed or a second signal came; the field inflight tells how many requests were cut off.")
+	Ready         = define(104, log.InfoLevel, "daemon", "ready", "The instance answers its readiness address with success.")
+)
+
+// Caller events, 200 to 299.
+var (
+	CallerConnected  = define(200, log.DebugLevel, "entry", "caller connected", "A caller was authenticated.")
+	CallerRefused    = define(201, log.WarnLevel, "entry", "caller refused", "Startup or authentication failed; the field reason says why.")
+	CallerEnded      = define(202, log.DebugLevel, "entry", "caller disconnected", "A caller's connection ended.")
+	RequestRefused   = define(203, log.WarnLevel, "entry", "request refused", "A request was answered with an error of ours; verdict and reason say what the caller was told.")
+	RequestRetried   = define(204, log.InfoLevel, "entry", "request retried", "A request that did not run was sent to another endpoint or again.")
+	ProtocolViolated = define(205, log.WarnLevel, "entry", "protocol violated", "A caller sent a message that the protocol does not allow; its connection was closed.")
+	TokenRejected    = define(206, log.WarnLevel, "entry", "token rejected", "A caller's session token was not made by this deployment or not for this caller; a barrier is used instead.")
+)
+
+// Routing events, 300 to 399.
+var (
+	RouteChosen      = define(300, log.InfoLevel, "route", "endpoint chosen", "A request was sent to this endpoint; why gives the rule.")
+	RouteNone        = define(301, log.WarnLevel, "route", "no endpoint", "No endpoint could serve the request at this moment.")
+	RevisionInForce  = define(302, log.InfoLevel, "config", "revision in force", "The instance serves by this revision from now on.")
+	RevisionFailed   = define(303, log.WarnLevel, "config", "revision not read", "The head or the objects could not be read; the instance keeps what it has and tries again.")
+	RevisionFromPeer = define(304, log.InfoLevel, "config", "revision read from a peer", "The platform did not answer, or a peer knew a newer revision first.")
+	BarrierTaken     = define(305, log.DebugLevel, "session", "barrier taken", "A session without a token reads at or past this position.")
+	BarrierFailed    = define(306, log.WarnLevel, "session", "barrier not taken", "No majority of the group's endpoints answered; the session's reads are refused for now.")
+)
+
+// Endpoint events, 400 to 499.
+var (
+	EndpointOwned     = define(400, log.InfoLevel, "pool", "endpoint owned", "This instance now opens the connections to the endpoint.")
+	EndpointReleased  = define(401, log.InfoLevel, "pool", "endpoint released", "Another instance owns the endpoint now; transactions in flight are finished here.")
+	ConnectionOpened  = define(402, log.DebugLevel, "pool", "connection opened", "A connection to the endpoint was opened.")
+	ConnectionFailed  = define(403, log.WarnLevel, "pool", "connection failed", "The endpoint refused a connection or did not answer in time.")
+	ConnectionDropped = define(404, log.InfoLevel, "pool", "connection dropped", "A connection was closed instead of reused because its state was not certain.")
+	RoleChanged       = define(405, log.InfoLevel, "pool", "role changed", "The endpoint reports another role or term.")
+	EndpointSilent    = define(406, log.WarnLevel, "pool", "endpoint silent", "The endpoint stopped answering status questions.")
+	CommitUnconfirmed = define(407, log.WarnLevel, "pool", "commit not confirmed", "A commit was not confirmed by a majority in time; the caller was told that it may have run.")
+	EndpointDraining  = define(408, log.InfoLevel, "pool", "endpoint leaving", "The endpoint is declared leaving and gets no new work.")
+	PoolRefused       = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason says why.")
+)
+
+// Failover events, 500 to 599.
+var (
+	PrimaryLost     = define(500, log.WarnLevel, "failover", "primary lost", "The coordinator has no working primary for the database and starts a ballot; why gives the evidence.")
+	BallotStarted   = define(501, log.InfoLevel, "failover", "ballot started", "A majority of the endpoints is asked to promise the term.")
+	BallotPromoting = define(502, log.InfoLevel, "failover", "endpoint promoted", "The endpoint with the highest log among a promised majority becomes primary.")
+	BallotDone      = define(503, log.InfoLevel, "failover", "ballot done", "The new primary accepts writes and the others follow it.")
+	BallotFailed    = define(504, log.WarnLevel, "failover", "ballot failed", "The ballot ended without a primary; it is tried again under a higher term.")
+	TermReserved    = define(505, log.InfoLevel, "failover", "term reserved", "A unique term was taken from the platform's table, ahead of need.")
+	TermMissing     = define(506, log.WarnLevel, "failover", "no term reserved", "The platform's table does not answer and no reserved term is high enough; failover waits or is left to the next coordinator.")
+	FollowerMended  = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed nobody was pointed at the primary.")
+)
+
+// Membership events, 600 to 699.
+var (
+	MemberAlive   = define(600, log.InfoLevel, "member", "instance alive", "An instance answers heartbeats.")
+	MemberDead    = define(601, log.WarnLevel, "member", "instance dead", "An instance has missed its heartbeats; its endpoints move to others.")
+	MemberLeaving = define(602, log.InfoLevel, "member", "instance leaving", "An instance announced that it leaves; its endpoints move to others.")
+	RosterFailed  = define(603, log.WarnLevel, "member", "list of instances not read", "The platform's list did not answer; heartbeats go on with what is known.")
+	PeerRefused   = define(604, log.WarnLevel, "peer", "peer refused", "A connection between instances failed or was refused.")
+	PlacementMade = define(605, log.InfoLevel, "member", "placement changed", "The owner of an endpoint is another instance from now on.")
+)
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,33 @@
+package event
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/apex/log"
+)
+
+// Event is one kind of log line; its number never changes meaning.
+type Event struct {
+	Number    int
+	Level     log.Level
+	Subsystem string
+	Message   string
+	// Meaning tells operators what happened and what to do.
+	Meaning string
+}
+
+var catalogue []Event
+
+func define(number int, level log.Level, subsystem, message, meaning string) Event {
+	e := Event{Number: number, Level: level, Subsystem: subsystem, Message: message, Meaning: meaning}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns every event, ordered by number.
+func Catalogue() []Event {
+	out := slices.Clone(catalogue)
+	slices.SortFunc(out, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
+	return out
+}
--- /dev/null
+++ b/instance/health.go
@@ -0,0 +1,105 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"siskincove/member"
+)
+
+const (
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = time.Second
+)
+
+// health serves /healthz, /readyz, /metrics and /status.
+type health struct {
+	instance *Instance
+	leaving  atomic.Bool
+	done     chan struct{}
+}
+
+// Status is what an instance tells of itself at /status.
+type Status struct {
+	Instance string   `json:"instance"`
+	Domain   string   `json:"domain"`
+	Ready    bool     `json:"ready"`
+	Revision uint64   `json:"revision"`
+	Hash     string   `json:"hash"`
+	Sessions int      `json:"sessions"`
+	Inflight int64    `json:"inflight"`
+	Pools    int      `json:"pools"`
+	Peers    []Member `json:"peers"`
+}
+
+// Member is one peer as an instance sees it.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	State   string `json:"state"`
+}
+
+func newHealth(ctx context.Context, listener net.Listener, i *Instance) *health {
+	h := &health{instance: i, done: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", h.serveReady)
+	mux.HandleFunc("GET /status", h.serveStatus)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		_ = server.Serve(listener)
+	}()
+	go func() {
+		defer close(h.done)
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(stop)
+	}()
+	return h
+}
+
+func (h *health) leave() { h.leaving.Store(true) }
+
+func (h *health) ready() bool {
+	return !h.leaving.Load() && h.instance.follower.Catalog() != nil
+}
+
+func (h *health) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (h *health) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(h.status())
+}
+
+func (h *health) status() Status {
+	i := h.instance
+	number, hash := i.follower.Revision()
+	return Status{
+		Instance: i.settings.Instance.ID, Domain: i.settings.Instance.Domain, Ready: h.ready(),
+		Revision: number, Hash: hash, Sessions: i.entry.Sessions(), Inflight: i.entry.Inflight(),
+		Pools: i.owner.Pools(), Peers: peers(i.members.Instances()),
+	}
+}
+
+func peers(all []member.Instance) []Member {
+	out := make([]Member, 0, len(all))
+	for _, m := range all {
+		out = append(out, Member{ID: m.ID, Address: m.Address, Domain: m.Domain, State: m.State.String()})
+	}
+	return out
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,219 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/endpoint"
+	"siskincove/endpoint/managed"
+	"siskincove/endpoint/postgres"
+	"siskincove/entry"
+	"siskincove/event"
+	"siskincove/failover"
+	"siskincove/member"
+	"siskincove/peer"
+	"siskincove/platform"
+	"siskincove/pool"
+	"siskincove/revision"
+	"siskincove/settings"
+)
+
+// Platform is the platform's services as an instance uses them.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Roster  platform.Roster
+}
+
+// Instance is one running instance.
+type Instance struct {
+	settings     settings.Settings
+	clock        clock.Service
+	logger       *event.Logger
+	cancel       context.CancelFunc
+	wired        chan struct{}
+	node         *peer.Node
+	members      *member.Driver
+	owner        *pool.Owner
+	follower     *revision.Follower
+	coordinators *coordinators
+	entry        *entry.Entry
+	health       *health
+}
+
+// listeners are the sockets of an instance.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	health  net.Listener
+}
+
+// ListenError is a listening address that can't be had.
+type ListenError struct {
+	Key   string
+	Cause error
+}
+
+// Error names the cause.
+func (e *ListenError) Error() string { return e.Cause.Error() }
+
+func listen(s settings.Listen) (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = net.Listen("tcp", s.Callers); err != nil {
+		return l, &ListenError{Key: "listen.callers", Cause: err}
+	}
+	if l.peers, err = net.Listen("tcp", s.Peers); err != nil {
+		return l, &ListenError{Key: "listen.peers", Cause: err}
+	}
+	if l.health, err = net.Listen("tcp", s.Health); err != nil {
+		return l, &ListenError{Key: "listen.health", Cause: err}
+	}
+	return l, nil
+}
+
+// New starts an instance; it ends with ctx, or gracefully by Leave.
+func New(ctx context.Context, s settings.Settings, service clock.Service, logger *event.Logger, p Platform) (*Instance, error) {
+	l, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	i := &Instance{settings: s, clock: service, logger: logger, cancel: cancel, wired: make(chan struct{})}
+	address := s.Listen.Advertise
+	if address == "" {
+		address = l.peers.Addr().String()
+	}
+	i.node = peer.New(ctx, l.peers, address, i, logger)
+	i.start(ctx, l, address, p)
+	close(i.wired)
+	logger.Log(event.Started, log.Fields{
+		"instance": s.Instance.ID, "domain": s.Instance.Domain, "callers": l.callers.Addr().String(), "peers": address,
+	})
+	return i, nil
+}
+
+func (i *Instance) start(ctx context.Context, l listeners, address string, p Platform) {
+	s := i.settings
+	self := member.Instance{
+		ID: s.Instance.ID, Address: address, Domain: s.Instance.Domain, Incarnation: uint64(i.clock.Now().UnixNano()),
+	}
+	late := &lateParts{instance: i}
+	i.follower = revision.New(ctx, revision.Options{
+		Clock: i.clock, Logger: i.logger, Table: p.Table, Objects: p.Objects, Dialer: i.node, Polls: late.polls, Apply: late.apply,
+	})
+	i.members = member.New(ctx, member.Options{
+		Self: self, Clock: i.clock, Logger: i.logger, Dialer: i.node, Roster: p.Roster,
+		Revisions: i.follower, Changed: late.changed, Drop: i.node.Drop,
+	})
+	client := pool.NewClient(i.node, i.members)
+	i.owner = pool.NewOwner(ctx, pool.OwnerOptions{
+		Domain: s.Instance.Domain, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
+		Client: client, Ownership: i.members, Vendors: []endpoint.Vendor{postgres.Vendor{}, managed.Vendor{}},
+	})
+	i.coordinators = newCoordinators(ctx, s.Instance.ID, i.members, failover.Options{
+		ID: s.Instance.ID, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
+		Timing: failover.Timing{Silence: s.Failover.Silence.Std(), Stagger: s.Failover.Stagger.Std()},
+		Owners: client, Table: p.Table,
+	})
+	i.entry = entry.New(ctx, l.callers, entry.Options{
+		ID: s.Instance.ID, Domain: s.Instance.Domain, Keys: keys(s.Token), Clock: i.clock, Logger: i.logger,
+		Owners: client, Catalogs: i.follower, Doubt: i.doubt, Forward: i.forward,
+	})
+	i.health = newHealth(ctx, l.health, i)
+}
+
+func keys(t settings.Token) [][]byte {
+	out := make([][]byte, 0, len(t.Keys))
+	for _, key := range t.Keys {
+		out = append(out, []byte(key))
+	}
+	return out
+}
+
+// doubt asks for a heartbeat to the owner of an endpoint where a stream failed.
+func (i *Instance) doubt(e config.Endpoint) {
+	if address, ok := i.members.Owner(e); ok {
+		i.members.Doubt(address)
+	}
+}
+
+// lateParts lets parts that start first call those that start later, once all are wired.
+type lateParts struct {
+	instance *Instance
+}
+
+const pollersPerDomain = 2
+
+// polls reports whether this instance ranks among the pollers of its failure domain.
+func (l *lateParts) polls() bool {
+	<-l.instance.wired
+	own := l.instance.settings.Instance
+	near := member.Near(own.Domain, l.instance.members.Live())
+	ranked := member.Rank("poller/"+own.Domain, near)
+	for _, other := range ranked[:min(len(ranked), pollersPerDomain)] {
+		if other.ID == own.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *lateParts) apply(catalog *config.Catalog) {
+	<-l.instance.wired
+	l.instance.owner.Configure(catalog)
+	l.instance.coordinators.configure(catalog)
+}
+
+func (l *lateParts) changed() {
+	<-l.instance.wired
+	l.instance.owner.Place()
+	l.instance.coordinators.place()
+}
+
+// CallerAddress returns the address that callers connect to.
+func (i *Instance) CallerAddress() string { return i.settings.Listen.Callers }
+
+// noticeTime is how long the instance goes on serving new callers after it is no longer ready, so that a balancer sees it.
+const noticeTime = 300 * time.Millisecond
+
+// Leave takes the instance out gracefully: it is no longer ready, tells its peers, hands over its endpoints, finishes
+// what is in flight and ends. It returns how many requests were cut off when ctx ended first.
+func (i *Instance) Leave(ctx context.Context) (int64, error) {
+	i.logger.Log(event.Stopping, log.Fields{"instance": i.settings.Instance.ID})
+	i.health.leave()
+	_ = clock.Wait(ctx, i.clock, noticeTime)
+	i.coordinators.leave()
+	i.members.Leave(ctx)
+	left := i.entry.Drain(ctx)
+	err := i.owner.Leave(ctx)
+	i.cancel()
+	i.wait()
+	if left > 0 || err != nil {
+		i.logger.Log(event.StoppedForced, log.Fields{"instance": i.settings.Instance.ID, "inflight": left})
+		return left, errors.Wrap(err, "drain limit")
+	}
+	i.logger.Log(event.Stopped, log.Fields{"instance": i.settings.Instance.ID})
+	return 0, nil
+}
+
+// wait returns when every part has ended.
+func (i *Instance) wait() {
+	<-i.entry.Done()
+	<-i.members.Done()
+	<-i.follower.Done()
+	<-i.node.Done()
+	<-i.health.done
+}
+
+// Close ends the instance at once.
+func (i *Instance) Close() {
+	i.cancel()
+	i.wait()
+}
--- /dev/null
+++ b/member/driver.go
@@ -0,0 +1,323 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/event"
+	"siskincove/peer"
+	"siskincove/peer/wire"
+	"siskincove/platform"
+)
+
+const (
+	period           = 250 * time.Millisecond
+	urgentPeriod     = 100 * time.Millisecond
+	heartbeatTimeout = 200 * time.Millisecond
+	rosterInterval   = 5 * time.Second
+	rosterTimeout    = 2 * time.Second
+	// settlePeriods is how many periods pass after a start before this instance owns anything.
+	settlePeriods = 4
+	// mayOwn is how many instances in the order of an endpoint accept work for it.
+	mayOwn = 2
+)
+
+// Revisions tells and takes the configuration revision that heartbeats relay.
+type Revisions interface {
+	// Revision returns the revision in force here and its hash.
+	Revision() (uint64, string)
+	// Heard takes in that the peer at an address has a revision.
+	Heard(revision uint64, hash, address string)
+}
+
+// Options are what a driver needs to know and to use.
+type Options struct {
+	Self      Instance
+	Clock     clock.Service
+	Logger    *event.Logger
+	Dialer    peer.Dialer
+	Roster    platform.Roster
+	Revisions Revisions
+	// Changed is called after the set of live instances has changed.
+	Changed func()
+	// Drop is called with the address of an instance that died, to end what still waits for it.
+	Drop func(address string)
+}
+
+// Driver keeps the table by heartbeats and the platform's list.
+type Driver struct {
+	options Options
+	done    chan struct{}
+	running sync.WaitGroup
+
+	mu      sync.Mutex
+	table   *Table
+	periods int
+	owners  map[string][]Instance
+	version uint64
+}
+
+// New starts a driver that ends with ctx.
+func New(ctx context.Context, o Options) *Driver {
+	d := &Driver{options: o, done: make(chan struct{}), table: NewTable(o.Self), owners: make(map[string][]Instance)}
+	d.running.Go(func() { d.beat(ctx) })
+	d.running.Go(func() { d.readRoster(ctx) })
+	go func() {
+		defer close(d.done)
+		d.running.Wait()
+	}()
+	return d
+}
+
+// Done is closed when the driver's goroutines have ended.
+func (d *Driver) Done() <-chan struct{} { return d.done }
+
+// Instances returns the other instances as known.
+func (d *Driver) Instances() []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Instances()
+}
+
+// Live returns the instances that may own endpoints.
+func (d *Driver) Live() []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Live()
+}
+
+// Leave marks this instance as leaving and tells every live peer at once.
+func (d *Driver) Leave(ctx context.Context) {
+	d.mu.Lock()
+	d.table.Leave(d.options.Clock.Now())
+	peers := d.table.Instances()
+	d.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, i := range peers {
+		if i.State.Live() {
+			wait.Go(func() { d.exchange(ctx, i) })
+		}
+	}
+	wait.Wait()
+	d.options.Changed()
+}
+
+// Doubt asks for a heartbeat to an address soon.
+func (d *Driver) Doubt(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Doubt(address, d.options.Clock.Now())
+}
+
+func (d *Driver) beat(ctx context.Context) {
+	for {
+		urgent := d.round(ctx)
+		pause := period
+		if urgent {
+			pause = urgentPeriod
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.options.Clock.After(pause):
+		}
+	}
+}
+
+// round sends one period's heartbeats and reports whether some instance is in doubt.
+func (d *Driver) round(ctx context.Context) bool {
+	d.mu.Lock()
+	targets := d.table.Targets(d.options.Clock.Now())
+	d.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, i := range targets {
+		wait.Go(func() { d.exchange(ctx, i) })
+	}
+	wait.Wait()
+	return d.endRound()
+}
+
+func (d *Driver) endRound() bool {
+	d.mu.Lock()
+	d.periods++
+	settled := d.periods == settlePeriods
+	urgent := len(d.table.urgent) > 0
+	d.mu.Unlock()
+	if settled {
+		d.options.Changed()
+	}
+	return urgent
+}
+
+// exchange sends a heartbeat and takes in its answer, or that there was none.
+func (d *Driver) exchange(ctx context.Context, i Instance) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat()}})
+	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
+		d.Take(reply.GetHeartbeat())
+		return
+	}
+	d.mu.Lock()
+	changes := d.table.Missed(i.ID, d.options.Clock.Now())
+	d.mu.Unlock()
+	d.report(changes)
+}
+
+// heartbeat returns this instance's own.
+func (d *Driver) heartbeat() *wire.Heartbeat {
+	revision, hash := d.options.Revisions.Revision()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.table.Self()
+	out := &wire.Heartbeat{
+		Id: self.ID, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
+		Leaving: self.State == Leaving, Revision: revision, Hash: hash,
+	}
+	for _, r := range d.table.News() {
+		out.Rumours = append(out.Rumours, &wire.Rumour{
+			Id: r.ID, Address: r.Address, Domain: r.Domain, Incarnation: r.Incarnation, State: uint32(r.State),
+		})
+	}
+	return out
+}
+
+// Serve answers a peer's heartbeat; it reports false for frames of other kinds.
+func (d *Driver) Serve(first *wire.Frame, stream peer.Stream) bool {
+	h := first.GetHeartbeat()
+	if h == nil {
+		return false
+	}
+	d.Take(h)
+	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat()}})
+	return true
+}
+
+// Take takes in a peer's heartbeat.
+func (d *Driver) Take(h *wire.Heartbeat) {
+	now := d.options.Clock.Now()
+	from := Instance{ID: h.GetId(), Address: h.GetAddress(), Domain: h.GetDomain(), Incarnation: h.GetIncarnation()}
+	rumours := make([]Rumour, 0, len(h.GetRumours()))
+	for _, r := range h.GetRumours() {
+		rumours = append(rumours, Rumour{
+			ID: r.GetId(), Address: r.GetAddress(), Domain: r.GetDomain(), Incarnation: r.GetIncarnation(), State: State(r.GetState()),
+		})
+	}
+	d.mu.Lock()
+	changes := d.table.Answered(from, h.GetLeaving(), now)
+	d.table.Hear(rumours, now)
+	d.mu.Unlock()
+	d.options.Revisions.Heard(h.GetRevision(), h.GetHash(), h.GetAddress())
+	d.report(changes)
+}
+
+func (d *Driver) report(changes []Change) {
+	placement := false
+	for _, c := range changes {
+		fields := log.Fields{"instance": c.Instance.ID, "address": c.Instance.Address, "before": c.Before.String()}
+		switch c.Instance.State {
+		case Alive:
+			if c.Before != Suspect {
+				d.options.Logger.Log(event.MemberAlive, fields)
+			}
+		case Leaving:
+			d.options.Logger.Log(event.MemberLeaving, fields)
+		case Dead:
+			d.options.Logger.Log(event.MemberDead, fields)
+			d.options.Drop(c.Instance.Address)
+		}
+		placement = placement || c.Instance.State.Live() != c.Before.Live()
+	}
+	if placement {
+		d.options.Changed()
+	}
+}
+
+func (d *Driver) readRoster(ctx context.Context) {
+	for {
+		d.readRosterOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.options.Clock.After(rosterInterval):
+		}
+	}
+}
+
+func (d *Driver) readRosterOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	list, err := d.options.Roster.List(ctx)
+	if err != nil {
+		d.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Roster(list, d.options.Clock.Now())
+}
+
+// order returns the live instances in the order in which they may own an endpoint.
+func (d *Driver) order(e config.Endpoint) []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.version != d.table.Version() {
+		d.owners = make(map[string][]Instance)
+		d.version = d.table.Version()
+	}
+	if order, ok := d.owners[e.Name]; ok {
+		return order
+	}
+	order := Rank(e.Name, Near(e.Domain, d.table.Live()))
+	order = order[:min(len(order), mayOwn)]
+	d.owners[e.Name] = order
+	return order
+}
+
+// Owner returns the address of the instance that owns an endpoint by this instance's view.
+func (d *Driver) Owner(e config.Endpoint) (string, bool) {
+	order := d.order(e)
+	if len(order) == 0 {
+		return "", false
+	}
+	return order[0].Address, true
+}
+
+// Owns reports whether this instance is the owner of an endpoint by its own view, once it has settled.
+func (d *Driver) Owns(e config.Endpoint) bool {
+	order := d.order(e)
+	return d.settled() && len(order) > 0 && order[0].ID == d.options.Self.ID
+}
+
+// MayOwn reports whether this instance accepts work for an endpoint, as the first or the second in its order.
+func (d *Driver) MayOwn(e config.Endpoint) bool {
+	if !d.settled() {
+		return false
+	}
+	for _, i := range d.order(e) {
+		if i.ID == d.options.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Driver) settled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.periods >= settlePeriods
+}
+
+// Coordinators returns the first instances in the order of a database, at most most of them.
+func (d *Driver) Coordinators(database string, most int) []Instance {
+	if !d.settled() {
+		return nil
+	}
+	order := Rank("coordinator/"+database, d.Live())
+	return order[:min(len(order), most)]
+}
--- /dev/null
+++ b/member/state.go
@@ -0,0 +1,36 @@
+package member
+
+// State is what is believed of an instance.
+type State uint8
+
+const (
+	// Unproven instances are listed but have not answered yet.
+	Unproven State = iota
+	// Alive instances answer heartbeats.
+	Alive
+	// Suspect instances have missed a heartbeat or are rumoured dead; they still count as live.
+	Suspect
+	// Leaving instances have announced that they leave.
+	Leaving
+	// Dead instances have missed their heartbeats.
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Unproven:
+		return "unproven"
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
+// Live reports whether an instance in the state may own endpoints.
+func (s State) Live() bool { return s == Alive || s == Suspect }
--- /dev/null
+++ b/message/named.go
@@ -0,0 +1,88 @@
+package message
+
+// Statement returns the name of the prepared statement that a Parse, Bind, Describe or Close message names;
+// named is false for other messages and for portals.
+func Statement(r Raw) (name string, named bool, err error) {
+	body := r.Body()
+	switch r.Type() {
+	case Parse:
+		name, _, err = Text(body)
+		return name, err == nil, err
+	case Bind:
+		return secondText(body)
+	case Describe, Close:
+		if len(body) == 0 {
+			return "", false, ErrMalformed
+		}
+		if body[0] != ObjectStatement {
+			return "", false, nil
+		}
+		name, _, err = Text(body[1:])
+		return name, err == nil, err
+	default:
+		return "", false, nil
+	}
+}
+
+func secondText(body []byte) (string, bool, error) {
+	_, rest, err := Text(body)
+	if err != nil {
+		return "", false, err
+	}
+	name, _, err := Text(rest)
+	return name, err == nil, err
+}
+
+// WithStatement returns a copy of a Parse, Bind, Describe or Close message that names another prepared statement.
+func WithStatement(r Raw, name string) (Raw, error) {
+	body := r.Body()
+	var out []byte
+	switch r.Type() {
+	case Bind:
+		portal, rest, err := Text(body)
+		if err != nil {
+			return nil, err
+		}
+		out = appendText(out, portal)
+		body = rest
+	case Describe, Close:
+		if len(body) == 0 {
+			return nil, ErrMalformed
+		}
+		out = append(out, body[0])
+		body = body[1:]
+	}
+	_, rest, err := Text(body)
+	if err != nil {
+		return nil, err
+	}
+	out = append(appendText(out, name), rest...)
+	return New(r.Type(), out), nil
+}
+
+// ParseQuery returns the statement text of a Parse message.
+func ParseQuery(r Raw) (string, error) {
+	_, rest, err := Text(r.Body())
+	if err != nil {
+		return "", err
+	}
+	query, _, err := Text(rest)
+	return query, err
+}
+
+// ErrorCode returns the SQLSTATE of an ErrorResponse, empty when it has none.
+func ErrorCode(r Raw) string {
+	body := r.Body()
+	for len(body) > 1 {
+		field := body[0]
+		value, rest, err := Text(body[1:])
+		if err != nil {
+			return ""
+		}
+		if field == 'C' {
+			return value
+		}
+		body = rest
+	}
+	return ""
+}
--- /dev/null
+++ b/message/type.go
@@ -0,0 +1,45 @@
+package message
+
+// Type is the first byte of a message.
+type Type byte
+
+// Types of messages from callers.
+const (
+	Query    Type = 'Q'
+	Parse    Type = 'P'
+	Bind     Type = 'B'
+	Describe Type = 'D'
+	Execute  Type = 'E'
+	Close    Type = 'C'
+	Sync     Type = 'S'
+	Flush    Type = 'H'
+	Exit     Type = 'X'
+)
+
+// Types of messages from endpoints.
+const (
+	ParseComplete    Type = '1'
+	BindComplete     Type = '2'
+	CloseComplete    Type = '3'
+	CommandComplete  Type = 'C'
+	DataRow          Type = 'D'
+	ErrorResponse    Type = 'E'
+	EmptyQuery       Type = 'I'
+	NoData           Type = 'n'
+	Notice           Type = 'N'
+	Notification     Type = 'A'
+	ParameterStatus  Type = 'S'
+	PortalSuspended  Type = 's'
+	ReadyForQuery    Type = 'Z'
+	RowDescription   Type = 'T'
+	ParameterTypes   Type = 't'
+	CopyInResponse   Type = 'G'
+	CopyOutResponse  Type = 'H'
+	CopyBothResponse Type = 'W'
+)
+
+// Objects that Describe and Close name.
+const (
+	ObjectStatement = 'S'
+	ObjectPortal    = 'P'
+)
--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/peer/wire"
+)
+
+// Call sends one frame and returns the one that answers it.
+func Call(ctx context.Context, dialer Dialer, address string, request *wire.Frame) (*wire.Frame, error) {
+	stream, err := dialer.Open(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(request); err != nil {
+		return nil, errors.Wrapf(err, "calling %s", address)
+	}
+	reply, err := stream.Receive()
+	if err != nil {
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, errors.Wrapf(err, "calling %s", address)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,55 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"siskincove/peer/wire"
+)
+
+const (
+	headerBytes = 4
+	// maxFrameBytes bounds a frame; it exceeds the largest message that a caller may send.
+	maxFrameBytes = 20 << 20
+)
+
+// appendFrame appends the length and the encoding of a frame.
+func appendFrame(buffer []byte, frame *wire.Frame) ([]byte, error) {
+	start := len(buffer)
+	buffer = append(buffer, 0, 0, 0, 0)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, frame)
+	if err != nil {
+		return buffer, errors.Wrap(err, "encoding frame")
+	}
+	size := len(buffer) - start - headerBytes
+	if size > maxFrameBytes {
+		return buffer, errors.Newf("frame of %d bytes exceeds %d", size, maxFrameBytes)
+	}
+	binary.BigEndian.PutUint32(buffer[start:], uint32(size))
+	return buffer, nil
+}
+
+// readFrame reads one frame.
+func readFrame(r *bufio.Reader) (*wire.Frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxFrameBytes {
+		return nil, errors.Newf("frame of %d bytes exceeds %d", size, maxFrameBytes)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	frame := &wire.Frame{}
+	if err := proto.Unmarshal(body, frame); err != nil {
+		return nil, errors.Wrap(err, "decoding frame")
+	}
+	return frame, nil
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"time"
+
+	"siskincove/endpoint"
+	"siskincove/peer/wire"
+	"siskincove/verdict"
+)
+
+// ToPosition returns the message for a position; nil stands for the zero position.
+func ToPosition(p endpoint.Position) *wire.Position {
+	if p == (endpoint.Position{}) {
+		return nil
+	}
+	return &wire.Position{Term: uint64(p.Term), Offset: p.Offset}
+}
+
+// FromPosition reads a position message, nil included.
+func FromPosition(m *wire.Position) endpoint.Position {
+	return endpoint.Position{Term: endpoint.LogTerm(m.GetTerm()), Offset: m.GetOffset()}
+}
+
+// ToStatus returns the message for a status.
+func ToStatus(s endpoint.Status) *wire.Status {
+	return &wire.Status{
+		Role:      uint32(s.Role),
+		Fenced:    uint64(s.Fenced),
+		Log:       ToPosition(s.Log),
+		Applied:   ToPosition(s.Applied),
+		Receiving: s.Receiving,
+	}
+}
+
+// FromStatus reads a status message.
+func FromStatus(m *wire.Status) endpoint.Status {
+	return endpoint.Status{
+		Role:      endpoint.Role(m.GetRole()),
+		Fenced:    endpoint.FencedTerm(m.GetFenced()),
+		Log:       FromPosition(m.GetLog()),
+		Applied:   FromPosition(m.GetApplied()),
+		Receiving: m.GetReceiving(),
+	}
+}
+
+// ToFailure returns the message for an error, nil for no error.
+func ToFailure(err error) *wire.Failure {
+	if err == nil {
+		return nil
+	}
+	e := verdict.From(err)
+	return &wire.Failure{
+		Verdict: uint32(e.Verdict),
+		Reason:  string(e.Reason),
+		Message: e.Message,
+		After:   Micros(e.After),
+	}
+}
+
+// FromFailure reads a failure message, nil for none; an unknown verdict counts as MayHaveRun.
+func FromFailure(m *wire.Failure) *verdict.Error {
+	if m == nil {
+		return nil
+	}
+	v := verdict.Verdict(m.GetVerdict())
+	if v != verdict.NotRun && v != verdict.Ran {
+		v = verdict.MayHaveRun
+	}
+	e := verdict.New(v, verdict.Reason(m.GetReason()), "%s", m.GetMessage())
+	return e.WithAfter(Duration(m.GetAfter()))
+}
+
+// Micros returns d in whole microseconds, at least 0.
+func Micros(d time.Duration) uint64 { return uint64(max(d.Microseconds(), 0)) }
+
+// Duration reads whole microseconds; values beyond a day are cut to a day.
+func Duration(micros uint64) time.Duration {
+	const most = uint64(24 * time.Hour / time.Microsecond)
+	return time.Duration(min(micros, most)) * time.Microsecond
+}
--- /dev/null
+++ b/peer/remote.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+
+	"siskincove/peer/wire"
+)
+
+const readerBytes = 4 << 10
+
+// remote is a stream over a yamux stream.
+type remote struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	buffer []byte
+	stop   func() bool
+	once   sync.Once
+	err    error
+}
+
+func newRemote(ctx context.Context, conn net.Conn) *remote {
+	r := &remote{conn: conn, reader: bufio.NewReaderSize(conn, readerBytes)}
+	r.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return r
+}
+
+// Send writes a frame.
+func (r *remote) Send(frame *wire.Frame) error {
+	buffer, err := appendFrame(r.buffer[:0], frame)
+	r.buffer = buffer
+	if err != nil {
+		return err
+	}
+	_, err = r.conn.Write(buffer)
+	return err
+}
+
+// Receive reads the next frame.
+func (r *remote) Receive() (*wire.Frame, error) { return readFrame(r.reader) }
+
+// Close ends the exchange.
+func (r *remote) Close() error {
+	r.once.Do(func() {
+		r.stop()
+		r.err = r.conn.Close()
+	})
+	return r.err
+}
--- /dev/null
+++ b/pool/checkout.go
@@ -0,0 +1,107 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/event"
+	"siskincove/verdict"
+)
+
+// checkout returns an idle connection or opens one, which only a transaction that holds a slot may do.
+func (p *Pool) checkout(ctx context.Context, readOnly bool) (*connection, error) {
+	p.mu.Lock()
+	if c := p.takeIdle(readOnly); c != nil {
+		p.mu.Unlock()
+		return c, nil
+	}
+	if remaining := p.circuit.Remaining(p.now()); remaining > 0 {
+		p.mu.Unlock()
+		return nil, unreachable().WithAfter(remaining)
+	}
+	p.evict(!readOnly)
+	p.open++
+	p.mu.Unlock()
+	return p.dial(ctx, readOnly)
+}
+
+func (p *Pool) takeIdle(readOnly bool) *connection {
+	list := p.idle[readOnly]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[readOnly] = list[:len(list)-1]
+	return c
+}
+
+// evict closes an idle connection of the other kind when the endpoint has no room for one more.
+func (p *Pool) evict(readOnly bool) {
+	if p.open < p.options.working() {
+		return
+	}
+	if c := p.takeIdle(readOnly); c != nil {
+		c.close()
+		p.open--
+	}
+}
+
+func unreachable() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint does not answer")
+}
+
+func (p *Pool) dial(ctx context.Context, readOnly bool) (*connection, error) {
+	if err := p.rate.Wait(ctx); err != nil {
+		p.forget()
+		return nil, verdict.New(verdict.NotRun, verdict.Overload, "connection rate exceeded").WithCause(err)
+	}
+	c, err := p.dialer.working(ctx, readOnly)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	name := p.options.Endpoint.Name
+	if err != nil {
+		p.open--
+		p.circuit = p.circuit.WithFailure(p.now())
+		p.options.Logger.Log(event.ConnectionFailed, log.Fields{"endpoint": name, "error": err.Error()})
+		return nil, unreachable().WithCause(err).WithAfter(p.comeBack())
+	}
+	p.circuit = p.circuit.WithSuccess()
+	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": name, "open": p.open})
+	return c, nil
+}
+
+const comeBackDefault = 100 * time.Millisecond
+
+func (p *Pool) comeBack() time.Duration {
+	return max(p.circuit.Remaining(p.now()), comeBackDefault)
+}
+
+func (p *Pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+}
+
+// checkin takes back a connection that is known to be idle and clean.
+func (p *Pool) checkin(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = c.conn.SetDeadline(time.Time{})
+	if p.ctx.Err() != nil || len(c.prepared) > preparedMaximum {
+		c.close()
+		p.open--
+		return
+	}
+	p.idle[c.readOnly] = append(p.idle[c.readOnly], c)
+}
+
+// discard closes a connection whose state is not certain.
+func (p *Pool) discard(c *connection, why string) {
+	c.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.options.Logger.Log(event.ConnectionDropped, log.Fields{"endpoint": p.options.Endpoint.Name, "why": why})
+}
--- /dev/null
+++ b/pool/confirm.go
@@ -0,0 +1,230 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"siskincove/config"
+	"siskincove/endpoint"
+	"siskincove/session"
+	"siskincove/verdict"
+)
+
+const (
+	// reachPatience is how long an owner of a replica waits for a position before it answers.
+	reachPatience = 500 * time.Millisecond
+	// reachRetry is the pause after a failed question to the owner of a replica.
+	reachRetry = 20 * time.Millisecond
+	// establishLimit bounds the confirmation of a new primary's first record.
+	establishLimit = 10 * time.Second
+	// confirmableAge is how old the last sign of a replica that could confirm may be.
+	confirmableAge = 2 * time.Second
+)
+
+// confirmer finds out when a majority of the group holds a position under the primary's term.
+type confirmer struct {
+	pool *Pool
+
+	mu          sync.Mutex
+	term        endpoint.LogTerm
+	established endpoint.LogTerm
+	held        map[string]held
+	asking      map[string]bool
+	waiters     map[*waiter]struct{}
+}
+
+// held is the last log that an endpoint reported; following tells that it receives from a primary of the term.
+type held struct {
+	log       endpoint.Position
+	following bool
+	at        time.Time
+}
+
+type waiter struct {
+	position endpoint.Position
+	done     chan struct{}
+}
+
+func newConfirmer(p *Pool) *confirmer {
+	return &confirmer{
+		pool:    p,
+		held:    make(map[string]held),
+		asking:  make(map[string]bool),
+		waiters: make(map[*waiter]struct{}),
+	}
+}
+
+// wait returns once a majority holds the position, or fails with ctx.
+func (c *confirmer) wait(ctx context.Context, position endpoint.Position) error {
+	w := &waiter{position: position, done: make(chan struct{})}
+	if c.add(w) {
+		return nil
+	}
+	defer c.remove(w)
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return verdict.New(verdict.MayHaveRun, verdict.Unconfirmed, "commit was not confirmed by a majority in time")
+	}
+}
+
+// add registers a waiter and asks the replicas, unless the position is already held by a majority.
+func (c *confirmer) add(w *waiter) bool {
+	others := c.others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmed(others, w.position.Term).Covers(w.position) {
+		return true
+	}
+	c.waiters[w] = struct{}{}
+	for _, e := range others {
+		if !c.asking[e.Name] {
+			c.asking[e.Name] = true
+			c.pool.running.Go(func() { c.follow(e) })
+		}
+	}
+	return false
+}
+
+func (c *confirmer) remove(w *waiter) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiters, w)
+}
+
+// others returns the group's endpoints but this pool's.
+func (c *confirmer) others() []config.Endpoint {
+	o := c.pool.settings()
+	out := make([]config.Endpoint, 0, len(o.Members))
+	for _, e := range o.Members {
+		if e.Name != o.Endpoint.Name {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// confirmed returns the highest position of the term that a majority holds, this primary counted as holding all.
+func (c *confirmer) confirmed(others []config.Endpoint, term endpoint.LogTerm) endpoint.Position {
+	needed := session.Majority(len(others)+1) - 1
+	var logs []endpoint.Position
+	for _, e := range others {
+		if h := c.held[e.Name]; h.log.Term == term {
+			logs = append(logs, h.log)
+		}
+	}
+	if len(logs) < needed || needed == 0 {
+		return endpoint.Position{}
+	}
+	slices.SortFunc(logs, func(a, b endpoint.Position) int { return b.Compare(a) })
+	return logs[needed-1]
+}
+
+// follow asks the owner of one replica for as long as somebody waits for it.
+func (c *confirmer) follow(e config.Endpoint) {
+	for {
+		position, wanted := c.lowest(e.Name)
+		if !wanted || c.pool.ctx.Err() != nil {
+			return
+		}
+		report, err := c.pool.options.Owners.Ask(c.pool.ctx, e, Question{Fresh: true, Reach: position, Patience: reachPatience})
+		if err != nil || report.Silence > 0 {
+			c.pause()
+			continue
+		}
+		c.note(e.Name, report.Status)
+	}
+}
+
+func (c *confirmer) pause() {
+	select {
+	case <-c.pool.ctx.Done():
+	case <-c.pool.options.Clock.After(reachRetry):
+	}
+}
+
+// lowest returns the lowest position waited for that the replica is not known to hold, and ends the asking when none is.
+func (c *confirmer) lowest(name string) (endpoint.Position, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := false
+	var low endpoint.Position
+	for w := range c.waiters {
+		if c.held[name].log.Covers(w.position) && c.held[name].log.Term == w.position.Term {
+			continue
+		}
+		if !found || w.position.Compare(low) < 0 {
+			low, found = w.position, true
+		}
+	}
+	if !found {
+		c.asking[name] = false
+	}
+	return low, found
+}
+
+// note records what a replica holds and wakes the waiters that it completes.
+func (c *confirmer) note(name string, status endpoint.Status) {
+	others := c.others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	following := status.Receiving && endpoint.LogTerm(status.Fenced) == c.term
+	c.held[name] = held{log: status.Log, following: following, at: c.pool.now()}
+	for w := range c.waiters {
+		if c.confirmed(others, w.position.Term).Covers(w.position) {
+			delete(c.waiters, w)
+			close(w.done)
+		}
+	}
+}
+
+// lead starts a term: nothing counts as established until a majority holds a record of it.
+func (c *confirmer) lead(term endpoint.LogTerm) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.term = term
+}
+
+func (c *confirmer) establish(term endpoint.LogTerm) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.established = term
+}
+
+func (c *confirmer) serves(term endpoint.LogTerm) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.established == term
+}
+
+// confirmable reports whether enough replicas were lately seen to receive under the term.
+func (c *confirmer) confirmable(term endpoint.LogTerm) bool {
+	others := c.others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, count := c.pool.now(), 1
+	for _, e := range others {
+		h := c.held[e.Name]
+		if h.following && c.term == term && now.Sub(h.at) <= confirmableAge {
+			count++
+		}
+	}
+	return count >= session.Majority(len(others)+1)
+}
+
+// establish confirms that a majority holds a record of the primary's term, before which it serves nothing.
+func (p *Pool) establish() {
+	status := p.known().status
+	if !status.Leads() {
+		return
+	}
+	p.confirmer.lead(status.Log.Term)
+	ctx, cancel := context.WithTimeout(p.ctx, establishLimit)
+	defer cancel()
+	if p.confirmer.wait(ctx, status.Log) == nil {
+		p.confirmer.establish(status.Log.Term)
+	}
+}
--- /dev/null
+++ b/pool/connection.go
@@ -0,0 +1,126 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"siskincove/message"
+	"siskincove/peer/wire"
+)
+
+const (
+	connectTimeout = 2 * time.Second
+	// responseBytesMaximum bounds one message from an endpoint.
+	responseBytesMaximum = 18 << 20
+	// preparedMaximum bounds the statements kept prepared on a connection.
+	preparedMaximum = 256
+	applicationName = "siskincove "
+)
+
+// connection is one connection to an endpoint that carries transactions.
+type connection struct {
+	conn     net.Conn
+	reader   *message.Reader
+	readOnly bool
+	prepared map[string]bool
+	settings map[string]string
+	pid      uint32
+	secret   []byte
+}
+
+// dialer opens connections to one endpoint.
+type dialer struct {
+	config *pgconn.Config
+	domain string
+}
+
+func newDialer(o Options) (*dialer, error) {
+	host, port, err := net.SplitHostPort(o.Endpoint.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "endpoint %s", o.Endpoint.Name)
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return nil, errors.Wrapf(err, "endpoint %s", o.Endpoint.Name)
+	}
+	c, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrap(err, "connection settings")
+	}
+	c.Host, c.Port = host, uint16(number)
+	c.User, c.Password, c.Database = o.Database.User, o.Database.Password, o.Database.Catalog
+	c.ConnectTimeout = connectTimeout
+	c.Fallbacks = nil
+	return &dialer{config: c, domain: o.Domain}, nil
+}
+
+// plain opens a connection for status and commands.
+func (d *dialer) plain(ctx context.Context) (*pgconn.PgConn, error) {
+	return d.connect(ctx, false)
+}
+
+func (d *dialer) connect(ctx context.Context, readOnly bool) (*pgconn.PgConn, error) {
+	c := d.config.Copy()
+	c.RuntimeParams = map[string]string{"application_name": applicationName + d.domain}
+	if readOnly {
+		c.RuntimeParams["default_transaction_read_only"] = "on"
+	}
+	return pgconn.ConnectConfig(ctx, c)
+}
+
+// working opens a connection for transactions; on a read-only one the endpoint itself refuses writes.
+func (d *dialer) working(ctx context.Context, readOnly bool) (*connection, error) {
+	plain, err := d.connect(ctx, readOnly)
+	if err != nil {
+		return nil, err
+	}
+	hijacked, err := plain.Hijack()
+	if err != nil {
+		return nil, errors.Wrap(err, "connection")
+	}
+	return &connection{
+		conn:     hijacked.Conn,
+		reader:   message.NewReader(hijacked.Conn, responseBytesMaximum),
+		readOnly: readOnly,
+		prepared: make(map[string]bool),
+		settings: make(map[string]string),
+		pid:      hijacked.PID,
+		secret:   hijacked.SecretKey,
+	}, nil
+}
+
+func (c *connection) close() { _ = c.conn.Close() }
+
+// settingsQuery returns a statement that brings the connection's settings to the wanted ones, empty when they are.
+func (c *connection) settingsQuery(wanted []*wire.Setting) string {
+	if len(wanted) == 0 && len(c.settings) == 0 {
+		return ""
+	}
+	next := make(map[string]string, len(wanted))
+	for _, s := range wanted {
+		next[s.GetName()] = s.GetValue()
+	}
+	if maps.Equal(next, c.settings) {
+		return ""
+	}
+	sql := ""
+	for name := range c.settings {
+		if _, kept := next[name]; !kept {
+			sql += "RESET " + name + ";"
+		}
+	}
+	for name, value := range next {
+		if c.settings[name] != value {
+			sql += fmt.Sprintf("SET %s = %s;", name, value)
+		}
+	}
+	c.settings = next
+	return sql
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"golang.org/x/time/rate"
+
+	"siskincove/endpoint"
+	"siskincove/event"
+	"siskincove/limit"
+	"siskincove/session"
+	"siskincove/share"
+)
+
+// Pool owns one endpoint's connections and slots.
+type Pool struct {
+	dialer    *dialer
+	rate      *rate.Limiter
+	probe     *probe
+	asking    share.Group[endpoint.Status]
+	confirmer *confirmer
+	running   sync.WaitGroup
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      chan struct{}
+
+	mu         sync.Mutex
+	options    Options
+	admission  *limit.Admission
+	circuit    limit.Circuit
+	next       limit.Ticket
+	waiting    map[limit.Ticket]chan limit.Outcome
+	idle       map[bool][]*connection
+	open       int
+	inflight   int
+	status     endpoint.Status
+	statusAt   time.Time
+	answered   bool
+	silentFrom time.Time
+	history    session.History
+	draining   bool
+	serving    map[uint64]*transaction
+}
+
+// New starts a pool; it ends with ctx or Close.
+func New(ctx context.Context, options Options) (*Pool, error) {
+	d, err := newDialer(options)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	p := &Pool{
+		dialer:     d,
+		rate:       rate.NewLimiter(rate.Limit(options.rate()), options.slots()*2),
+		ctx:        ctx,
+		cancel:     cancel,
+		done:       make(chan struct{}),
+		options:    options,
+		admission:  limit.NewAdmission(options.slots()),
+		waiting:    make(map[limit.Ticket]chan limit.Outcome),
+		idle:       make(map[bool][]*connection),
+		serving:    make(map[uint64]*transaction),
+		silentFrom: options.Clock.Now(),
+	}
+	p.probe = newProbe(p)
+	p.confirmer = newConfirmer(p)
+	p.running.Go(p.heartbeat)
+	p.running.Go(p.expire)
+	p.running.Go(p.certify)
+	go p.finish()
+	options.Logger.Log(event.EndpointOwned, log.Fields{"endpoint": options.Endpoint.Name, "database": options.Database.Name})
+	return p, nil
+}
+
+// Done is closed when the pool's goroutines have ended and its connections are closed.
+func (p *Pool) Done() <-chan struct{} { return p.done }
+
+// Close refuses new work and ends the pool once nothing is in flight.
+func (p *Pool) Close() {
+	p.Drain()
+	p.running.Go(func() {
+		ticks := p.options.Clock.Every(p.ctx, drainInterval)
+		for p.Inflight() > 0 {
+			select {
+			case <-ticks:
+			case <-p.ctx.Done():
+				return
+			}
+		}
+		p.cancel()
+	})
+}
+
+const drainInterval = 10 * time.Millisecond
+
+// Drain refuses new work; what is in flight goes on.
+func (p *Pool) Drain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+}
+
+// Inflight returns how many transactions run or wait here.
+func (p *Pool) Inflight() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.inflight
+}
+
+// Configure takes over the options of a newer revision.
+func (p *Pool) Configure(options Options) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if options.Endpoint.Leaving && !p.options.Endpoint.Leaving {
+		options.Logger.Log(event.EndpointDraining, log.Fields{"endpoint": options.Endpoint.Name})
+	}
+	p.options = options
+	p.draining = options.Endpoint.Leaving
+	p.admission.Resize(options.slots())
+	p.rate.SetLimit(rate.Limit(options.rate()))
+}
+
+func (p *Pool) settings() Options {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.options
+}
+
+func (p *Pool) now() time.Time { return p.options.Clock.Now() }
+
+func (p *Pool) finish() {
+	<-p.ctx.Done()
+	p.running.Wait()
+	p.probe.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+	p.idle = make(map[bool][]*connection)
+	p.options.Logger.Log(event.EndpointReleased, log.Fields{"endpoint": p.options.Endpoint.Name})
+	close(p.done)
+}
--- /dev/null
+++ b/proof/eventually_test.go
@@ -0,0 +1,20 @@
+package proof
+
+import "time"
+
+const (
+	eventuallyLimit = 10 * time.Second
+	eventuallyPause = 20 * time.Millisecond
+)
+
+// eventually reports whether a condition holds within a generous limit.
+func eventually(condition func() bool) bool {
+	limit := time.Now().Add(eventuallyLimit)
+	for time.Now().Before(limit) {
+		if condition() {
+			return true
+		}
+		time.Sleep(eventuallyPause)
+	}
+	return condition()
+}
--- /dev/null
+++ b/revision/choice.go
@@ -0,0 +1,16 @@
+package revision
+
+// Known is a revision that was heard of and where its objects may be had.
+type Known struct {
+	Number  uint64
+	Hash    string
+	Address string
+}
+
+// Newer returns the higher of two revisions; no revision ever goes down.
+func (k Known) Newer(other Known) Known {
+	if other.Number > k.Number {
+		return other
+	}
+	return k
+}
--- /dev/null
+++ b/revision/follower.go
@@ -0,0 +1,225 @@
+package revision
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/event"
+	"siskincove/peer"
+	"siskincove/peer/wire"
+	"siskincove/platform"
+)
+
+const (
+	pollInterval = time.Second
+	// standbyInterval is how often instances poll that are not among their domain's pollers.
+	standbyInterval = 30 * time.Second
+	// pollJitter is the part of an interval by which polls are spread.
+	pollJitter  = 0.2
+	readTimeout = 3 * time.Second
+	// hearsayAfter is how long a new instance hears its peers before it takes their highest revision while the platform
+	// does not answer.
+	hearsayAfter = 1500 * time.Millisecond
+)
+
+// Options are what a follower needs to know and to use.
+type Options struct {
+	Clock   clock.Service
+	Logger  *event.Logger
+	Table   platform.Table
+	Objects platform.Objects
+	Dialer  peer.Dialer
+	// Polls reports whether this instance is one that polls the platform for its failure domain.
+	Polls func() bool
+	// Apply is called with each catalog that comes into force, in order of revision.
+	Apply func(*config.Catalog)
+}
+
+// current is a revision in force.
+type current struct {
+	known   Known
+	catalog *config.Catalog
+	data    []byte
+}
+
+// Follower keeps the configuration in force.
+type Follower struct {
+	options Options
+	current atomic.Pointer[current]
+	heard   chan struct{}
+	done    chan struct{}
+
+	mu   sync.Mutex
+	best Known
+}
+
+// New starts a follower that ends with ctx.
+func New(ctx context.Context, o Options) *Follower {
+	f := &Follower{options: o, heard: make(chan struct{}, 1), done: make(chan struct{})}
+	go f.run(ctx)
+	return f
+}
+
+// Done is closed when the follower has ended.
+func (f *Follower) Done() <-chan struct{} { return f.done }
+
+// Catalog returns the configuration in force, nil before there is one.
+func (f *Follower) Catalog() *config.Catalog {
+	c := f.current.Load()
+	if c == nil {
+		return nil
+	}
+	return c.catalog
+}
+
+// Revision returns the revision in force and its hash, 0 before there is one.
+func (f *Follower) Revision() (uint64, string) {
+	c := f.current.Load()
+	if c == nil {
+		return 0, ""
+	}
+	return c.known.Number, c.known.Hash
+}
+
+// Heard takes in that the peer at an address has a revision.
+func (f *Follower) Heard(number uint64, hash, address string) {
+	if own, _ := f.Revision(); number <= own {
+		return
+	}
+	f.mu.Lock()
+	f.best = f.best.Newer(Known{Number: number, Hash: hash, Address: address})
+	f.mu.Unlock()
+	select {
+	case f.heard <- struct{}{}:
+	default:
+	}
+}
+
+// Serve answers a peer's question for objects; it reports false for frames of other kinds.
+func (f *Follower) Serve(first *wire.Frame, stream peer.Stream) bool {
+	question := first.GetFetch()
+	if question == nil {
+		return false
+	}
+	answer := &wire.Objects{}
+	if c := f.current.Load(); c != nil && c.known.Hash == question.GetHash() {
+		answer = &wire.Objects{Revision: c.known.Number, Hash: c.known.Hash, Data: c.data}
+	}
+	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Objects{Objects: answer}})
+	return true
+}
+
+func (f *Follower) run(ctx context.Context) {
+	defer close(f.done)
+	started := f.options.Clock.Now()
+	for {
+		if f.options.Polls() || f.Catalog() == nil {
+			f.poll(ctx)
+		}
+		f.follow(ctx, started)
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.heard:
+			f.follow(ctx, started)
+		case <-f.options.Clock.After(f.interval()):
+		}
+	}
+}
+
+func (f *Follower) interval() time.Duration {
+	interval := pollInterval
+	if !f.options.Polls() && f.Catalog() != nil {
+		interval = standbyInterval
+	}
+	spread := 1 + pollJitter*(2*rand.Float64()-1)
+	return time.Duration(float64(interval) * spread)
+}
+
+// poll reads the head row and brings a newer revision into force.
+func (f *Follower) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	head, err := config.ReadHead(ctx, f.options.Table)
+	if errors.Is(err, platform.ErrAbsent) {
+		return
+	}
+	if err != nil {
+		f.options.Logger.Log(event.RevisionFailed, log.Fields{"error": err.Error()})
+		return
+	}
+	if own, _ := f.Revision(); head.Revision <= own {
+		return
+	}
+	data, err := config.ReadObjects(ctx, f.options.Objects, head.Hash)
+	if err != nil {
+		f.options.Logger.Log(event.RevisionFailed, log.Fields{"error": err.Error(), "revision": head.Revision})
+		return
+	}
+	f.apply(Known{Number: head.Revision, Hash: head.Hash}, data)
+}
+
+// follow fetches the highest revision heard of from the peer that has it. An instance without any revision asks the
+// platform first, so that it does not start behind what others already serve.
+func (f *Follower) follow(ctx context.Context, started time.Time) {
+	f.mu.Lock()
+	best := f.best
+	f.mu.Unlock()
+	own, _ := f.Revision()
+	early := own == 0 && f.options.Clock.Now().Sub(started) < hearsayAfter
+	if best.Number <= own || early {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	data, err := f.fetch(ctx, best)
+	if err != nil {
+		f.options.Logger.Log(event.RevisionFailed, log.Fields{"error": err.Error(), "revision": best.Number})
+		f.forget(best)
+		return
+	}
+	f.options.Logger.Log(event.RevisionFromPeer, log.Fields{"revision": best.Number, "peer": best.Address})
+	f.apply(best, data)
+}
+
+// forget drops a revision whose objects could not be had, until it is heard of again.
+func (f *Follower) forget(best Known) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.best == best {
+		f.best = Known{}
+	}
+}
+
+func (f *Follower) fetch(ctx context.Context, k Known) ([]byte, error) {
+	reply, err := peer.Call(ctx, f.options.Dialer, k.Address, &wire.Frame{Body: &wire.Frame_Fetch{Fetch: &wire.Fetch{Hash: k.Hash}}})
+	if err == nil && config.Hash(reply.GetObjects().GetData()) == k.Hash {
+		return reply.GetObjects().GetData(), nil
+	}
+	data, objectsErr := config.ReadObjects(ctx, f.options.Objects, k.Hash)
+	if objectsErr != nil {
+		return nil, errors.CombineErrors(objectsErr, err)
+	}
+	return data, nil
+}
+
+// apply brings a revision into force; only the follower's own goroutine calls it, so revisions come in order.
+func (f *Follower) apply(k Known, data []byte) {
+	set, err := config.Decode(data)
+	if err != nil {
+		f.options.Logger.Log(event.RevisionFailed, log.Fields{"error": err.Error(), "revision": k.Number})
+		return
+	}
+	catalog := config.NewCatalog(set)
+	f.current.Store(&current{known: k, catalog: catalog, data: data})
+	f.options.Apply(catalog)
+	f.options.Logger.Log(event.RevisionInForce, log.Fields{"revision": k.Number, "hash": k.Hash})
+}
--- /dev/null
+++ b/route/choose.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskincove/config"
+)
+
+// Request is what is to be routed.
+type Request struct {
+	// Write requests go to the primary only.
+	Write bool
+	// Replicas tells that reads may be served by replicas.
+	Replicas bool
+	// Domain is the failure domain of the instance that routes.
+	Domain string
+	// Salt spreads requests of different sessions over endpoints that are equally good.
+	Salt string
+	// Tried are endpoints that have refused the request.
+	Tried []string
+}
+
+// Candidate is an endpoint that may serve a request; Why is the rule that gave its place.
+type Candidate struct {
+	Endpoint config.Endpoint
+	Why      string
+}
+
+const (
+	costDomain  = 0 * time.Millisecond
+	costRegion  = 3 * time.Millisecond
+	costFar     = 20 * time.Millisecond
+	costWaiting = 2 * time.Millisecond
+)
+
+// Choose returns the endpoints that may serve a request, best first; it returns none for a write when no primary is
+// known.
+func Choose(r Request, members []config.Endpoint, k Knowledge, now time.Time) []Candidate {
+	primary, led := k.Primary()
+	if r.Write || !r.Replicas {
+		return primaryOnly(r, members, k, primary, led, now)
+	}
+	var out []Candidate
+	replicas := replicasOf(r, members, primary)
+	sortReplicas(replicas, r, k, now)
+	for _, e := range replicas {
+		out = append(out, Candidate{Endpoint: e, Why: why(r.Domain, e, k.Seen(e.Name), now)})
+	}
+	return append(out, lastResort(r, members, primary)...)
+}
+
+func primaryOnly(r Request, members []config.Endpoint, k Knowledge, primary string, led bool, now time.Time) []Candidate {
+	if !led || slices.Contains(r.Tried, primary) || now.Before(k.Seen(primary).Avoid) {
+		return nil
+	}
+	for _, e := range members {
+		if e.Name == primary {
+			return []Candidate{{Endpoint: e, Why: "primary"}}
+		}
+	}
+	return nil
+}
+
+func replicasOf(r Request, members []config.Endpoint, primary string) []config.Endpoint {
+	var out []config.Endpoint
+	for _, e := range members {
+		if e.Name != primary && !e.Leaving && !slices.Contains(r.Tried, e.Name) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func lastResort(r Request, members []config.Endpoint, primary string) []Candidate {
+	for _, e := range members {
+		if e.Name == primary && !e.Leaving && !slices.Contains(r.Tried, primary) {
+			return []Candidate{{Endpoint: e, Why: "primary, no replica left"}}
+		}
+	}
+	return nil
+}
+
+func sortReplicas(replicas []config.Endpoint, r Request, k Knowledge, now time.Time) {
+	slices.SortFunc(replicas, func(a, b config.Endpoint) int {
+		return cmp.Or(
+			cmp.Compare(avoided(k.Seen(a.Name), now), avoided(k.Seen(b.Name), now)),
+			cmp.Compare(cost(r.Domain, a, k), cost(r.Domain, b, k)),
+			cmp.Compare(xxhash.Sum64String(r.Salt+a.Name), xxhash.Sum64String(r.Salt+b.Name)),
+		)
+	})
+}
+
+func avoided(s Seen, now time.Time) int {
+	if now.Before(s.Avoid) {
+		return 1
+	}
+	return 0
+}
+
+// cost estimates how long an endpoint takes to answer beyond the statement itself.
+func cost(domain string, e config.Endpoint, k Knowledge) time.Duration {
+	return distance(domain, e.Domain) + time.Duration(k.Seen(e.Name).Waiting)*costWaiting
+}
+
+func distance(a, b string) time.Duration {
+	switch {
+	case a == b:
+		return costDomain
+	case region(a) == region(b):
+		return costRegion
+	default:
+		return costFar
+	}
+}
+
+func region(domain string) string {
+	name, _, _ := strings.Cut(domain, "/")
+	return name
+}
+
+func why(domain string, e config.Endpoint, s Seen, now time.Time) string {
+	switch {
+	case now.Before(s.Avoid):
+		return "replica, lately failed"
+	case domain == e.Domain:
+		return "replica in the same failure domain"
+	case region(domain) == region(e.Domain):
+		return "replica in the same region"
+	default:
+		return "replica in another region"
+	}
+}
--- /dev/null
+++ b/session/certificate.go
@@ -0,0 +1,64 @@
+package session
+
+import (
+	"time"
+
+	"siskincove/endpoint"
+)
+
+// Certificate says that Position was at or past every write acknowledged before At, by this instance's own clock.
+type Certificate struct {
+	Position endpoint.Position
+	At       time.Time
+}
+
+// historyMaximum bounds the certificates kept; the oldest kept one bounds the age that can be told.
+const historyMaximum = 256
+
+// History is the certificates known, in order of time; it is an immutable value.
+type History struct {
+	certificates []Certificate
+}
+
+// With returns the history with a newer certificate; one that is older than the newest known is ignored.
+func (h History) With(c Certificate) History {
+	n := len(h.certificates)
+	if n > 0 && !c.At.After(h.certificates[n-1].At) {
+		return h
+	}
+	kept := h.certificates
+	if n >= historyMaximum {
+		kept = thin(kept)
+	}
+	return History{certificates: append(kept[:len(kept):len(kept)], c)}
+}
+
+// thin drops every second certificate of the older half, so that long ages stay tellable.
+func thin(all []Certificate) []Certificate {
+	half := len(all) / 2
+	out := make([]Certificate, 0, len(all))
+	for i := 0; i < half; i += 2 {
+		out = append(out, all[i])
+	}
+	return append(out, all[half:]...)
+}
+
+// Age returns how old the data of an endpoint that has applied a position may be at most, and false when no
+// certificate is covered.
+func (h History) Age(applied endpoint.Position, now time.Time) (time.Duration, bool) {
+	for i := len(h.certificates) - 1; i >= 0; i-- {
+		c := h.certificates[i]
+		if applied.Covers(c.Position) {
+			return now.Sub(c.At), true
+		}
+	}
+	return 0, false
+}
+
+// Newest returns the newest certificate, and false when there is none.
+func (h History) Newest() (Certificate, bool) {
+	if len(h.certificates) == 0 {
+		return Certificate{}, false
+	}
+	return h.certificates[len(h.certificates)-1], true
+}
--- /dev/null
+++ b/settings/instance.go
@@ -0,0 +1,14 @@
+package settings
+
+// Instance says who the instance is.
+type Instance struct {
+	// ID is unique among all instances.
+	ID string `toml:"id"`
+	// Domain is the failure domain, as region/domain.
+	Domain string `toml:"domain"`
+}
+
+func (s Instance) check(c *checker) {
+	c.require("instance.id", s.ID)
+	c.domain("instance.domain", s.Domain)
+}
--- /dev/null
+++ b/settings/log.go
@@ -0,0 +1,17 @@
+package settings
+
+import "github.com/apex/log"
+
+// Log says what is logged.
+type Log struct {
+	// Level is debug, info, warn or error.
+	Level string `toml:"level"`
+}
+
+func defaultLog() Log { return Log{Level: "info"} }
+
+func (s Log) check(c *checker) {
+	if _, err := log.ParseLevel(s.Level); err != nil {
+		c.report("log.level", "not one of debug, info, warn, error")
+	}
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,86 @@
+package settings
+
+import (
+	"net/netip"
+	"strings"
+
+	"siskincove/document"
+)
+
+// Settings are all sections of an instance's file.
+type Settings struct {
+	Instance Instance `toml:"instance"`
+	Listen   Listen   `toml:"listen"`
+	Platform Platform `toml:"platform"`
+	Token    Token    `toml:"token"`
+	Log      Log      `toml:"log"`
+	Drain    Drain    `toml:"drain"`
+	Failover Failover `toml:"failover"`
+}
+
+// Default returns the settings with every default filled in.
+func Default() Settings {
+	return Settings{
+		Platform: defaultPlatform(),
+		Log:      defaultLog(),
+		Drain:    defaultDrain(),
+		Failover: defaultFailover(),
+	}
+}
+
+// Load reads and checks a file; the document tells the lines of its keys.
+func Load(file string) (Settings, document.Document, document.Problems) {
+	s := Default()
+	d, problems := document.Load(file, &s)
+	if len(problems) > 0 {
+		return s, d, problems
+	}
+	c := &checker{document: d}
+	s.Instance.check(c)
+	s.Listen.check(c)
+	s.Platform.check(c)
+	s.Token.check(c)
+	s.Log.check(c)
+	s.Drain.check(c)
+	s.Failover.check(c)
+	return s, d, c.problems
+}
+
+// checker collects the problems of a file.
+type checker struct {
+	document document.Document
+	problems document.Problems
+}
+
+func (c *checker) report(key, message string) {
+	c.problems = append(c.problems, c.document.Problem(key, message))
+}
+
+func (c *checker) require(key, value string) {
+	if value == "" {
+		c.report(key, "missing")
+	}
+}
+
+func (c *checker) address(key, value string) {
+	if value == "" {
+		c.report(key, "missing; write an IP:port")
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.report(key, "not an IP:port")
+	}
+}
+
+func (c *checker) domain(key, value string) {
+	region, domain, found := strings.Cut(value, "/")
+	if !found || region == "" || domain == "" {
+		c.report(key, "not of the form region/domain")
+	}
+}
+
+func (c *checker) positive(key string, value document.Duration) {
+	if value <= 0 {
+		c.report(key, "must be above zero")
+	}
+}
--- /dev/null
+++ b/verdict/error.go
@@ -0,0 +1,88 @@
+package verdict
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// SQLSTATE codes that carry a verdict to callers.
+const (
+	// CodeNotRun is sent for a request that did not run and may be sent again.
+	CodeNotRun = "57P05"
+	// CodeMayHaveRun is sent for a transaction whose outcome is unknown.
+	CodeMayHaveRun = "08007"
+	// CodeOverload is sent for a request refused because of load.
+	CodeOverload = "53400"
+	// CodeUnsupported is sent for a feature that is refused.
+	CodeUnsupported = "0A000"
+)
+
+// Error is a failure with its verdict; After is when to come back, zero when unknown.
+type Error struct {
+	Verdict Verdict
+	Reason  Reason
+	Message string
+	After   time.Duration
+	Cause   error
+}
+
+// New returns an error with the verdict, reason and message.
+func New(v Verdict, reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: v, Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the message with the verdict and the cause.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s (%s: %s)", e.Message, e.Verdict, e.Reason)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// WithAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithAfter(after time.Duration) *Error {
+	next := *e
+	next.After = after
+	return &next
+}
+
+// WithCause returns a copy that wraps cause.
+func (e *Error) WithCause(cause error) *Error {
+	next := *e
+	next.Cause = cause
+	return &next
+}
+
+// Code returns the SQLSTATE that carries the verdict.
+func (e *Error) Code() string {
+	switch {
+	case e.Verdict == MayHaveRun:
+		return CodeMayHaveRun
+	case e.Reason == Overload:
+		return CodeOverload
+	case e.Reason == Unsupported:
+		return CodeUnsupported
+	default:
+		return CodeNotRun
+	}
+}
+
+// Detail returns the text of the protocol's detail field.
+func (e *Error) Detail() string {
+	return fmt.Sprintf("verdict=%q reason=%s retry_after_ms=%d", e.Verdict, e.Reason, e.After.Milliseconds())
+}
+
+// From returns the verdict error in err's chain, or one that says MayHaveRun.
+func From(err error) *Error {
+	var found *Error
+	if errors.As(err, &found) {
+		return found
+	}
+	return New(MayHaveRun, Broken, "unexpected failure").WithCause(err)
+}
--- /dev/null
+++ b/verdict/reason.go
@@ -0,0 +1,33 @@
+package verdict
+
+// Reason names why a request was refused or failed; its values are stable and appear in logs and metrics.
+type Reason string
+
+const (
+	// Overload means that the request could not be served before its deadline.
+	Overload Reason = "overload"
+	// Stale means that no replica within the staleness allowance was available.
+	Stale Reason = "stale"
+	// NotPrimary means that the endpoint does not accept writes.
+	NotPrimary Reason = "notprimary"
+	// Unreachable means that the endpoint or its owner could not be reached.
+	Unreachable Reason = "unreachable"
+	// Unconfirmed means that a majority did not confirm a commit in time.
+	Unconfirmed Reason = "unconfirmed"
+	// Unconfirmable means that no replica is near enough to confirm a commit.
+	Unconfirmable Reason = "unconfirmable"
+	// Broken means that a connection failed after a statement was sent on it.
+	Broken Reason = "broken"
+	// Leaving means that the endpoint or instance takes no new work.
+	Leaving Reason = "leaving"
+	// Unconfigured means that the instance has no configuration revision yet.
+	Unconfigured Reason = "unconfigured"
+	// Unsupported means that the request uses a feature that is refused.
+	Unsupported Reason = "unsupported"
+	// Budget means that the retry budget is spent.
+	Budget Reason = "budget"
+	// ReadOnly means that a write reached an endpoint that serves reads only.
+	ReadOnly Reason = "readonly"
+	// Canceled means that the caller gave up.
+	Canceled Reason = "canceled"
+)
