load, proof: add the load tool, a demonstration and proofs of failover

Cause: nothing checked what callers are told against what had happened.

Change: siskincove load drives the two users' mixes at an open-loop rate and checks every answer; demo/run.sh is README's first command; proof/TestFailover loses the primary in seven ways under load.

Ruled out: checking only at the end, which would miss a read that did not see an own write.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,7 @@
 
 type options struct {
 	Group    groupCommand    `cmd:"" help:"Runs a database group."`
+	Instance instanceCommand `cmd:"" help:"Tells a running platform stand-in what its list says of an instance."`
 	Platform platformCommand `cmd:"" help:"Runs the platform: table, object store and list of instances."`
 }
 
--- /dev/null
+++ b/demo/run.sh
@@ -0,0 +1,78 @@
+#!/bin/sh
+# Starts the stand-ins and three instances on loopback, publishes a configuration, runs a workload and prints the result.
+set -eu
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'kill $(cat "$work"/*.pid 2>/dev/null) 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$work"' EXIT INT TERM
+mkdir "$work/bin"
+go build -o "$work/bin" ./cmd/...
+
+# spawn NAME PROGRAM ARGUMENTS: runs a program with its output in files of that name.
+spawn() {
+	name=$1
+	shift
+	"$@" >"$work/$name.out" 2>"$work/$name.log" &
+	echo $! >"$work/$name.pid"
+}
+
+# await NAME WORD: prints what follows the word in the program's output, once it is there.
+await() {
+	for _ in $(seq 100); do
+		found=$(sed -n "s/^$2 //p" "$work/$1.out")
+		if [ -n "$found" ]; then
+			echo "$found"
+			return
+		fi
+		sleep 0.1
+	done
+	echo "$1 did not start:" >&2
+	cat "$work/$1.log" >&2
+	exit 1
+}
+
+spawn platform "$work/bin/standin" platform --lag 1s
+platform=$(await platform control)
+spawn group "$work/bin/standin" group --vendor postgres --slots 5 --connections 80 --cost 12ms \
+	--domain fi-south/a,se-east/a,de-north/a --domains 1500us --regions 8ms
+await group control >"$work/control"
+set -- $(await group endpoint)
+
+export SISKINCOVE_PLATFORM_URL="http://$platform" SISKINCOVE_PLATFORM_KEY=demo SISKINCOVE_PLATFORM_SECRET=demo-secret
+sed -e "s/ADDRESS0/$1/; s/ADDRESS1/$2/; s/ADDRESS2/$3/" demo/objects.toml >"$work/objects.toml"
+verifier=$(echo demo-password | "$work/bin/siskincove" verifier)
+sed -i -e "s|VERIFIER|$verifier|" "$work/objects.toml"
+"$work/bin/siskincove" check "$work/objects.toml"
+"$work/bin/siskincove" publish "$work/objects.toml" --note "first configuration"
+
+callers= health= n=0
+for domain in fi-south/a se-east/a de-north/a; do
+	port=$((21000 + n * 10))
+	cat >"$work/i$n.toml" <<SETTINGS
+[instance]
+id = "i$n"
+domain = "$domain"
+[listen]
+callers = "127.0.0.1:$port"
+peers = "127.0.0.1:$((port + 1))"
+health = "127.0.0.1:$((port + 2))"
+[platform]
+url = "http://$platform"
+key = "demo"
+secret = "demo-secret"
+[token]
+keys = ["a key for the demonstration"]
+SETTINGS
+	spawn "i$n" "$work/bin/siskincoved" "$work/i$n.toml"
+	"$work/bin/standin" instance --platform "$platform" --id "i$n" --address "127.0.0.1:$((port + 1))" --domain "$domain"
+	callers="$callers,127.0.0.1:$port" health="$health,127.0.0.1:$((port + 2))"
+	n=$((n + 1))
+done
+for _ in $(seq 100); do
+	if "$work/bin/siskincove" status $(echo "$health" | tr , ' ') 2>/dev/null | grep -c 'ready=true.*peers=2' | grep -q 3; then break; fi
+	sleep 0.1
+done
+"$work/bin/siskincove" status $(echo "$health" | tr , ' ')
+
+SISKINCOVE_LOAD_PASSWORD=demo-password "$work/bin/siskincove" load --callers "${callers#,}" --health "${health#,}" \
+	--caller technician --service certstore --main cert1 --history cert1-history \
+	--mix kelloviisari --rate 150 --duration 10s --sessions 30 --probe 20ms
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Mix     string  `json:"mix"`
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	// Operations are the latencies of what succeeded, by name.
+	Operations []Latency `json:"operations"`
+	Refusals   []Refusal `json:"refusals"`
+	// Failures counts what the load itself could not do, by text.
+	Failures map[string]int64 `json:"failures,omitempty"`
+	// Replica is the share of reads served by replicas, -1 when unknown.
+	Replica float64 `json:"replica"`
+	Reads   float64 `json:"reads"`
+	// Gap is the longest time between two acknowledged writes of a probe, in milliseconds, -1 without probes.
+	Gap float64 `json:"gap"`
+	// Broken counts broken promises; Faults are the first of them.
+	Broken     int64   `json:"broken"`
+	Faults     []fault `json:"faults,omitempty"`
+	Unverified int     `json:"unverified"`
+}
+
+// Latency is the distribution of an operation's latency, in milliseconds.
+type Latency struct {
+	Name   string  `json:"name"`
+	Count  int64   `json:"count"`
+	Median float64 `json:"median"`
+	P95    float64 `json:"p95"`
+	P99    float64 `json:"p99"`
+	Worst  float64 `json:"worst"`
+}
+
+// Refusal is how often a verdict was given for a reason.
+type Refusal struct {
+	Verdict string `json:"verdict"`
+	Reason  string `json:"reason"`
+	Count   int64  `json:"count"`
+}
+
+func (l *loader) summary(took time.Duration) Report {
+	l.tally.mu.Lock()
+	defer l.tally.mu.Unlock()
+	r := Report{Mix: l.options.Mix.Name, Seed: l.options.Seed, Seconds: took.Seconds(), Replica: -1, Gap: -1, Failures: l.tally.other}
+	for name, h := range l.tally.latencies {
+		ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		r.Operations = append(r.Operations, Latency{
+			Name: name, Count: h.TotalCount(), Median: ms(50), P95: ms(95), P99: ms(99), Worst: float64(h.Max()) / 1000,
+		})
+	}
+	slices.SortFunc(r.Operations, func(a, b Latency) int { return cmp.Compare(a.Name, b.Name) })
+	for refused, count := range l.tally.verdicts {
+		r.Refusals = append(r.Refusals, Refusal{Verdict: refused.verdict.String(), Reason: string(refused.reason), Count: count})
+	}
+	slices.SortFunc(r.Refusals, func(a, b Refusal) int {
+		return cmp.Or(cmp.Compare(a.Verdict, b.Verdict), cmp.Compare(a.Reason, b.Reason))
+	})
+	for _, p := range l.probes {
+		r.Gap = max(r.Gap, float64(p.Longest().Microseconds())/1000)
+	}
+	return r
+}
+
+// share sets the replica share from the counters before and after the run.
+func (r *Report) share(before, after served) {
+	replica, primary := after.replica-before.replica, after.primary-before.primary
+	r.Reads = replica + primary
+	if r.Reads > 0 {
+		r.Replica = replica / r.Reads
+	}
+}
+
+func (r *Report) addFaults(t *tally) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.Broken, r.Faults = t.faultsAll, t.faults
+}
+
+// Kept reports whether every promise held and everything could be verified.
+func (r *Report) Kept() bool { return r.Broken == 0 && r.Unverified == 0 }
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	line("mix %s, seed %d, %.1f s", r.Mix, r.Seed, r.Seconds)
+	line("%-20s %8s %10s %10s %10s %10s", "operation", "done", "median ms", "p95 ms", "p99 ms", "worst ms")
+	for _, o := range r.Operations {
+		line("%-20s %8d %10.2f %10.2f %10.2f %10.2f", o.Name, o.Count, o.Median, o.P95, o.P99, o.Worst)
+	}
+	for _, f := range r.Refusals {
+		line("refused: %-14s %-16s %8d", f.Verdict, f.Reason, f.Count)
+	}
+	for text, count := range r.Failures {
+		line("failed: %s: %d", text, count)
+	}
+	if r.Replica >= 0 {
+		line("replica share: %.1f%% of %.0f reads", r.Replica*percent, r.Reads)
+	}
+	if r.Gap >= 0 {
+		line("longest gap between acknowledged probe writes: %.0f ms", r.Gap)
+	}
+	line("broken promises: %d; sessions not verified: %d", r.Broken, r.Unverified)
+	for _, f := range r.Faults {
+		line("  %s: %s in %s", f.Kind, f.Text, f.Key)
+	}
+}
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -109,18 +108,11 @@
 
 // confirmed returns the highest position of the term that a majority holds, this primary counted as holding all.
 func (c *confirmer) confirmed(others []config.Endpoint, term endpoint.LogTerm) endpoint.Position {
-	needed := session.Majority(len(others)+1) - 1
-	var logs []endpoint.Position
+	logs := make([]endpoint.Position, 0, len(others))
 	for _, e := range others {
-		if h := c.held[e.Name]; h.log.Term == term {
-			logs = append(logs, h.log)
-		}
-	}
-	if len(logs) < needed || needed == 0 {
-		return endpoint.Position{}
+		logs = append(logs, c.held[e.Name].log)
 	}
-	slices.SortFunc(logs, func(a, b endpoint.Position) int { return b.Compare(a) })
-	return logs[needed-1]
+	return session.Confirmed(logs, len(others)+1, term)
 }
 
 // follow asks the owner of one replica for as long as somebody waits for it.
--- a/proof/eventually_test.go
+++ b/proof/eventually_test.go
@@ -1,6 +1,9 @@
 package proof
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 const (
 	eventuallyLimit = 10 * time.Second
@@ -18,3 +21,5 @@
 	}
 	return condition()
 }
+
+func contains(text, part string) bool { return strings.Contains(text, part) }
--- /dev/null
+++ b/proof/failover_test.go
@@ -0,0 +1,177 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"siskincove/load"
+	"siskincove/standin/cluster"
+)
+
+// harm does something to the group's primary, and undo takes it back.
+type harm struct {
+	do   func(c *cluster.Cluster, primary int) error
+	undo func(c *cluster.Cluster, primary int) error
+}
+
+func groupFault(name string) harm {
+	return harm{
+		do:   func(c *cluster.Cluster, primary int) error { return c.Groups[0].Fault(primary, name, "true") },
+		undo: func(c *cluster.Cluster, primary int) error { return c.Groups[0].Fault(primary, name, "false") },
+	}
+}
+
+func loadOptions(c *cluster.Cluster, mix load.Mix, duration time.Duration, seed uint64) load.Options {
+	o := load.Options{
+		Addresses: c.Callers(), Caller: caller, Password: password, Service: service,
+		Main: []string{database}, History: []string{database + "-history"}, Mix: mix,
+		Rate: 150, Duration: duration, Sessions: 24, Roam: 6, Timeout: 15 * time.Second, Probe: 20 * time.Millisecond, Seed: seed,
+	}
+	return o
+}
+
+// TestFailover loses the primary in every way under load: writes are accepted again without an operator, and every
+// answer agrees with what was told before, during and after.
+func TestFailover(t *testing.T) {
+	tests := map[string]struct {
+		harm   harm
+		vendor string
+	}{
+		"killed":                             {harm: groupFault("killed"), vendor: "postgres"},
+		"frozen":                             {harm: groupFault("frozen"), vendor: "managed"},
+		"cut off from the group":             {harm: groupFault("cutpeers"), vendor: "postgres"},
+		"cut off from callers":               {harm: groupFault("cutcallers"), vendor: "managed"},
+		"cut off from both, still believing": {harm: both("cutpeers", "cutcallers"), vendor: "managed"},
+		"killed, answer to promote lost":     {harm: lostPromote(), vendor: "managed"},
+		"killed while the platform is down":  {harm: platformDown(), vendor: "postgres"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := begin(t, func(o *cluster.Options) { o.Groups[0].Vendor = test.vendor }, cluster.Objects{Deadline: 3 * time.Second})
+			waitReserved(t, c)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			result := make(chan load.Report, 1)
+			go func() {
+				report, err := load.Run(ctx, loadOptions(c, load.Kelloviisari, 9*time.Second, 7))
+				if err != nil {
+					t.Error(err)
+				}
+				result <- report
+			}()
+			time.Sleep(2 * time.Second)
+			primary, err := c.Groups[0].Primary()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := test.harm.do(c, primary); err != nil {
+				t.Fatal(err)
+			}
+			changed := eventually(func() bool { return leads(c, primary) })
+			time.Sleep(time.Second)
+			if err := test.harm.undo(c, primary); err != nil {
+				t.Fatal(err)
+			}
+			report := <-result
+			t.Logf("gap %.0f ms, refusals %v", report.Gap, report.Refusals)
+			if !changed {
+				t.Error("no other endpoint became primary")
+			}
+			if !report.Kept() {
+				t.Errorf("broken promises: %+v, not verified: %d", report.Faults, report.Unverified)
+			}
+			if !eventually(func() bool { return whole(c) }) {
+				states, _ := c.Groups[0].States()
+				t.Errorf("the group is not whole again: %+v", states)
+			}
+		})
+	}
+}
+
+// leads reports whether an endpoint other than the given one is a primary under a higher term than all.
+func leads(c *cluster.Cluster, old int) bool {
+	n, err := c.Groups[0].Primary()
+	return err == nil && n >= 0 && n != old
+}
+
+// whole reports whether the group has one primary that both others follow to the end of its log.
+func whole(c *cluster.Cluster) bool {
+	states, err := c.Groups[0].States()
+	if err != nil {
+		return false
+	}
+	primaries := 0
+	for _, s := range states {
+		if s.Role == "primary" {
+			primaries++
+		}
+		if s.Fenced != states[0].Fenced || s.Log != states[0].Log || s.Applied != s.Log {
+			return false
+		}
+	}
+	return primaries == 1
+}
+
+// waitReserved returns once the first coordinator has terms in stock.
+func waitReserved(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	reserved := func() bool {
+		for _, i := range c.Instances {
+			if !contains(i.Log(), "term reserved") {
+				return false
+			}
+		}
+		return true
+	}
+	if !eventually(reserved) {
+		t.Fatal("no terms were reserved")
+	}
+}
+
+func both(names ...string) harm {
+	set := func(value string) func(*cluster.Cluster, int) error {
+		return func(c *cluster.Cluster, primary int) error {
+			for _, name := range names {
+				if err := c.Groups[0].Fault(primary, name, value); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	return harm{do: set("true"), undo: set("false")}
+}
+
+func lostPromote() harm {
+	killed := groupFault("killed")
+	return harm{
+		do: func(c *cluster.Cluster, primary int) error {
+			for m := range c.Groups[0].Endpoints {
+				if err := c.Groups[0].Fault(m, "losecontrol", "true"); err != nil {
+					return err
+				}
+			}
+			return killed.do(c, primary)
+		},
+		undo: killed.undo,
+	}
+}
+
+func platformDown() harm {
+	killed := groupFault("killed")
+	return harm{
+		do: func(c *cluster.Cluster, primary int) error {
+			if err := c.PlatformFault("down", "true"); err != nil {
+				return err
+			}
+			return killed.do(c, primary)
+		},
+		undo: func(c *cluster.Cluster, primary int) error {
+			if err := c.PlatformFault("down", "false"); err != nil {
+				return err
+			}
+			return killed.undo(c, primary)
+		},
+	}
+}
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"siskincove/load"
 	"siskincove/standin/cluster"
 )
 
@@ -114,7 +115,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
-	conn, err := pgx.Connect(ctx, cluster.URL(c.Instances[n].Callers, caller, password, name))
+	conn, err := pgx.Connect(ctx, load.URL(c.Instances[n].Callers, caller, password, name))
 	if err != nil {
 		t.Fatal(err)
 	}
