session: count a confirmation only from a member without a higher promise

Cause: the model check of the ballot found a run in which an acknowledged write could be lost. A primary of term 1 commits, is fenced and promoted under term 3, and a member that follows it there has taken over the write but not yet the first record of term 3. Its log ends in term 1 and covers the write, so it was counted; but a member that leads under term 2 has the higher log of the two, and a ballot of these two would drop the write.

Ruled out: a fault of the model (the trace holds on the real rules), and waiting for the first record in the ballot (the ballot is over by then).

Change: Confirmed takes whole statuses and counts those whose promise equals the term, beside the log's own term. The model explores every interleaving of three members, two coordinators, three terms and one write over the code that runs.

--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -27,18 +27,26 @@
 	pool *Pool
 
 	mu          sync.Mutex
-	term        endpoint.LogTerm
 	established endpoint.LogTerm
 	held        map[string]held
 	asking      map[string]bool
 	waiters     map[*waiter]struct{}
 }
 
-// held is the last log that an endpoint reported; following tells that it receives from a primary of the term.
+// held is the status that an endpoint last reported.
 type held struct {
-	log       endpoint.Position
-	following bool
-	at        time.Time
+	status endpoint.Status
+	at     time.Time
+}
+
+// holds reports whether the report shows that the endpoint holds a position under its term.
+func (h held) holds(position endpoint.Position) bool {
+	return endpoint.LogTerm(h.status.Fenced) == position.Term && h.status.Log.Term == position.Term && h.status.Log.Covers(position)
+}
+
+// follows reports whether the endpoint was receiving from a primary of the term.
+func (h held) follows(term endpoint.LogTerm) bool {
+	return h.status.Receiving && endpoint.LogTerm(h.status.Fenced) == term
 }
 
 type waiter struct {
@@ -108,11 +116,11 @@
 
 // confirmed returns the highest position of the term that a majority holds, this primary counted as holding all.
 func (c *confirmer) confirmed(others []config.Endpoint, term endpoint.LogTerm) endpoint.Position {
-	logs := make([]endpoint.Position, 0, len(others))
+	reports := make([]endpoint.Status, 0, len(others))
 	for _, e := range others {
-		logs = append(logs, c.held[e.Name].log)
+		reports = append(reports, c.held[e.Name].status)
 	}
-	return session.Confirmed(logs, len(others)+1, term)
+	return session.Confirmed(reports, len(others)+1, term)
 }
 
 // follow asks the owner of one replica for as long as somebody waits for it.
@@ -145,7 +153,7 @@
 	found := false
 	var low endpoint.Position
 	for w := range c.waiters {
-		if c.held[name].log.Covers(w.position) && c.held[name].log.Term == w.position.Term {
+		if c.held[name].holds(w.position) {
 			continue
 		}
 		if !found || w.position.Compare(low) < 0 {
@@ -163,8 +171,7 @@
 	others := c.others()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	following := status.Receiving && endpoint.LogTerm(status.Fenced) == c.term
-	c.held[name] = held{log: status.Log, following: following, at: c.pool.now()}
+	c.held[name] = held{status: status, at: c.pool.now()}
 	for w := range c.waiters {
 		if c.confirmed(others, w.position.Term).Covers(w.position) {
 			delete(c.waiters, w)
@@ -173,13 +180,6 @@
 	}
 }
 
-// lead starts a term: nothing counts as established until a majority holds a record of it.
-func (c *confirmer) lead(term endpoint.LogTerm) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.term = term
-}
-
 func (c *confirmer) establish(term endpoint.LogTerm) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,7 +200,7 @@
 	now, count := c.pool.now(), 1
 	for _, e := range others {
 		h := c.held[e.Name]
-		if h.following && c.term == term && now.Sub(h.at) <= confirmableAge {
+		if h.follows(term) && now.Sub(h.at) <= confirmableAge {
 			count++
 		}
 	}
@@ -213,7 +213,6 @@
 	if !status.Leads() {
 		return
 	}
-	p.confirmer.lead(status.Log.Term)
 	ctx, cancel := context.WithTimeout(p.ctx, establishLimit)
 	defer cancel()
 	if p.confirmer.wait(ctx, status.Log) == nil {
--- a/session/barrier.go
+++ b/session/barrier.go
@@ -24,13 +24,16 @@
 func Majority(members int) int { return members/2 + 1 }
 
 // Confirmed returns the highest position of a term that a majority of a group's members holds, when the primary of the
-// term holds all of it and held are the last logs that the others reported; it is zero when there is none.
-// Logs of other terms do not count: a replica that holds as many records of another term holds another history.
-func Confirmed(held []endpoint.Position, members int, term endpoint.LogTerm) endpoint.Position {
+// term holds all of it and reports are what the others last said of themselves; it is zero when there is none.
+//
+// A report counts only if the member had promised nothing above the term and the last record of its log is of the term.
+// A member that has gone over to a higher term may still be short of that term's first record: its log would then lose
+// against a log of a term in between, and with it a record that it took over from the primary.
+func Confirmed(reports []endpoint.Status, members int, term endpoint.LogTerm) endpoint.Position {
 	var logs []endpoint.Position
-	for _, log := range held {
-		if log.Term == term {
-			logs = append(logs, log)
+	for _, r := range reports {
+		if endpoint.LogTerm(r.Fenced) == term && r.Log.Term == term {
+			logs = append(logs, r.Log)
 		}
 	}
 	needed := Majority(members) - 1
