pool, entry: leave a superseded primary at once

Cause: after a primary was killed, writes were refused as unconfirmable for as long as it was watched (10 s): its owner went on answering from its last status, the entry took that for news, and did not look elsewhere. Commits on a frozen or isolated primary held their callers until the callers' own timeout.

Ruled out: the ballot (the new primary was established and confirmable, as /status of each instance showed) and replication.

Change: an owner refuses writes while its endpoint is silent and reports no old status; the entry avoids an endpoint that refused a write and asks the others; an owner that sees a majority promise a higher term ends its waits and running writes with 'may have run'. A status question counts as unanswered from when it was asked. An instance settles only after the platform's list names it: at a start of 15 instances each had owned all endpoints for 4 s. /status tells the state of each pool.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -13,7 +14,47 @@
 )
 
 type options struct {
-	Latency latencyCommand `cmd:"" help:"Added latency and processor time beside a bare relay."`
+	Latency  latencyCommand  `cmd:"" help:"Added latency and processor time beside a bare relay."`
+	Failover failoverCommand `cmd:"" help:"Time without acknowledged writes after a primary is lost, beside a naive baseline."`
+	Share    shareCommand    `cmd:"" help:"Share of reads served by replicas as their lag grows, beside a naive baseline."`
+}
+
+type siteFlags struct {
+	Deployment string `help:"Whose sizes and delays: kelloviisari or pwani." enum:"kelloviisari,pwani" default:"kelloviisari"`
+	Instances  int    `help:"Instances to start." default:"15"`
+}
+
+type failoverCommand struct {
+	siteFlags
+	Losses int    `help:"Losses of each kind." default:"8"`
+	Seed   uint64 `help:"Seed." default:"1"`
+}
+
+// Run measures and prints.
+func (c *failoverCommand) Run(ctx context.Context) error {
+	d, err := experiment.Parse(c.Deployment)
+	if err != nil {
+		return err
+	}
+	return experiment.Failover{Deployment: d, Instances: c.Instances, Losses: c.Losses, Seed: c.Seed}.Run(ctx, os.Stdout)
+}
+
+type shareCommand struct {
+	siteFlags
+	Rate     float64         `help:"Operations that arrive each second." default:"300"`
+	Duration time.Duration   `help:"Duration of each run." default:"8s"`
+	Lag      []time.Duration `help:"Apply lags of the replicas." default:"20ms,1s,30s,2m"`
+	Seed     []uint64        `help:"Seeds." default:"1,2,3"`
+}
+
+// Run measures and prints.
+func (c *shareCommand) Run(ctx context.Context) error {
+	d, err := experiment.Parse(c.Deployment)
+	if err != nil {
+		return err
+	}
+	f := experiment.Share{Deployment: d, Instances: c.Instances, Rate: c.Rate, Duration: c.Duration, Lags: c.Lag, Seeds: c.Seed}
+	return f.Run(ctx, os.Stdout)
 }
 
 type latencyCommand struct {
--- a/commands/status.go
+++ b/commands/status.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskincove/instance"
+	"siskincove/pool"
 )
 
 func init() {
@@ -58,7 +59,15 @@
 		}
 		s := l.Status
 		line(w, "%s  %s  %s  ready=%t revision=%d sessions=%d inflight=%d pools=%d peers=%d",
-			l.Address, s.Instance, s.Domain, s.Ready, s.Revision, s.Sessions, s.Inflight, s.Pools, len(s.Peers))
+			l.Address, s.Instance, s.Domain, s.Ready, s.Revision, s.Sessions, s.Inflight, len(s.Pools), len(s.Peers))
+		printPools(w, s.Pools)
+	}
+}
+
+func printPools(w io.Writer, pools []pool.State) {
+	for _, p := range pools {
+		line(w, "    %s  %s term=%d log=%s applied=%s age=%dms answers=%t open=%d slots=%d waiting=%d",
+			p.Endpoint, p.Role, p.Term, p.Log, p.Applied, p.Age, p.Answers, p.Open, p.Slots, p.Waiting)
 	}
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -157,6 +157,9 @@
 		if last == nil || !c.retryable(w, last) {
 			return last
 		}
+		if w.write {
+			c.avoid(candidate.Endpoint)
+		}
 		c.entry.counters.retries.Inc()
 		c.entry.options.Logger.Log(event.RequestRetried, log.Fields{"endpoint": candidate.Endpoint.Name, "cause": last.Error()})
 	}
@@ -170,7 +173,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.Unsupported, verdict.Budget, verdict.Canceled, verdict.Unconfirmable:
+	case verdict.Unsupported, verdict.Budget, verdict.Canceled:
 		return false
 	case verdict.Overload:
 		return !w.write
--- a/instance/health.go
+++ b/instance/health.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"siskincove/member"
+	"siskincove/pool"
 )
 
 const (
@@ -28,15 +29,15 @@
 
 // Status is what an instance tells of itself at /status.
 type Status struct {
-	Instance string   `json:"instance"`
-	Domain   string   `json:"domain"`
-	Ready    bool     `json:"ready"`
-	Revision uint64   `json:"revision"`
-	Hash     string   `json:"hash"`
-	Sessions int      `json:"sessions"`
-	Inflight int64    `json:"inflight"`
-	Pools    int      `json:"pools"`
-	Peers    []Member `json:"peers"`
+	Instance string       `json:"instance"`
+	Domain   string       `json:"domain"`
+	Ready    bool         `json:"ready"`
+	Revision uint64       `json:"revision"`
+	Hash     string       `json:"hash"`
+	Sessions int          `json:"sessions"`
+	Inflight int64        `json:"inflight"`
+	Pools    []pool.State `json:"pools"`
+	Peers    []Member     `json:"peers"`
 }
 
 // Member is one peer as an instance sees it.
@@ -95,7 +96,7 @@
 	return Status{
 		Instance: i.settings.Instance.ID, Domain: i.settings.Instance.Domain, Ready: h.ready(),
 		Revision: number, Hash: hash, Sessions: i.entry.Sessions(), Inflight: i.entry.Inflight(),
-		Pools: i.owner.Pools(), Peers: peers(i.members.Instances()),
+		Pools: i.owner.States(), Peers: peers(i.members.Instances()),
 	}
 }
 
--- a/member/driver.go
+++ b/member/driver.go
@@ -21,8 +21,12 @@
 	heartbeatTimeout = 200 * time.Millisecond
 	rosterInterval   = 5 * time.Second
 	rosterTimeout    = 2 * time.Second
-	// settlePeriods is how many periods pass after a start before this instance owns anything.
+	// rosterUnlisted is the interval until the list names this instance.
+	rosterUnlisted = 250 * time.Millisecond
+	// settlePeriods is how many periods pass, after the list names this instance, before it owns anything.
 	settlePeriods = 4
+	// settleLimit is after how long an instance settles with what it knows while there is no list that names it.
+	settleLimit = 10 * time.Second
 	// mayOwn is how many instances in the order of an endpoint accept work for it.
 	mayOwn = 2
 )
@@ -57,6 +61,10 @@
 
 	mu      sync.Mutex
 	table   *Table
+	started time.Time
+	// listed is set once a list named this instance: a list that does not is older than the instance, and so may lack
+	// others too.
+	listed  bool
 	periods int
 	owners  map[string][]Instance
 	version uint64
@@ -64,7 +72,7 @@
 
 // New starts a driver that ends with ctx.
 func New(ctx context.Context, o Options) *Driver {
-	d := &Driver{options: o, done: make(chan struct{}), table: NewTable(o.Self), owners: make(map[string][]Instance)}
+	d := &Driver{options: o, started: o.Clock.Now(), done: make(chan struct{}), table: NewTable(o.Self), owners: make(map[string][]Instance)}
 	d.running.Go(func() { d.beat(ctx) })
 	d.running.Go(func() { d.readRoster(ctx) })
 	go func() {
@@ -144,7 +152,9 @@
 
 func (d *Driver) endRound() bool {
 	d.mu.Lock()
-	d.periods++
+	if d.listed || d.options.Clock.Now().Sub(d.started) > settleLimit {
+		d.periods++
+	}
 	settled := d.periods == settlePeriods
 	urgent := len(d.table.urgent) > 0
 	d.mu.Unlock()
@@ -240,26 +250,32 @@
 
 func (d *Driver) readRoster(ctx context.Context) {
 	for {
-		d.readRosterOnce(ctx)
+		pause := rosterUnlisted
+		if d.readRosterOnce(ctx) {
+			pause = rosterInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-d.options.Clock.After(rosterInterval):
+		case <-d.options.Clock.After(pause):
 		}
 	}
 }
 
-func (d *Driver) readRosterOnce(ctx context.Context) {
+// readRosterOnce reads the list and reports whether this instance has been listed by now.
+func (d *Driver) readRosterOnce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
 	list, err := d.options.Roster.List(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err != nil {
 		d.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
-		return
+		return d.listed
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.table.Roster(list, d.options.Clock.Now())
+	d.listed = d.listed || d.table.Listed(d.options.Self.ID)
+	return d.listed
 }
 
 // order returns the live instances in the order in which they may own an endpoint.
--- a/member/table.go
+++ b/member/table.go
@@ -98,6 +98,9 @@
 	t.forget(now)
 }
 
+// Listed reports whether the platform's last list named an instance.
+func (t *Table) Listed(id string) bool { return t.listed[id] }
+
 func (t *Table) forget(now time.Time) {
 	for id, i := range t.instances {
 		if i.State == Dead && !t.listed[id] && now.Sub(i.Since) > forgetAfter {
--- a/pool/cancel.go
+++ b/pool/cancel.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"io"
 	"net"
+
+	"siskincove/endpoint"
 )
 
 const (
@@ -62,3 +64,14 @@
 	}
 	_, _ = io.Copy(io.Discard, conn)
 }
+
+// abort ends the writes that run under a superseded term: none of them can be confirmed, so their callers are told now.
+func (p *Pool) abort(term endpoint.LogTerm) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.serving {
+		if t.open.GetWrite() && t.term <= term {
+			t.connection.close()
+		}
+	}
+}
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -49,9 +49,11 @@
 	return h.status.Receiving && endpoint.LogTerm(h.status.Fenced) == term
 }
 
+// waiter waits for the confirmation of a position; failed is set before done is closed when there can be none.
 type waiter struct {
 	position endpoint.Position
 	done     chan struct{}
+	failed   bool
 }
 
 func newConfirmer(p *Pool) *confirmer {
@@ -72,7 +74,10 @@
 	defer c.remove(w)
 	select {
 	case <-w.done:
-		return nil
+		if !w.failed {
+			return nil
+		}
+		return verdict.New(verdict.MayHaveRun, verdict.Unconfirmed, "primary was superseded before a majority confirmed the commit")
 	case <-ctx.Done():
 		return verdict.New(verdict.MayHaveRun, verdict.Unconfirmed, "commit was not confirmed by a majority in time")
 	}
@@ -166,18 +171,26 @@
 	return low, found
 }
 
-// note records what a replica holds and wakes the waiters that it completes.
+// note records what a replica holds, wakes the waiters that it completes, and lets go at once of those that can't be
+// completed any more.
 func (c *confirmer) note(name string, status endpoint.Status) {
+	own := c.pool.known().status
 	others := c.others()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.held[name] = held{status: status, at: c.pool.now()}
+	outvoted := own.Leads() && c.outvoted(others, own.Fenced)
 	for w := range c.waiters {
-		if c.confirmed(others, w.position.Term).Covers(w.position) {
+		done := c.confirmed(others, w.position.Term).Covers(w.position)
+		w.failed = !done && outvoted && uint64(w.position.Term) <= uint64(own.Fenced)
+		if done || w.failed {
 			delete(c.waiters, w)
 			close(w.done)
 		}
 	}
+	c.mu.Unlock()
+	if outvoted {
+		c.pool.abort(own.Log.Term)
+	}
 }
 
 func (c *confirmer) establish(term endpoint.LogTerm) {
@@ -192,6 +205,25 @@
 	return c.established == term
 }
 
+// superseded reports whether a majority of the group was lately seen to have promised a term above the primary's, so
+// that it can get no commit confirmed any more.
+func (c *confirmer) superseded(term endpoint.FencedTerm) bool {
+	others := c.others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.outvoted(others, term)
+}
+
+func (c *confirmer) outvoted(others []config.Endpoint, term endpoint.FencedTerm) bool {
+	higher := 0
+	for _, e := range others {
+		if c.held[e.Name].status.Fenced > term {
+			higher++
+		}
+	}
+	return higher >= session.Majority(len(others)+1)
+}
+
 // confirmable reports whether enough replicas were lately seen to receive under the term.
 func (c *confirmer) confirmable(term endpoint.LogTerm) bool {
 	others := c.others()
--- a/pool/heartbeat.go
+++ b/pool/heartbeat.go
@@ -20,7 +20,9 @@
 // heartbeat asks the endpoint's status at the interval of the options.
 func (p *Pool) heartbeat() {
 	for {
-		_, _ = p.ask(p.ctx)
+		if _, err := p.ask(p.ctx); err != nil && p.known().status.Leads() {
+			p.checkSuperseded()
+		}
 		select {
 		case <-p.ctx.Done():
 			return
@@ -38,21 +40,22 @@
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	vendor := p.settings().Vendor
+	asked := p.now()
 	status, err := p.probe.status.use(ctx, p.dialer, func(q endpoint.Querier) (endpoint.Status, error) {
 		return vendor.Status(ctx, q)
 	})
-	p.learn(status, err)
+	p.learn(status, err, asked)
 	return status, err
 }
 
-// learn records the outcome of a status question.
-func (p *Pool) learn(status endpoint.Status, err error) {
+// learn records the outcome of a status question that was asked at a time.
+func (p *Pool) learn(status endpoint.Status, err error, asked time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	if err != nil {
 		if p.answered {
-			p.silentFrom = now
+			p.silentFrom = asked
 			p.options.Logger.Log(event.EndpointSilent, log.Fields{"endpoint": p.options.Endpoint.Name, "error": err.Error()})
 		}
 		p.answered = false
@@ -75,9 +78,18 @@
 	})
 }
 
-// reach asks until the log covers a position, and returns the last status read.
+// checkSuperseded asks the other members whether a primary that has fallen silent was replaced meanwhile.
+func (p *Pool) checkSuperseded() {
+	ctx, cancel := context.WithTimeout(p.ctx, certifyTimeout)
+	defer cancel()
+	p.askOthers(ctx)
+}
+
+// reach asks until the log covers a position or the endpoint has promised a higher term, and returns the last status read.
 func (p *Pool) reach(ctx context.Context, position endpoint.Position) (endpoint.Status, error) {
-	return p.until(ctx, func(s endpoint.Status) bool { return s.Log.Covers(position) })
+	return p.until(ctx, func(s endpoint.Status) bool {
+		return s.Log.Covers(position) || uint64(s.Fenced) > uint64(position.Term)
+	})
 }
 
 // until asks until enough holds, at most as long as ctx lasts.
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -124,13 +124,6 @@
 	}
 }
 
-// Pools returns how many endpoints are owned.
-func (o *Owner) Pools() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return len(o.pools)
-}
-
 func (o *Owner) ensure(e config.Endpoint) (*Pool, error) {
 	if p, ok := o.pools[e.Name]; ok {
 		return p, nil
@@ -275,6 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	vendor := p.settings().Vendor
+	asked := p.now()
 	status, err := p.probe.orders.use(ctx, p.dialer, func(q endpoint.Querier) (endpoint.Status, error) {
 		switch order {
 		case OrderFence:
@@ -288,7 +282,7 @@
 		}
 	})
 	if err == nil {
-		p.learn(status, nil)
+		p.learn(status, nil, asked)
 	}
 	return err
 }
--- a/pool/serve.go
+++ b/pool/serve.go
@@ -116,8 +116,12 @@
 // checkWrite requires an established primary whose commits can be confirmed.
 func (t *transaction) checkWrite(ctx context.Context) error {
 	p := t.pool
-	status := p.known().status
-	if !status.Leads() {
+	known := p.known()
+	if known.silence > 0 {
+		return unreachable().WithAfter(unusableAfter)
+	}
+	status := known.status
+	if !status.Leads() || p.confirmer.superseded(status.Fenced) {
 		return verdict.New(verdict.NotRun, verdict.NotPrimary, "endpoint is not the primary").WithAfter(unusableAfter)
 	}
 	t.term = status.Log.Term
@@ -180,8 +184,8 @@
 }
 
 func (t *transaction) send(r *wire.Response) error {
-	if r.GetLast() {
-		r.Endpoint = peer.ToStatus(t.pool.known().status)
+	if known := t.pool.known(); r.GetLast() && known.silence == 0 {
+		r.Endpoint = peer.ToStatus(known.status)
 		r.Waiting = uint32(t.pool.queued())
 	}
 	return t.stream.Send(&wire.Frame{Body: &wire.Frame_Response{Response: r}})
