peer: wake the reader of a stream whose context has ended

Cause: the contract test of streams hung for 300 s. Closing a yamux stream ends only its writing side; a reader goes on waiting for the other end, so a call to a frozen peer outlived its deadline until yamux's own close timeout.

Ruled out: the reuse of streams (a fresh stream hangs alike) and the joined frames.

Change: the end of a context sets the read deadline before closing; the close timeout is 30 s instead of 5 minutes.

--- a/load/record.go
+++ b/load/record.go
@@ -21,6 +21,8 @@
 	key    string
 	values []string
 	told   map[string]outcome
+	// pairs are the values written by one transaction each.
+	pairs [][]string
 }
 
 func newRecord(key string) *record {
@@ -56,6 +58,7 @@
 	faultDoubled = "write seen twice"
 	faultRefused = "write seen that was said not to have run"
 	faultForeign = "value seen that was never written"
+	faultPartial = "part of a transaction seen without the rest"
 )
 
 // check compares what was read with what was told; with all set, every acknowledged value must be there.
@@ -77,6 +80,11 @@
 			report(faultRefused, value)
 		}
 	}
+	for _, pair := range r.pairs {
+		if (counts[pair[0]] == 0) != (counts[pair[1]] == 0) {
+			report(faultPartial, pair[0])
+		}
+	}
 	for _, value := range r.values {
 		if all && r.told[value] == acknowledged && !slices.Contains(got, value) {
 			report(faultLost, value)
--- a/load/session.go
+++ b/load/session.go
@@ -165,6 +165,7 @@
 func (w *worker) transfer(ctx context.Context) error {
 	r := w.record()
 	values := []string{r.next(), r.next()}
+	r.pairs = append(r.pairs, values)
 	err := w.transferValues(ctx, r, values)
 	w.conclude(r, err, values...)
 	return err
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,136 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"siskincove/platform"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func self() Instance {
+	return Instance{ID: "self", Address: "127.0.0.1:1", Domain: "r/a", Incarnation: 1}
+}
+
+func other(id string, incarnation uint64) Instance {
+	return Instance{ID: id, Address: "127.0.0.1:2" + id, Domain: "r/a", Incarnation: incarnation}
+}
+
+func live(t *Table) []string {
+	out := []string{}
+	for _, i := range t.Live() {
+		out = append(out, i.ID)
+	}
+	return out
+}
+
+// TestTable gives what happens and which instances then count as live.
+func TestTable(t *testing.T) {
+	listed := []platform.Instance{{ID: "b", Address: "127.0.0.1:2b", Domain: "r/a"}, {ID: "self", Address: "127.0.0.1:1"}}
+	miss := func(n int) func(*Table) {
+		return func(t *Table) {
+			for range n {
+				t.Missed("b", epoch)
+			}
+		}
+	}
+	answer := func(incarnation uint64) func(*Table) {
+		return func(t *Table) { t.Answered(other("b", incarnation), false, epoch) }
+	}
+	roster := func(list []platform.Instance) func(*Table) { return func(t *Table) { t.Roster(list, epoch) } }
+	tests := map[string]struct {
+		steps []func(*Table)
+		want  []string
+	}{
+		"alone":                               {want: []string{"self"}},
+		"listed but never answered":           {steps: []func(*Table){roster(listed)}, want: []string{"self"}},
+		"answers, not listed":                 {steps: []func(*Table){answer(1)}, want: []string{"b", "self"}},
+		"list late: dropped but answers":      {steps: []func(*Table){roster(listed), answer(1), roster(nil)}, want: []string{"b", "self"}},
+		"list stale: named but dead":          {steps: []func(*Table){roster(listed), answer(1), miss(3), roster(listed)}, want: []string{"self"}},
+		"one heartbeat missed":                {steps: []func(*Table){answer(1), miss(1)}, want: []string{"b", "self"}},
+		"two missed, then an answer":          {steps: []func(*Table){answer(1), miss(2), answer(1), miss(2)}, want: []string{"b", "self"}},
+		"back after its death":                {steps: []func(*Table){answer(1), miss(3), answer(1)}, want: []string{"b", "self"}},
+		"a former incarnation speaks late":    {steps: []func(*Table){answer(2), miss(3), answer(1)}, want: []string{"self"}},
+		"leaving":                             {steps: []func(*Table){answer(1), func(t *Table) { t.Answered(other("b", 1), true, epoch) }}, want: []string{"self"}},
+		"this instance leaves":                {steps: []func(*Table){answer(1), func(t *Table) { t.Leave(epoch) }}, want: []string{"b"}},
+		"rumoured dead, not believed":         {steps: []func(*Table){answer(1), func(t *Table) { t.Hear([]Rumour{{ID: "b", Incarnation: 1, State: Dead}}, epoch) }}, want: []string{"b", "self"}},
+		"rumoured alive, not believed either": {steps: []func(*Table){func(t *Table) { t.Hear([]Rumour{{ID: "b", Address: "x", State: Alive}}, epoch) }}, want: []string{"self"}},
+		"rumour about this instance":          {steps: []func(*Table){func(t *Table) { t.Hear([]Rumour{{ID: "self", State: Dead, Incarnation: 9}}, epoch) }}, want: []string{"self"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(self())
+			for _, step := range test.steps {
+				step(table)
+			}
+			if diff := cmp.Diff(test.want, live(table)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestRumourHastens shows that a rumour leads to a heartbeat in the next period.
+func TestRumourHastens(t *testing.T) {
+	table := NewTable(self())
+	for n := range 40 {
+		table.Answered(other(fmt.Sprintf("%02d", n), 1), false, epoch)
+	}
+	table.Hear([]Rumour{{ID: "17", Incarnation: 1, State: Dead}}, epoch)
+	targets := table.Targets(epoch)
+	if targets[0].ID != "17" {
+		t.Errorf("first heartbeat goes to %s", targets[0].ID)
+	}
+	if len(targets) > fanout+1 {
+		t.Errorf("%d heartbeats in one period", len(targets))
+	}
+}
+
+// TestRankMovesLittle shows that losing an instance moves only what it owned, and that all agree whatever their order.
+func TestRankMovesLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Instance
+		for n := range rapid.IntRange(2, 30).Draw(t, "instances") {
+			all = append(all, other(fmt.Sprintf("%02d", n), 1))
+		}
+		lost := rapid.IntRange(0, len(all)-1).Draw(t, "lost")
+		shuffled := rapid.Permutation(all).Draw(t, "order")
+		var rest []Instance
+		for n, i := range all {
+			if n != lost {
+				rest = append(rest, i)
+			}
+		}
+		for key := range 50 {
+			name := fmt.Sprintf("endpoint-%d", key)
+			before, after := Rank(name, all)[0], Rank(name, rest)[0]
+			if Rank(name, shuffled)[0].ID != before.ID {
+				t.Fatal("order matters")
+			}
+			if before.ID != all[lost].ID && after.ID != before.ID {
+				t.Fatalf("%s moved from %s to %s", name, before.ID, after.ID)
+			}
+		}
+	})
+}
+
+func TestNear(t *testing.T) {
+	all := []Instance{{ID: "a", Domain: "n/1"}, {ID: "b", Domain: "n/2"}, {ID: "c", Domain: "s/1"}}
+	tests := map[string][]string{"n/1": {"a"}, "n/3": {"a", "b"}, "w/1": {"a", "b", "c"}}
+	for domain, want := range tests {
+		t.Run(domain, func(t *testing.T) {
+			var got []string
+			for _, i := range Near(domain, all) {
+				got = append(got, i.ID)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -18,6 +18,8 @@
 	dialTimeout   = 500 * time.Millisecond
 	writeTimeout  = 3 * time.Second
 	acceptBacklog = 4096
+	// streamCloseTimeout bounds how long a closed stream waits for its other end to close too.
+	streamCloseTimeout = 30 * time.Second
 )
 
 // Options are what a node needs to know and to use.
@@ -77,6 +79,7 @@
 	c.AcceptBacklog = acceptBacklog
 	c.ConnectionWriteTimeout = writeTimeout
 	c.EnableKeepAlive = false
+	c.StreamCloseTimeout = streamCloseTimeout
 	c.LogOutput = io.Discard
 	return c
 }
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"siskincove/peer/wire"
 )
@@ -31,7 +32,13 @@
 
 // bind ends the stream with ctx.
 func (r *remote) bind(ctx context.Context) {
-	r.stop = context.AfterFunc(ctx, func() { _ = r.conn.Close() })
+	r.stop = context.AfterFunc(ctx, func() { _ = end(r.conn) })
+}
+
+// end closes a yamux stream and wakes its reader, which closing alone does not.
+func end(conn net.Conn) error {
+	_ = conn.SetReadDeadline(time.Unix(1, 0))
+	return conn.Close()
 }
 
 // Send writes a frame.
@@ -52,7 +59,7 @@
 func (r *remote) Close() error {
 	r.once.Do(func() {
 		r.stop()
-		r.err = r.conn.Close()
+		r.err = end(r.conn)
 	})
 	return r.err
 }
--- /dev/null
+++ b/proof/cancel_test.go
@@ -0,0 +1,30 @@
+package proof
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// cancelAt sends a connection's cancel request to an address, as a driver behind a balancer would.
+func cancelAt(t *testing.T, conn *pgx.Conn, address string) {
+	t.Helper()
+	request := binary.BigEndian.AppendUint32(nil, 16)
+	request = binary.BigEndian.AppendUint32(request, 80877102)
+	request = binary.BigEndian.AppendUint32(request, conn.PgConn().PID())
+	request = append(request, conn.PgConn().SecretKey()...)
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = to.Close() }()
+	if _, err := to.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	_ = to.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.Copy(io.Discard, to)
+}
--- /dev/null
+++ b/proof/configuration_test.go
@@ -0,0 +1,223 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"siskincove/standin/cluster"
+)
+
+// revisions watches the revisions of all instances and reports any that goes down, restarts included.
+type revisions struct {
+	cluster *cluster.Cluster
+	mu      sync.Mutex
+	highest map[string]uint64
+	down    []string
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+func watchRevisions(c *cluster.Cluster) *revisions {
+	r := &revisions{cluster: c, highest: map[string]uint64{}, stop: make(chan struct{}), done: make(chan struct{})}
+	go r.run()
+	return r
+}
+
+func (r *revisions) run() {
+	defer close(r.done)
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+			r.look()
+		}
+	}
+}
+
+func (r *revisions) look() {
+	for _, i := range r.cluster.Instances {
+		s, err := i.Status()
+		if err != nil || !s.Ready {
+			continue
+		}
+		if s.Revision < r.highest[i.ID] {
+			r.down = append(r.down, fmt.Sprintf("%s from %d to %d", i.ID, r.highest[i.ID], s.Revision))
+		}
+		r.highest[i.ID] = max(r.highest[i.ID], s.Revision)
+	}
+}
+
+func (r *revisions) end(t *testing.T) {
+	t.Helper()
+	close(r.stop)
+	<-r.done
+	if len(r.down) > 0 {
+		t.Errorf("revisions went down: %v", r.down)
+	}
+}
+
+func waitRevision(t *testing.T, c *cluster.Cluster, revision uint64) time.Duration {
+	t.Helper()
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := c.WaitReady(ctx, revision); err != nil {
+		t.Fatal(err)
+	}
+	return time.Since(started)
+}
+
+// TestOperatorsRace lets operators publish at once, with answers of the platform lost: whatever was accepted is in
+// force everywhere, and each operator knows whether it was.
+func TestOperatorsRace(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	watch := watchRevisions(c)
+	text, err := c.Text(cluster.Objects{Service: service, Caller: caller, Password: password})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Publish(text); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.PlatformFault("loseputs", "3"); err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	accepted, refused := 0, 0
+	var wait sync.WaitGroup
+	for range 6 {
+		wait.Go(func() {
+			out, err := c.Publish(text)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				accepted++
+			case strings.Contains(out, "revision conflict") || strings.Contains(out, "in force"):
+				refused++
+			default:
+				t.Errorf("an operator does not know: %v", err)
+			}
+		})
+	}
+	wait.Wait()
+	want := uint64(2 + accepted)
+	t.Logf("%d accepted, %d refused, in force everywhere after %s", accepted, refused, waitRevision(t, c, want))
+	watch.end(t)
+	for _, i := range c.Instances {
+		if s, err := i.Status(); err != nil || s.Revision != want {
+			t.Errorf("%s serves revision %d, want %d (%v)", i.ID, s.Revision, want, err)
+		}
+	}
+}
+
+// TestRestartInOutage restarts instances one by one while the platform is down: each comes back at the revision that
+// its peers serve.
+func TestRestartInOutage(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	publish(t, c, cluster.Objects{Age: 2 * time.Minute})
+	waitRevision(t, c, 2)
+	watch := watchRevisions(c)
+	if err := c.PlatformFault("down", "true"); err != nil {
+		t.Fatal(err)
+	}
+	for n := range c.Instances {
+		c.Instances[n].Process.Kill()
+		if err := c.StartInstance(n); err != nil {
+			t.Fatal(err)
+		}
+		if !eventually(func() bool { return ready(c, n, 2) }) {
+			t.Errorf("%s did not come back in the outage", c.Instances[n].ID)
+		}
+	}
+	watch.end(t)
+	if _, err := connect(t, c, 0, "").Exec(bounded(t), "INSERT INTO signoffs (key, value) VALUES ('k', 'v')"); err != nil {
+		t.Errorf("a write in the outage: %v", err)
+	}
+}
+
+// TestRestartOfAllInOutage restarts all instances at once while the platform is down: none serves by a guess, and all
+// serve the accepted revision once the platform is back.
+func TestRestartOfAllInOutage(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	publish(t, c, cluster.Objects{Age: 2 * time.Minute})
+	waitRevision(t, c, 2)
+	if err := c.PlatformFault("down", "true"); err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range c.Instances {
+		i.Process.Kill()
+	}
+	for n := range c.Instances {
+		if err := c.StartInstance(n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for n, i := range c.Instances {
+		if ready(c, n, 0) {
+			t.Errorf("%s is ready without a revision", i.ID)
+		}
+	}
+	if err := c.PlatformFault("down", "false"); err != nil {
+		t.Fatal(err)
+	}
+	waitRevision(t, c, 2)
+}
+
+func ready(c *cluster.Cluster, n int, revision uint64) bool {
+	s, err := c.Instances[n].Status()
+	return err == nil && s.Ready && s.Revision >= revision
+}
+
+// TestTool shows the operators' commands with their exit codes.
+func TestTool(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	text, err := c.Text(cluster.Objects{Service: service, Caller: caller, Password: password, Age: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := t.TempDir() + "/objects.toml"
+	write(t, file, text)
+	broken := t.TempDir() + "/broken.toml"
+	write(t, broken, strings.Replace(text, `limit = "history"`, `limit = "nothing"`, 1))
+	tests := map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"check":            {args: []string{"check", file}, want: "hold together"},
+		"check, broken":    {args: []string{"check", broken}, code: 2, want: `no limit is called "nothing"`},
+		"plan":             {args: []string{"plan", file}, code: 3, want: "change allowance history"},
+		"publish, broken":  {args: []string{"publish", broken}, code: 2, want: `no limit is called "nothing"`},
+		"publish, late":    {args: []string{"publish", file, "--base", "0"}, code: 4, want: "revision 1 is in force"},
+		"show":             {args: []string{"show"}, want: "(secret "},
+		"show as JSON":     {args: []string{"show", "-o", "json"}, want: `"revision": 1`},
+		"history":          {args: []string{"history"}, want: "     1  "},
+		"unknown command":  {args: []string{"steer"}, code: 2, want: "unexpected argument steer"},
+		"unknown argument": {args: []string{"plan", file, "--force"}, code: 2, want: "unknown flag --force"},
+		"status":           {args: []string{"status", c.Instances[0].Health}, want: "ready=true"},
+		"status, nobody":   {args: []string{"status", "127.0.0.1:1"}, code: 1, want: "does not answer"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			out, err := c.Tool(test.args...)
+			if diff := cmp.Diff(test.code, exitCode(err)); diff != "" {
+				t.Errorf("exit code %s\n%s", diff, out)
+			}
+			if !strings.Contains(out, test.want) {
+				t.Errorf("printed %q, want %q", out, test.want)
+			}
+			if strings.Contains(out, "planted") {
+				t.Errorf("a secret is printed: %s", out)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/proof/instances_test.go
@@ -0,0 +1,234 @@
+package proof
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"siskincove/load"
+	"siskincove/standin/cluster"
+)
+
+// underLoad runs a load and, inside it, what is done to the cluster; it checks every answer.
+func underLoad(t *testing.T, c *cluster.Cluster, mix load.Mix, seed uint64, disturb func()) load.Report {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	result := make(chan load.Report, 1)
+	go func() {
+		report, err := load.Run(ctx, loadOptions(c, mix, 7*time.Second, seed))
+		if err != nil {
+			t.Error(err)
+		}
+		result <- report
+	}()
+	time.Sleep(1500 * time.Millisecond)
+	disturb()
+	report := <-result
+	t.Logf("gap %.0f ms, refusals %v", report.Gap, report.Refusals)
+	if !report.Kept() {
+		t.Errorf("broken promises: %+v, not verified: %d", report.Faults, report.Unverified)
+	}
+	done := int64(0)
+	for _, o := range report.Operations {
+		done += o.Count
+	}
+	if done < 300 {
+		t.Errorf("only %d operations were done, so little was shown", done)
+	}
+	return report
+}
+
+// owner returns the number of the instance that owns an endpoint.
+func owner(t *testing.T, c *cluster.Cluster, endpoint string) int {
+	t.Helper()
+	for n, i := range c.Instances {
+		s, err := i.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range s.Pools {
+			if p.Endpoint == endpoint {
+				return n
+			}
+		}
+	}
+	t.Fatalf("nobody owns %s", endpoint)
+	return 0
+}
+
+// TestInstanceFaults kills and freezes instances in each of their roles under load.
+func TestInstanceFaults(t *testing.T) {
+	kill := func(t *testing.T, c *cluster.Cluster, n int) {
+		c.Instances[n].Process.Kill()
+		time.Sleep(time.Second)
+		if err := c.StartInstance(n); err != nil {
+			t.Error(err)
+		}
+	}
+	freeze := func(t *testing.T, c *cluster.Cluster, n int) {
+		c.Instances[n].Process.Freeze()
+		time.Sleep(2500 * time.Millisecond)
+		c.Instances[n].Process.Thaw()
+	}
+	tests := map[string]struct {
+		mix     load.Mix
+		disturb func(*testing.T, *cluster.Cluster, int)
+		target  string
+	}{
+		"owner of the primary killed": {mix: load.Pwani, disturb: kill, target: database + "-0"},
+		"owner of the primary frozen": {mix: load.Pwani, disturb: freeze, target: database + "-0"},
+		"owner of a replica killed":   {mix: load.Kelloviisari, disturb: kill, target: database + "-1"},
+		"owner of a replica frozen":   {mix: load.Kelloviisari, disturb: freeze, target: database + "-2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := begin(t, func(o *cluster.Options) {
+				o.Domains = []string{"fi-south/a", "se-east/a", "de-north/a", "fi-south/a", "se-east/a", "de-north/a"}
+			}, cluster.Objects{Deadline: 3 * time.Second})
+			n := owner(t, c, test.target)
+			underLoad(t, c, test.mix, 11, func() { test.disturb(t, c, n) })
+		})
+	}
+}
+
+// TestLag lets replicas apply minutes late: own writes are seen after roaming, from the primary, and history reads stay
+// within their allowance or go there too.
+func TestLag(t *testing.T) {
+	c := begin(t, func(o *cluster.Options) { o.Groups[0].ApplyLag = 2 * time.Minute }, cluster.Objects{Age: time.Second})
+	report := underLoad(t, c, load.Kelloviisari, 3, func() {})
+	if report.Broken > 0 {
+		t.Errorf("%+v", report.Faults)
+	}
+	ctx := bounded(t)
+	writer := connect(t, c, 0, "")
+	if _, err := writer.Exec(ctx, "INSERT INTO signoffs (key, value) VALUES ('lag', 'x')"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	var count int
+	if err := connect(t, c, 2, database+"-history").QueryRow(ctx, "SELECT count(*) FROM signoffs WHERE key = 'lag'").Scan(&count); err != nil || count != 1 {
+		t.Errorf("a write older than the allowance is seen %d times: %v", count, err)
+	}
+}
+
+// TestDrain asks an instance to leave under load and with a long transaction open: nothing in flight is cut off.
+func TestDrain(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	ctx := bounded(t)
+	conn := connect(t, c, 0, "")
+	tx, err := conn.Begin(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Exec(ctx, "INSERT INTO signoffs (key, value) VALUES ('long', 'x')"); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	report := underLoad(t, c, load.Pwani, 5, func() {
+		go func() { ended <- c.Instances[0].Process.Terminate() }()
+		time.Sleep(2 * time.Second)
+		if _, err := tx.Exec(ctx, "INSERT INTO signoffs (key, value) VALUES ('long', 'y')"); err != nil {
+			t.Errorf("statement of a transaction in flight: %v", err)
+		}
+		if err := tx.Commit(ctx); err != nil {
+			t.Errorf("commit of a transaction in flight: %v", err)
+		}
+	})
+	if err := <-ended; err != nil {
+		t.Errorf("the instance did not end cleanly: %v", err)
+	}
+	for _, r := range report.Refusals {
+		if r.Verdict != "not run" {
+			t.Errorf("a request in flight was cut off: %+v", r)
+		}
+	}
+	rows, err := connect(t, c, 1, "").Query(ctx, "SELECT value FROM signoffs WHERE key = 'long'")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := pgx.CollectRows(rows, pgx.RowTo[string]); err != nil || strings.Join(got, "") != "xy" {
+		t.Errorf("the long transaction holds %v, %v", got, err)
+	}
+}
+
+// TestSecondSignal ends a draining instance at once, with an exit code that says so.
+func TestSecondSignal(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	ctx := bounded(t)
+	conn := connect(t, c, 0, "")
+	if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	p := c.Instances[0].Process
+	p.Signal(15)
+	if eventually(func() bool { return contains(c.Instances[0].Log(), "instance leaving") || p.Ended() }) && p.Ended() {
+		t.Fatal("the instance ended with a transaction open")
+	}
+	time.Sleep(500 * time.Millisecond)
+	if p.Ended() {
+		t.Fatal("the instance ended with a transaction open")
+	}
+	p.Signal(15)
+	if err := p.Wait(10 * time.Second); err == nil {
+		t.Error("a forced end looks like a clean one")
+	}
+	if !contains(c.Instances[0].Log(), "event=103") {
+		t.Error("the forced end was not logged")
+	}
+}
+
+// TestLeavingEndpoint declares an endpoint leaving: once that is in force it gets no new work.
+func TestLeavingEndpoint(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	served := func() int64 {
+		states, err := c.Groups[0].States()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return states[1].Served
+	}
+	underLoad(t, c, load.Kelloviisari, 9, func() {
+		before := served()
+		if before == 0 {
+			t.Error("the endpoint had no work before")
+		}
+		publish(t, c, cluster.Objects{Leaving: map[string]bool{database + "-1": true}})
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		if err := c.WaitReady(ctx, 2); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(200 * time.Millisecond)
+		left := served()
+		time.Sleep(1500 * time.Millisecond)
+		if now := served(); now != left {
+			t.Errorf("%d statements were served after the change was in force", now-left)
+		}
+	})
+}
+
+// TestCancel cancels a statement through another instance than the one that serves it.
+func TestCancel(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{})
+	conn := connect(t, c, 0, "")
+	result := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "SELECT pg_sleep(8)")
+		result <- err
+	}()
+	time.Sleep(500 * time.Millisecond)
+	cancelAt(t, conn, c.Instances[2].Callers)
+	var failure *pgconn.PgError
+	if err := <-result; !errors.As(err, &failure) || failure.Code != "57014" {
+		t.Errorf("cancelled statement ended with %v", err)
+	}
+	if _, err := conn.Exec(bounded(t), "SELECT 1"); err != nil {
+		t.Errorf("the session after its cancelled statement: %v", err)
+	}
+}
--- /dev/null
+++ b/proof/tool_test.go
@@ -0,0 +1,28 @@
+package proof
+
+import (
+	"os"
+	"os/exec"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+func write(t *testing.T, file, text string) {
+	t.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// exitCode returns the code that a command ended with, -1 when it did not run.
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return -1
+}
--- /dev/null
+++ b/session/need_test.go
@@ -0,0 +1,131 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"siskincove/endpoint"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func TestCheck(t *testing.T) {
+	history := History{}.
+		With(Certificate{Position: position(1, 10), At: epoch}).
+		With(Certificate{Position: position(1, 20), At: epoch.Add(time.Minute)})
+	now := epoch.Add(2 * time.Minute)
+	tests := map[string]struct {
+		need    Need
+		applied endpoint.Position
+		history History
+		want    Freshness
+	}{
+		"no need":                        {applied: position(1, 1), want: Fresh},
+		"token reached":                  {need: Need{Token: position(1, 10)}, applied: position(1, 10), want: Fresh},
+		"token missed":                   {need: Need{Token: position(1, 11)}, applied: position(1, 10), want: BehindToken},
+		"token of a later term":          {need: Need{Token: position(2, 1)}, applied: position(1, 99), want: BehindToken},
+		"token of an earlier term":       {need: Need{Token: position(1, 99)}, applied: position(2, 1), want: Fresh},
+		"young enough":                   {need: Need{Age: time.Minute}, applied: position(1, 20), history: history, want: Fresh},
+		"covered by the older only":      {need: Need{Age: time.Minute}, applied: position(1, 19), history: history, want: TooOld},
+		"older accepted":                 {need: Need{Age: 2 * time.Minute}, applied: position(1, 19), history: history, want: Fresh},
+		"covered by none":                {need: Need{Age: time.Hour}, applied: position(1, 9), history: history, want: TooOld},
+		"no certificate":                 {need: Need{Age: time.Hour}, applied: position(1, 9), want: TooOld},
+		"superseded primary, no renewal": {need: Need{Age: 30 * time.Second}, applied: position(1, 99), history: history, want: TooOld},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, Check(test.need, test.applied, test.history, now)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestHistoryAge compares the bounded history with a naive one that keeps everything: it may only ever say older.
+func TestHistoryAge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history History
+		var all []Certificate
+		at, offset := epoch, uint64(0)
+		for range rapid.IntRange(0, 3*historyMaximum).Draw(t, "certificates") {
+			at = at.Add(time.Second)
+			offset += rapid.Uint64Range(0, 3).Draw(t, "records")
+			c := Certificate{Position: position(1, offset), At: at}
+			history, all = history.With(c), append(all, c)
+		}
+		if len(history.certificates) > historyMaximum {
+			t.Fatalf("%d certificates kept", len(history.certificates))
+		}
+		applied := position(1, rapid.Uint64Range(0, offset+1).Draw(t, "applied"))
+		got, known := history.Age(applied, at)
+		exact, certain := naiveAge(all, applied, at)
+		if known && (!certain || got < exact) {
+			t.Fatalf("age %s, naive %s (known %t)", got, exact, certain)
+		}
+		if len(all) <= historyMaximum && (known != certain || got != exact) {
+			t.Fatalf("age %s known %t, naive %s known %t", got, known, exact, certain)
+		}
+	})
+}
+
+func naiveAge(all []Certificate, applied endpoint.Position, now time.Time) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for _, c := range all {
+		if age := now.Sub(c.At); applied.Covers(c.Position) && (!found || age < best) {
+			best, found = age, true
+		}
+	}
+	return best, found
+}
+
+// TestConfirmed compares with a count over every position, and shows which reports do not count.
+func TestConfirmed(t *testing.T) {
+	status := func(fenced, term, offset uint64) endpoint.Status {
+		return endpoint.Status{Fenced: endpoint.FencedTerm(fenced), Log: position(term, offset)}
+	}
+	tests := map[string]struct {
+		reports []endpoint.Status
+		want    endpoint.Position
+	}{
+		"none":                          {},
+		"one of two replicas":           {reports: []endpoint.Status{status(2, 2, 9), {}}, want: position(2, 9)},
+		"the further replica suffices":  {reports: []endpoint.Status{status(2, 2, 5), status(2, 2, 9)}, want: position(2, 9)},
+		"log of a lower term":           {reports: []endpoint.Status{status(2, 1, 9), {}}},
+		"log of a higher term":          {reports: []endpoint.Status{status(3, 3, 9), {}}},
+		"higher promise, log of ours":   {reports: []endpoint.Status{status(3, 2, 9), {}}},
+		"five members, one replica":     {reports: []endpoint.Status{status(2, 2, 9), {}, {}, {}}},
+		"five members, second furthest": {reports: []endpoint.Status{status(2, 2, 9), status(2, 2, 4), status(2, 2, 7), {}}, want: position(2, 7)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			members := max(len(test.reports)+1, 3)
+			if diff := cmp.Diff(test.want, Confirmed(test.reports, members, 2)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestBarrier(t *testing.T) {
+	tests := map[string]struct {
+		logs []endpoint.Position
+		want endpoint.Position
+		ok   bool
+	}{
+		"no answers":             {},
+		"a minority":             {logs: []endpoint.Position{position(1, 9)}},
+		"a majority":             {logs: []endpoint.Position{position(1, 9), position(1, 4)}, want: position(1, 9), ok: true},
+		"the later term decides": {logs: []endpoint.Position{position(1, 9), position(2, 4)}, want: position(2, 4), ok: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Barrier(test.logs, 3)
+			if diff := cmp.Diff(test.want, got); diff != "" || ok != test.ok {
+				t.Errorf("ok %t\n%s", ok, diff)
+			}
+		})
+	}
+}
