route, member, certificate: leave stale replicas, settle by peers, add TLS

Ruled out: a larger budget (moving on is no retry: nothing ran) and trusting the own list at once (each instance then owns everything).

Change: a refusal as stale is remembered with its need, and requests that need as much go to the primary before that replica; it draws on no budget. A settled peer stands for the platform's list and tells a new instance all it knows. A read falls back to its route's fallback. The configuration follower polls by its timer only. TLS on every side, certificates taken over without a restart.

Measured: go test ./proof. TestTLS passes; none of the planted secrets shows in logs, metrics, status or the tool's output.

Conclusion: under stock PostgreSQL a new primary is established only when a replica has applied its first record; that is listed as a limit.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -17,6 +17,31 @@
 	Latency  latencyCommand  `cmd:"" help:"Added latency and processor time beside a bare relay."`
 	Failover failoverCommand `cmd:"" help:"Time without acknowledged writes after a primary is lost, beside a naive baseline."`
 	Share    shareCommand    `cmd:"" help:"Share of reads served by replicas as their lag grows, beside a naive baseline."`
+	Force    forceCommand    `cmd:"" help:"Time until a published configuration is in force everywhere."`
+	Slopes   slopesCommand   `cmd:"" help:"What one more caller, database and instance costs an instance."`
+}
+
+type forceCommand struct {
+	siteFlags
+	Changes int `help:"Publications." default:"20"`
+}
+
+// Run measures and prints.
+func (c *forceCommand) Run(ctx context.Context) error {
+	d, err := experiment.Parse(c.Deployment)
+	if err != nil {
+		return err
+	}
+	return experiment.Force{Deployment: d, Instances: c.Instances, Changes: c.Changes}.Run(ctx, os.Stdout)
+}
+
+type slopesCommand struct {
+	Window time.Duration `help:"How long an idle system is watched." default:"5s"`
+}
+
+// Run measures and prints.
+func (c *slopesCommand) Run(ctx context.Context) error {
+	return experiment.Slopes{Window: c.Window}.Run(ctx, os.Stdout)
 }
 
 type siteFlags struct {
--- a/cmd/siskincoved/main.go
+++ b/cmd/siskincoved/main.go
@@ -94,6 +94,11 @@
 		fmt.Fprintln(os.Stderr, file.Problem(listen.Key, listen.Error()))
 		return exitSettings
 	}
+	var certificate *instance.CertificateError
+	if errors.As(err, &certificate) {
+		fmt.Fprintln(os.Stderr, file.Problem(certificate.Key, certificate.Error()))
+		return exitSettings
+	}
 	fmt.Fprintln(os.Stderr, err)
 	return exitFailure
 }
--- a/cmd/standin/group.go
+++ b/cmd/standin/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"time"
 
@@ -21,14 +22,20 @@
 	Regions     time.Duration `help:"One-way delay between regions." default:"0s"`
 	ReceiveLag  time.Duration `help:"Delay of records on their way to every member." default:"0s"`
 	ApplyLag    time.Duration `help:"Delay of the application of records at every member." default:"0s"`
+	Certificate string        `help:"Certificate of the members, in PEM; none leaves them in plain text."`
+	Key         string        `help:"Key of the certificate."`
 	Control     string        `help:"Listening address of the control interface, IP:port." default:"127.0.0.1:0"`
 }
 
 // Run serves the group until a signal ends it; its first lines name the addresses.
 func (c *groupCommand) Run(ctx context.Context) error {
+	secured, err := c.tls()
+	if err != nil {
+		return err
+	}
 	g, err := group.New(ctx, clock.System{}, group.Options{
 		Vendor: c.Vendor, Addresses: c.Address, Domains: c.Domain, Slots: c.Slots, Connections: c.Connections,
-		ConnectCost: c.Cost, Work: c.Work, Places: group.Places{Domains: c.Domains, Regions: c.Regions},
+		ConnectCost: c.Cost, Work: c.Work, Places: group.Places{Domains: c.Domains, Regions: c.Regions}, TLS: secured,
 	})
 	if err != nil {
 		return err
@@ -46,3 +53,11 @@
 	<-g.Done()
 	return err
 }
+
+func (c *groupCommand) tls() (*tls.Config, error) {
+	if c.Certificate == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(c.Certificate, c.Key)
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, err
+}
--- /dev/null
+++ b/commands/completion.go
@@ -0,0 +1,61 @@
+package commands
+
+import (
+	"io"
+	"strings"
+)
+
+func init() {
+	register("completion", "Print completions for a shell.", &completionCommand{})
+}
+
+type completionCommand struct {
+	Shell string `arg:"" help:"Shell to complete for." enum:"bash,zsh,fish"`
+}
+
+type completionReport struct {
+	Shell  string `json:"shell"`
+	Script string `json:"script"`
+}
+
+// Run prints a script that completes the commands, and files after those that take a path.
+func (c *completionCommand) Run(out *Output) error {
+	report := completionReport{Shell: c.Shell, Script: script(c.Shell)}
+	return out.print(report, func(w io.Writer) { line(w, "%s", report.Script) })
+}
+
+func script(shell string) string {
+	names := make([]string, 0, len(verbs))
+	for _, v := range verbs {
+		names = append(names, v.Name)
+	}
+	all := strings.Join(names, " ")
+	switch shell {
+	case "fish":
+		return fish()
+	case "zsh":
+		return "autoload -U +X bashcompinit && bashcompinit\n" + bash(all)
+	default:
+		return bash(all)
+	}
+}
+
+func bash(names string) string {
+	return `_siskincove() {
+    local word="${COMP_WORDS[COMP_CWORD]}"
+    if [ "$COMP_CWORD" -eq 1 ]; then
+        COMPREPLY=($(compgen -W "` + names + `" -- "$word"))
+    else
+        COMPREPLY=($(compgen -f -- "$word"))
+    fi
+}
+complete -F _siskincove siskincove`
+}
+
+func fish() string {
+	lines := make([]string, 0, len(verbs))
+	for _, v := range verbs {
+		lines = append(lines, "complete -c siskincove -n __fish_use_subcommand -f -a "+v.Name+" -d '"+strings.ReplaceAll(v.Help, "'", "")+"'")
+	}
+	return strings.Join(lines, "\n")
+}
--- a/config/check.go
+++ b/config/check.go
@@ -108,6 +108,9 @@
 		if !contains(Vendors, o.Vendor) {
 			c.report(KindDatabase, i, "vendor", "%q is none of %s", o.Vendor, strings.Join(Vendors, ", "))
 		}
+		if !contains([]string{"", TLSOff, TLSAuthority, TLSNamed}, o.TLS) {
+			c.report(KindDatabase, i, "tls", "%q is none of off, authority, named", o.TLS)
+		}
 		members := c.catalog.Members(o.Name)
 		staying := 0
 		for _, e := range members {
--- a/config/database.go
+++ b/config/database.go
@@ -5,8 +5,20 @@
 	Name string `toml:"name" json:"name"`
 	// Vendor is how the group reports and obeys: postgres or managed.
 	Vendor string `toml:"vendor" json:"vendor"`
+	// TLS is how connections to the endpoints are secured: off, authority (the certificate must come from the
+	// authority of the instance's settings) or named (it must also name the endpoint's IP number).
+	TLS string `toml:"tls" json:"tls,omitempty"`
 	// Name of the database, user and password that instances use at the endpoints.
 	Catalog  string `toml:"catalog" json:"catalog,omitempty"`
 	User     string `toml:"user" json:"user,omitempty"`
 	Password string `toml:"password" json:"password,omitempty"`
 }
+
+const (
+	// TLSOff leaves connections in plain text.
+	TLSOff = "off"
+	// TLSAuthority verifies where the endpoint's certificate comes from.
+	TLSAuthority = "authority"
+	// TLSNamed also verifies that it names the endpoint's IP number.
+	TLSNamed = "named"
+)
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -36,6 +36,7 @@
 	conn    net.Conn
 	reader  *message.Reader
 	writer  *bufio.Writer
+	secured bool
 	name    string
 	service string
 	process uint32
@@ -79,17 +80,23 @@
 func newCaller(e *Entry, conn net.Conn) *caller {
 	var secret [4]byte
 	_, _ = rand.Read(secret[:])
-	return &caller{
+	c := &caller{
 		entry:      e,
-		conn:       conn,
-		reader:     message.NewReader(conn, messageBytesMaximum),
-		writer:     bufio.NewWriterSize(conn, writerBytes),
 		secret:     binary.BigEndian.Uint32(secret[:]),
 		asserted:   make(map[string]bool),
 		settings:   make(map[string]string),
 		statements: make(map[string]prepared),
 		status:     statusIdle,
 	}
+	c.use(conn)
+	return c
+}
+
+// use makes a connection the one that the caller is spoken with.
+func (c *caller) use(conn net.Conn) {
+	c.conn = conn
+	c.reader = message.NewReader(conn, messageBytesMaximum)
+	c.writer = bufio.NewWriterSize(conn, writerBytes)
 }
 
 // wake interrupts a read for the next request.
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -15,6 +15,7 @@
 	"siskincove/peer/wire"
 	"siskincove/pool"
 	"siskincove/route"
+	"siskincove/session"
 	"siskincove/verdict"
 )
 
@@ -34,7 +35,9 @@
 
 // work is a request on its way to an endpoint.
 type work struct {
-	request   *request
+	request *request
+	// route gives the allowance and the class: the session's route, or one that it falls back to.
+	route     config.Route
 	write     bool
 	members   []config.Endpoint
 	deadline  time.Time
@@ -69,7 +72,7 @@
 		return c.refuse(r, verdict.New(verdict.NotRun, verdict.Unconfigured, "route %q is no longer declared", c.route.Name))
 	}
 	c.route = current
-	w := &work{request: r, write: r.writes(), members: catalog.Members(current.Database), started: now}
+	w := &work{request: r, route: current, write: r.writes(), members: catalog.Members(current.Database), started: now}
 	w.deadline = now.Add(c.budget(catalog))
 	r.wire.Ends = r.synced && r.class != classBegin && r.class != classBeginRead
 	c.entry.requests.Add(1)
@@ -128,7 +131,7 @@
 			}
 			w.tried = nil
 		}
-		err := c.attemptRound(w)
+		err := c.attemptRoutes(w)
 		if err == nil || !c.retryable(w, err) {
 			return err
 		}
@@ -137,34 +140,66 @@
 	return last
 }
 
+// attemptRoutes tries the session's route and, while no endpoint is fresh enough, the routes that it falls back to.
+func (c *caller) attemptRoutes(w *work) error {
+	w.route = c.route
+	for {
+		err := c.attemptRound(w)
+		if err == nil || w.write || !c.retryable(w, err) || verdict.From(err).Reason != verdict.Stale {
+			return err
+		}
+		next, ok := c.entry.options.Catalogs.Catalog().Route(w.route.Fallback)
+		if !ok {
+			return err
+		}
+		w.route, w.tried = next, nil
+	}
+}
+
 // attemptRound tries each endpoint that may serve the request once.
 func (c *caller) attemptRound(w *work) error {
-	token, err := c.need(w)
+	need, err := c.need(w)
 	if err != nil {
 		return err
 	}
 	last := error(verdict.New(verdict.NotRun, verdict.Unreachable, "no endpoint is known that could serve the request"))
 	for {
-		candidate, ok := c.choose(w)
+		candidate, ok := c.choose(w, need)
 		if !ok {
 			return last
 		}
-		if len(w.tried) > 0 && !c.entry.retries.allow() {
+		if len(w.tried) > 0 && !moved(last) && !c.entry.retries.allow() {
 			return verdict.New(verdict.NotRun, verdict.Budget, "retry budget is spent").WithCause(last)
 		}
 		w.tried = append(w.tried, candidate.Endpoint.Name)
-		last = c.try(w, candidate, token)
+		last = c.try(w, candidate, need)
 		if last == nil || !c.retryable(w, last) {
 			return last
 		}
-		if w.write {
-			c.avoid(candidate.Endpoint)
-		}
+		c.remember(w, candidate.Endpoint, need, last)
 		c.entry.counters.retries.Inc()
 		c.entry.options.Logger.Log(event.RequestRetried, log.Fields{"endpoint": candidate.Endpoint.Name, "cause": last.Error()})
 	}
 }
 
+// moved reports whether a refusal only sends a read on to a fresher endpoint, which is no retry of work that was done.
+func moved(err error) bool {
+	reason := verdict.From(err).Reason
+	return reason == verdict.Stale || reason == verdict.ReadOnly
+}
+
+// remember keeps what a refusal says of the endpoint, so that coming requests go elsewhere first.
+func (c *caller) remember(w *work, e config.Endpoint, need session.Need, err error) {
+	if verdict.From(err).Reason == verdict.Stale {
+		until := c.entry.options.Clock.Now().Add(avoidFor)
+		c.entry.databases.find(c.route.Database).stale(e.Name, need, until)
+		return
+	}
+	if w.write {
+		c.avoid(e)
+	}
+}
+
 // retryable reports whether a request may be sent again: it certainly did not run, nothing of an answer has reached the
 // caller, and the refusal does not hold everywhere.
 func (c *caller) retryable(w *work, err error) bool {
@@ -194,26 +229,27 @@
 	}
 }
 
-// need returns the position that a read must see: the session's token, or a barrier when it has none.
-func (c *caller) need(w *work) (endpoint.Position, error) {
+// need returns what a read must see: the session's token, or a barrier when it has none, and the route's allowance.
+func (c *caller) need(w *work) (session.Need, error) {
 	name := c.route.Database
 	if !w.write && !c.asserted[name] {
 		c.entry.counters.barriers.Inc()
 		answer, err := c.entry.databases.inquire(c.entry.ctx, name, w.members)
 		if err != nil || !answer.ok {
 			c.entry.options.Logger.Log(event.BarrierFailed, log.Fields{"database": name, "caller": c.name})
-			return endpoint.Position{}, verdict.New(verdict.NotRun, verdict.Unreachable, "no majority of database %s answers", name)
+			return session.Need{}, verdict.New(verdict.NotRun, verdict.Unreachable, "no majority of database %s answers", name)
 		}
 		c.asserted[name] = true
 		c.token = c.token.With(name, answer.barrier)
 		c.entry.options.Logger.Log(event.BarrierTaken, log.Fields{"database": name, "position": answer.barrier.String()})
 	}
 	position, _ := c.token.Position(name)
-	return position, nil
+	allowance, _ := c.entry.options.Catalogs.Catalog().Allowance(w.route.Allowance)
+	return session.Need{Token: position, Age: allowance.Age.Std()}, nil
 }
 
 // choose returns the best endpoint not tried yet; when a write finds no primary, the endpoints are asked once.
-func (c *caller) choose(w *work) (route.Candidate, bool) {
+func (c *caller) choose(w *work, need session.Need) (route.Candidate, bool) {
 	o := c.entry.options
 	database := c.entry.databases.find(c.route.Database)
 	request := route.Request{
@@ -221,6 +257,7 @@
 		Replicas: c.route.Reads == config.ReadsReplica,
 		Domain:   o.Domain,
 		Salt:     c.salt(),
+		Need:     need,
 		Tried:    w.tried,
 	}
 	found := route.Choose(request, w.members, database.known(), o.Clock.Now())
@@ -240,11 +277,11 @@
 }
 
 // try sends the request to one endpoint's owner and hands the answer to the caller.
-func (c *caller) try(w *work, candidate route.Candidate, token endpoint.Position) error {
+func (c *caller) try(w *work, candidate route.Candidate, need session.Need) error {
 	o := c.entry.options
 	e := candidate.Endpoint
 	o.Logger.Log(event.RouteChosen, log.Fields{
-		"caller": c.name, "route": c.route.Name, "endpoint": e.Name, "write": w.write, "why": candidate.Why, "token": token.String(),
+		"caller": c.name, "route": w.route.Name, "endpoint": e.Name, "write": w.write, "why": candidate.Why, "token": need.Token.String(),
 	})
 	ctx, cancel := context.WithCancel(c.entry.ctx)
 	stream, err := o.Owners.Open(ctx, e)
@@ -256,7 +293,7 @@
 	}
 	id := c.entry.identify()
 	c.running.Store(&running{id: id, endpoint: e})
-	if err := stream.Send(&wire.Frame{Body: &wire.Frame_Open{Open: c.openFrame(w, e, token, id)}}); err != nil {
+	if err := stream.Send(&wire.Frame{Body: &wire.Frame_Open{Open: c.openFrame(w, e, need, id)}}); err != nil {
 		_ = stream.Close()
 		cancel()
 		return c.cut(w.write, err)
@@ -270,18 +307,13 @@
 	c.entry.databases.find(c.route.Database).avoid(e.Name, until)
 }
 
-func (c *caller) openFrame(w *work, e config.Endpoint, token endpoint.Position, id uint64) *wire.Open {
-	age := time.Duration(0)
-	allowance, ok := c.entry.options.Catalogs.Catalog().Allowance(c.route.Allowance)
-	if ok {
-		age = allowance.Age.Std()
-	}
+func (c *caller) openFrame(w *work, e config.Endpoint, need session.Need, id uint64) *wire.Open {
 	return &wire.Open{
 		Endpoint: e.Name,
-		Route:    c.route.Name,
+		Route:    w.route.Name,
 		Write:    w.write,
-		Token:    peer.ToPosition(token),
-		Age:      peer.Micros(age),
+		Token:    peer.ToPosition(need.Token),
+		Age:      peer.Micros(need.Age),
 		Deadline: peer.Micros(w.deadline.Sub(c.entry.options.Clock.Now())),
 		Patience: peer.Micros(patience),
 		Settings: c.wireSettings(),
--- a/entry/handshake.go
+++ b/entry/handshake.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"crypto/tls"
 	"encoding/binary"
 	"io"
 	"strings"
@@ -54,7 +55,11 @@
 		}
 		code := binary.BigEndian.Uint32(body)
 		switch code {
-		case sslRequestCode, gssRequestCode:
+		case sslRequestCode:
+			if err := c.secure(); err != nil {
+				return nil, err
+			}
+		case gssRequestCode:
 			if _, err := c.conn.Write([]byte{'N'}); err != nil {
 				return nil, err
 			}
@@ -81,7 +86,33 @@
 	return body, err
 }
 
+// secure goes over to TLS if the instance has a certificate. Bytes that came with the request in plain text would be
+// taken for encrypted ones, so they end the connection.
+func (c *caller) secure() error {
+	config := c.entry.options.TLS
+	if config == nil || c.secured {
+		_, err := c.conn.Write([]byte{'N'})
+		return err
+	}
+	if c.reader.Buffered() > 0 {
+		return fault(codeProtocol, "data before the TLS handshake")
+	}
+	if _, err := c.conn.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	secured := tls.Server(c.conn, config)
+	if err := secured.Handshake(); err != nil {
+		return errors.Wrap(err, "tls")
+	}
+	c.use(secured)
+	c.secured = true
+	return nil
+}
+
 func (c *caller) parameters(code uint32, body []byte) (map[string]string, error) {
+	if c.entry.options.Required && !c.secured {
+		return nil, fault(codeAuthorization, "this instance accepts callers by TLS only")
+	}
 	if code != protocolVersion {
 		return nil, fault(codeFeature, "protocol version %d.%d is not supported", code>>protocolMajorShift, code&0xffff)
 	}
--- a/entry/knowledge.go
+++ b/entry/knowledge.go
@@ -76,6 +76,12 @@
 	d.knowledge = d.knowledge.WithAvoid(name, until)
 }
 
+func (d *database) stale(name string, need session.Need, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.knowledge = d.knowledge.WithStale(name, need, until)
+}
+
 // inquire asks every endpoint of a database, for all who wait at this time, and returns the barrier.
 func (d *databases) inquire(ctx context.Context, name string, members []config.Endpoint) (inquiry, error) {
 	found := d.find(name)
--- a/entry/options.go
+++ b/entry/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 
 	"siskincove/clock"
 	"siskincove/config"
@@ -32,6 +33,9 @@
 	Logger   *event.Logger
 	Owners   Owners
 	Catalogs Catalogs
+	// TLS is the configuration for callers that ask for it, nil for none; Required refuses those that do not.
+	TLS      *tls.Config
+	Required bool
 	// Doubt is told the address of an instance where a stream failed.
 	Doubt func(e config.Endpoint)
 	// Forward sends a caller's cancel request to the instances that may hold its session.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -4,11 +4,13 @@
 
 // Daemon events, 100 to 199.
 var (
-	Started       = define(100, log.InfoLevel, "daemon", "started", "The instance runs; it serves once event 302 was logged.")
-	Stopping      = define(101, log.InfoLevel, "daemon", "stopping", "A signal asked the instance to leave; requests in flight are finished.")
-	Stopped       = define(102, log.InfoLevel, "daemon", "stopped", "The instance ended with nothing in flight.")
-	StoppedForced = define(103, log.WarnLevel, "daemon", "stopped by force", "The drain limit passed or a second signal came; the field inflight tells how many requests were cut off.")
-	Ready         = define(104, log.InfoLevel, "daemon", "ready", "The instance answers its readiness address with success.")
+	Started           = define(100, log.InfoLevel, "daemon", "started", "The instance runs; it serves once event 302 was logged.")
+	Stopping          = define(101, log.InfoLevel, "daemon", "stopping", "A signal asked the instance to leave; requests in flight are finished.")
+	Stopped           = define(102, log.InfoLevel, "daemon", "stopped", "The instance ended with nothing in flight.")
+	StoppedForced     = define(103, log.WarnLevel, "daemon", "stopped by force", "The drain limit passed or a second signal came; the field inflight tells how many requests were cut off.")
+	CertificateLoaded = define(105, log.InfoLevel, "certificate", "certificate taken over", "A new certificate was found in its file and is shown from now on.")
+	CertificateFailed = define(106, log.ErrorLevel, "certificate", "certificate not taken over", "A certificate, key or authority file is missing, wrong or expired; the last good one is kept. Mend the file.")
+	Ready             = define(104, log.InfoLevel, "daemon", "ready", "The instance answers its readiness address with success.")
 )
 
 // Caller events, 200 to 299.
--- /dev/null
+++ b/experiment/force.go
@@ -0,0 +1,65 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Force measures how long after its publication a configuration is in force on every instance.
+type Force struct {
+	Deployment Deployment
+	Instances  int
+	Changes    int
+}
+
+// Run prints the median and the worst of a number of publications.
+func (f Force) Run(ctx context.Context, w io.Writer) error {
+	s, err := Open(ctx, f.Deployment, Current, f.Instances)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var times []time.Duration
+	for n := range f.Changes {
+		pause(ctx, time.Duration(300+137*n%700)*time.Millisecond)
+		v := Current
+		v.Age = time.Duration(n+2) * time.Minute
+		if err := s.Publish(v); err != nil {
+			return err
+		}
+		took, err := f.await(ctx, s)
+		if err != nil {
+			return err
+		}
+		times = append(times, took)
+	}
+	_, err = fmt.Fprintf(w, "%s, %d instances, %d changes: in force everywhere after a median of %.0f ms, worst %.0f ms\n",
+		f.Deployment.Name, f.Instances, len(times), milliseconds(quantile(times, 0.5)), milliseconds(quantile(times, 1)))
+	return errors.Wrap(err, "output")
+}
+
+const forcePoll = 10 * time.Millisecond
+
+// await returns the time until every instance has the published revision, from when the tool that published it ended.
+func (f Force) await(ctx context.Context, s *Site) (time.Duration, error) {
+	started := time.Now()
+	for {
+		missing := 0
+		for _, i := range s.Instances {
+			if status, err := i.Status(); err != nil || status.Revision < s.revision {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return time.Since(started), nil
+		}
+		if time.Since(started) > gapLimit || ctx.Err() != nil {
+			return 0, errors.Newf("%d instances lack revision %d", missing, s.revision)
+		}
+		pause(ctx, forcePoll)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -45,6 +45,7 @@
 	coordinators *coordinators
 	entry        *entry.Entry
 	health       *health
+	secured      secured
 }
 
 // listeners are the sockets of an instance.
@@ -85,14 +86,19 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{settings: s, clock: service, logger: logger, cancel: cancel, wired: make(chan struct{})}
+	secured, err := openSecured(ctx, s.TLS, service, logger)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	i := &Instance{settings: s, secured: secured, clock: service, logger: logger, cancel: cancel, wired: make(chan struct{})}
 	address := s.Listen.Advertise
 	if address == "" {
 		address = l.peers.Addr().String()
 	}
 	i.node = peer.New(ctx, peer.Options{
 		Listener: l.peers, Self: address, Handler: i, Logger: logger,
-		Connector: peer.Connector{Proxy: s.Listen.Proxy, Domain: s.Instance.Domain},
+		Connector: peer.Connector{Proxy: s.Listen.Proxy, Domain: s.Instance.Domain, TLS: secured.mutual()},
 	})
 	i.start(ctx, l, address, p)
 	close(i.wired)
@@ -119,6 +125,7 @@
 	i.owner = pool.NewOwner(ctx, pool.OwnerOptions{
 		Domain: s.Instance.Domain, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
 		Client: client, Ownership: i.members, Vendors: []endpoint.Vendor{postgres.Vendor{}, managed.Vendor{}},
+		Secure: i.secured.towardsEndpoints(),
 	})
 	i.coordinators = newCoordinators(ctx, s.Instance.ID, i.members, failover.Options{
 		ID: s.Instance.ID, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
@@ -128,6 +135,7 @@
 	i.entry = entry.New(ctx, l.callers, entry.Options{
 		ID: s.Instance.ID, Domain: s.Instance.Domain, Keys: keys(s.Token), Clock: i.clock, Logger: i.logger,
 		Owners: client, Catalogs: i.follower, Doubt: i.doubt, Forward: i.forward,
+		TLS: i.secured.towardsCallers(), Required: s.TLS.Required,
 	})
 	i.health = newHealth(ctx, l.health, i)
 }
--- a/load/session.go
+++ b/load/session.go
@@ -12,6 +12,9 @@
 	"siskincove/verdict"
 )
 
+// reasonConnect counts operations for which no connection could be opened, so that nothing was sent.
+const reasonConnect verdict.Reason = "connect"
+
 const (
 	table       = "records"
 	queueLength = 4096
@@ -67,7 +70,8 @@
 	defer cancel()
 	s := w.options.Mix.pick(w.random)
 	if err := w.ensure(ctx, s.operation); err != nil {
-		w.refuse(err)
+		w.tally.refuse(refusal{verdict: verdict.NotRun, reason: reasonConnect})
+		w.move()
 		return
 	}
 	if err := w.operate(ctx, s.operation); err != nil {
--- a/member/driver.go
+++ b/member/driver.go
@@ -64,6 +64,7 @@
 	started time.Time
 	// listed is set once a list named this instance: a list that does not is older than the instance, and so may lack
 	// others too.
+	// A settled peer that knows the instance stands for such a list.
 	listed  bool
 	periods int
 	owners  map[string][]Instance
@@ -168,7 +169,7 @@
 func (d *Driver) exchange(ctx context.Context, i Instance) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat()}})
+	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
 	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
 		d.Take(reply.GetHeartbeat())
 		return
@@ -179,17 +180,21 @@
 	d.report(changes)
 }
 
-// heartbeat returns this instance's own.
-func (d *Driver) heartbeat() *wire.Heartbeat {
+// heartbeat returns this instance's own, with all it knows for a peer that does not know the others yet.
+func (d *Driver) heartbeat(whole bool) *wire.Heartbeat {
 	revision, hash := d.options.Revisions.Revision()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.table.Self()
 	out := &wire.Heartbeat{
 		Id: self.ID, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
-		Leaving: self.State == Leaving, Revision: revision, Hash: hash,
+		Leaving: self.State == Leaving, Revision: revision, Hash: hash, Settled: d.listed,
 	}
-	for _, r := range d.table.News() {
+	rumours := d.table.News()
+	if whole && d.listed {
+		rumours = d.table.All()
+	}
+	for _, r := range rumours {
 		out.Rumours = append(out.Rumours, &wire.Rumour{
 			Id: r.ID, Address: r.Address, Domain: r.Domain, Incarnation: r.Incarnation, State: uint32(r.State),
 		})
@@ -204,7 +209,7 @@
 		return false
 	}
 	d.Take(h)
-	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat()}})
+	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(!h.GetSettled())}})
 	return true
 }
 
@@ -221,6 +226,7 @@
 	d.mu.Lock()
 	changes := d.table.Answered(from, h.GetLeaving(), now)
 	d.table.Hear(rumours, now)
+	d.listed = d.listed || h.GetSettled()
 	d.mu.Unlock()
 	d.options.Revisions.Heard(h.GetRevision(), h.GetHash(), h.GetAddress())
 	d.report(changes)
--- a/member/table.go
+++ b/member/table.go
@@ -292,6 +292,17 @@
 	return out
 }
 
+// All returns a rumour of each live instance, for one that does not know them.
+func (t *Table) All() []Rumour {
+	var out []Rumour
+	for _, i := range t.Instances() {
+		if i.State.Live() {
+			out = append(out, rumour(i))
+		}
+	}
+	return out
+}
+
 func rumour(i Instance) Rumour {
 	return Rumour{ID: i.ID, Address: i.Address, Domain: i.Domain, Incarnation: i.Incarnation, State: i.State}
 }
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,12 +18,27 @@
 	Proxy string
 	// Domain is this instance's failure domain, which the proxy is told.
 	Domain string
+	// TLS is the configuration towards peers, nil for none.
+	TLS *tls.Config
 }
 
 const agentPrefix = "siskincove "
 
-// dial returns a connection to the address.
+// dial returns a connection to the address, whose certificate has been verified if there is TLS.
 func (c Connector) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.plain(ctx, address)
+	if err != nil || c.TLS == nil {
+		return conn, err
+	}
+	secured := tls.Client(conn, c.TLS)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrap(err, "tls")
+	}
+	return secured, nil
+}
+
+func (c Connector) plain(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	if c.Proxy == "" {
 		return dialer.DialContext(ctx, "tcp", address)
--- a/peer/node.go
+++ b/peer/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -18,6 +19,8 @@
 	dialTimeout   = 500 * time.Millisecond
 	writeTimeout  = 3 * time.Second
 	acceptBacklog = 4096
+	// handshakeTimeout bounds the TLS handshake with a peer.
+	handshakeTimeout = 2 * time.Second
 	// streamCloseTimeout bounds how long a closed stream waits for its other end to close too.
 	streamCloseTimeout = 30 * time.Second
 )
@@ -149,7 +152,13 @@
 }
 
 func (n *Node) serveConn(conn net.Conn) {
-	session, err := yamux.Server(&coalescer{Conn: conn}, config())
+	conn, err := n.secure(conn)
+	if err != nil {
+		n.reportEnd(conn, err)
+		_ = conn.Close()
+		return
+	}
+	session, err := yamux.Server(&coalescer{Conn: metered{conn}}, config())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -169,6 +178,17 @@
 	}
 }
 
+// secure makes the peer show its certificate before anything else, if there is TLS.
+func (n *Node) secure(conn net.Conn) (net.Conn, error) {
+	if n.options.Connector.TLS == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, handshakeTimeout)
+	defer cancel()
+	secured := tls.Server(conn, n.options.Connector.TLS)
+	return secured, errors.Wrap(secured.HandshakeContext(ctx), "tls")
+}
+
 func (n *Node) reportEnd(conn net.Conn, err error) {
 	if errors.Is(err, io.EOF) || errors.Is(err, yamux.ErrSessionShutdown) || n.ctx.Err() != nil {
 		return
--- a/pool/connection.go
+++ b/pool/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"maps"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"siskincove/config"
 	"siskincove/message"
 	"siskincove/peer/wire"
 )
@@ -57,27 +59,44 @@
 	c.Host, c.Port = host, uint16(number)
 	c.User, c.Password, c.Database = o.Database.User, o.Database.Password, o.Database.Catalog
 	c.ConnectTimeout = connectTimeout
+	if c.TLSConfig, err = secure(o, host); err != nil {
+		return nil, err
+	}
 	c.Fallbacks = nil
 	return &dialer{config: c, domain: o.Domain}, nil
 }
 
+// secure returns the TLS configuration that the database asks for, nil for none.
+func secure(o Options, host string) (*tls.Config, error) {
+	if o.Database.TLS == config.TLSOff || o.Database.TLS == "" {
+		return nil, nil
+	}
+	if o.Secure == nil {
+		return nil, errors.Newf("database %s asks for tls, but the settings name no tls.endpointauthority", o.Database.Name)
+	}
+	return o.Secure(host, o.Database.TLS == config.TLSNamed), nil
+}
+
 // plain opens a connection for status and commands.
 func (d *dialer) plain(ctx context.Context) (*pgconn.PgConn, error) {
-	return d.connect(ctx, false)
+	c := d.copy()
+	c.DialFunc = dialMetered
+	return pgconn.ConnectConfig(ctx, c)
 }
 
-func (d *dialer) connect(ctx context.Context, readOnly bool) (*pgconn.PgConn, error) {
+func (d *dialer) copy() *pgconn.Config {
 	c := d.config.Copy()
 	c.RuntimeParams = map[string]string{"application_name": applicationName + d.domain}
-	if readOnly {
-		c.RuntimeParams["default_transaction_read_only"] = "on"
-	}
-	return pgconn.ConnectConfig(ctx, c)
+	return c
 }
 
 // working opens a connection for transactions; on a read-only one the endpoint itself refuses writes.
 func (d *dialer) working(ctx context.Context, readOnly bool) (*connection, error) {
-	plain, err := d.connect(ctx, readOnly)
+	c := d.copy()
+	if readOnly {
+		c.RuntimeParams["default_transaction_read_only"] = "on"
+	}
+	plain, err := pgconn.ConnectConfig(ctx, c)
 	if err != nil {
 		return nil, err
 	}
--- a/pool/heartbeat.go
+++ b/pool/heartbeat.go
@@ -41,6 +41,7 @@
 	defer cancel()
 	vendor := p.settings().Vendor
 	asked := p.now()
+	questions.Inc()
 	status, err := p.probe.status.use(ctx, p.dialer, func(q endpoint.Querier) (endpoint.Status, error) {
 		return vendor.Status(ctx, q)
 	})
--- a/pool/options.go
+++ b/pool/options.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"crypto/tls"
 	"time"
 
 	"siskincove/clock"
@@ -23,6 +24,9 @@
 	Interval time.Duration
 	Clock    clock.Service
 	Logger   *event.Logger
+	// Secure returns the TLS configuration towards an endpoint at a host, whose certificate must name the host with
+	// named; nil when the instance has no authority for endpoints.
+	Secure func(host string, named bool) *tls.Config
 	// Owners reaches the owners of the group's other endpoints.
 	Owners *Client
 }
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	client    *Client
 	ownership Ownership
 	vendors   map[string]endpoint.Vendor
+	secure    func(host string, named bool) *tls.Config
 
 	mu      sync.Mutex
 	catalog *config.Catalog
@@ -50,6 +52,8 @@
 	Client    *Client
 	Ownership Ownership
 	Vendors   []endpoint.Vendor
+	// Secure returns the TLS configuration towards an endpoint, nil when there is none.
+	Secure func(host string, named bool) *tls.Config
 }
 
 // NewOwner returns an owner without pools; its pools end with ctx.
@@ -67,6 +71,7 @@
 		client:    o.Client,
 		ownership: o.Ownership,
 		vendors:   vendors,
+		secure:    o.Secure,
 		catalog:   config.NewCatalog(config.Set{}),
 		pools:     make(map[string]*Pool),
 	}
@@ -149,6 +154,7 @@
 		Interval: o.interval,
 		Clock:    o.clock,
 		Logger:   o.logger,
+		Secure:   o.secure,
 		Owners:   o.client,
 	}
 }
--- /dev/null
+++ b/proof/tls_test.go
@@ -0,0 +1,175 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"siskincove/load"
+	"siskincove/standin/authority"
+	"siskincove/standin/cluster"
+)
+
+// secrets are planted wherever a secret may be; none of them may show anywhere.
+var secrets = []string{"planted-endpoint-password", "standin-secret", "a key for tests and experiments", password}
+
+// begunSecured starts a cluster with TLS on every side.
+func begunSecured(t *testing.T) (*cluster.Cluster, *authority.Authority) {
+	t.Helper()
+	directory := t.TempDir()
+	a, err := authority.New(directory, "own", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := a.Issue("instance", "127.0.0.1", time.Now().Add(-time.Hour), time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	section := fmt.Sprintf(`
+[tls]
+certificate = %[1]q
+key = %[2]q
+required = true
+peercertificate = %[1]q
+peerkey = %[2]q
+peerauthority = %[3]q
+endpointauthority = %[3]q
+`, p.Certificate, p.Key, a.File())
+	c := begin(t, func(o *cluster.Options) {
+		o.Settings = section
+		o.Level = "debug"
+		o.Groups[0].Certificate, o.Groups[0].Key, o.Groups[0].TLS = p.Certificate, p.Key, "named"
+	}, cluster.Objects{})
+	return c, a
+}
+
+// TestTLS shows the whole path under TLS, and who is refused.
+func TestTLS(t *testing.T) {
+	c, a := begunSecured(t)
+	other, err := authority.New(t.TempDir(), "other", time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := strings.TrimSuffix(load.URL(c.Instances[0].Callers, caller, password, service), "sslmode=disable")
+	tests := map[string]struct {
+		mode string
+		want string
+	}{
+		"required":                    {mode: "sslmode=require"},
+		"verified":                    {mode: "sslmode=verify-full&sslrootcert=" + a.File()},
+		"verified by another's":       {mode: "sslmode=verify-full&sslrootcert=" + other.File(), want: "unknown authority"},
+		"plain text, TLS is demanded": {mode: "sslmode=disable", want: "by TLS only"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := bounded(t)
+			conn, err := pgx.Connect(ctx, base+test.mode)
+			if test.want != "" {
+				if err == nil || !strings.Contains(err.Error(), test.want) {
+					t.Errorf("error %v, want %q", err, test.want)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close(ctx) }()
+			if _, err := conn.Exec(ctx, "INSERT INTO signoffs (key, value) VALUES ('k', 'v')"); err != nil {
+				t.Error(err)
+			}
+			var value string
+			if err := conn.QueryRow(ctx, "SELECT value FROM signoffs WHERE key = 'k'").Scan(&value); err != nil || value != "v" {
+				t.Errorf("value %q, %v", value, err)
+			}
+		})
+	}
+	t.Run("secrets", func(t *testing.T) { noSecrets(t, c) })
+	t.Run("stranger", func(t *testing.T) { strangerRefused(t, c, other, a) })
+}
+
+// noSecrets looks for every planted secret wherever the system prints anything.
+func noSecrets(t *testing.T, c *cluster.Cluster) {
+	places := map[string]string{}
+	for _, i := range c.Instances {
+		places["log of "+i.ID] = i.Log()
+		places["metrics of "+i.ID] = fetch(t, i.Health, "/metrics")
+		places["status of "+i.ID] = fetch(t, i.Health, "/status")
+	}
+	for _, args := range [][]string{{"show"}, {"show", "-o", "json"}, {"history"}, {"status", c.Instances[0].Health}} {
+		out, err := c.Tool(args...)
+		if err != nil {
+			t.Error(err)
+		}
+		places[strings.Join(args, " ")] = out
+	}
+	wrong, err := pgx.Connect(bounded(t), strings.Replace(load.URL(c.Instances[0].Callers, caller, "planted-wrong-password", service), "disable", "require", 1))
+	if err == nil {
+		_ = wrong.Close(context.Background())
+		t.Error("a wrong password was accepted")
+	}
+	places["refusal"] = fmt.Sprint(err)
+	for place, text := range places {
+		if text == "" {
+			t.Errorf("%s is empty", place)
+		}
+		for _, secret := range append(secrets, "planted-wrong-password") {
+			if strings.Contains(text, secret) {
+				t.Errorf("%q shows in %s", secret, place)
+			}
+		}
+	}
+}
+
+// strangerRefused restarts an instance with the certificate of another deployment: nobody counts it as alive.
+func strangerRefused(t *testing.T, c *cluster.Cluster, other *authority.Authority, own *authority.Authority) {
+	p, err := other.Issue("stranger", "127.0.0.1", time.Now().Add(-time.Hour), time.Now().Add(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger := c.Instances[2]
+	stranger.Process.Kill()
+	dead := func() bool {
+		s, err := c.Instances[0].Status()
+		if err != nil {
+			return false
+		}
+		for _, peer := range s.Peers {
+			if peer.ID == stranger.ID {
+				return peer.State == "dead"
+			}
+		}
+		return false
+	}
+	if !eventually(dead) {
+		t.Fatal("the killed instance is not dead")
+	}
+	data, err := os.ReadFile(stranger.SettingsFile())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(data), "peercertificate = \""+filepath.Join(filepath.Dir(own.File()), "instance.crt"), "peercertificate = \""+p.Certificate, 1)
+	text = strings.Replace(text, "peerkey = \""+filepath.Join(filepath.Dir(own.File()), "instance.key"), "peerkey = \""+p.Key, 1)
+	if text == string(data) {
+		t.Fatal("settings were not changed")
+	}
+	write(t, stranger.SettingsFile(), text)
+	if err := c.StartInstance(2); err != nil {
+		t.Fatal(err)
+	}
+	if !eventually(func() bool { return contains(c.Instances[0].Log(), "peer refused") }) {
+		t.Error("the refusal was not logged")
+	}
+	time.Sleep(2 * time.Second)
+	if !dead() {
+		t.Error("an instance of another deployment joined")
+	}
+	if s, err := stranger.Status(); err != nil || s.Ready && s.Revision > 0 && len(s.Pools) > 0 && alive(s.Peers) > 0 {
+		t.Errorf("the stranger sees peers: %+v, %v", s.Peers, err)
+	}
+}
--- a/revision/follower.go
+++ b/revision/follower.go
@@ -120,18 +120,19 @@
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
 	started := f.options.Clock.Now()
+	due := f.options.Clock.After(0)
 	for {
-		if f.options.Polls() || f.Catalog() == nil {
-			f.poll(ctx)
-		}
-		f.follow(ctx, started)
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.heard:
-			f.follow(ctx, started)
-		case <-f.options.Clock.After(f.interval()):
+		case <-due:
+			if f.options.Polls() || f.Catalog() == nil {
+				f.poll(ctx)
+			}
+			due = f.options.Clock.After(f.interval())
 		}
+		f.follow(ctx, started)
 	}
 }
 
--- a/route/choose.go
+++ b/route/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"siskincove/config"
+	"siskincove/session"
 )
 
 // Request is what is to be routed.
@@ -21,6 +22,8 @@
 	Domain string
 	// Salt spreads requests of different sessions over endpoints that are equally good.
 	Salt string
+	// Need is what a read asks of an endpoint.
+	Need session.Need
 	// Tried are endpoints that have refused the request.
 	Tried []string
 }
@@ -45,13 +48,23 @@
 	if r.Write || !r.Replicas {
 		return primaryOnly(r, members, k, primary, led, now)
 	}
-	var out []Candidate
 	replicas := replicasOf(r, members, primary)
-	sortReplicas(replicas, r, k, now)
+	sortReplicas(replicas, r, k)
+	var good, bad []Candidate
 	for _, e := range replicas {
-		out = append(out, Candidate{Endpoint: e, Why: why(r.Domain, e, k.Seen(e.Name), now)})
+		seen := k.Seen(e.Name)
+		c := Candidate{Endpoint: e, Why: why(r, e, seen, now)}
+		if now.Before(seen.Avoid) || seen.behind(r.Need, now) {
+			bad = append(bad, c)
+			continue
+		}
+		good = append(good, c)
+	}
+	resort := lastResort(r, members, primary)
+	if now.Before(k.Seen(primary).Avoid) {
+		return append(append(good, bad...), resort...)
 	}
-	return append(out, lastResort(r, members, primary)...)
+	return append(append(good, resort...), bad...)
 }
 
 func primaryOnly(r Request, members []config.Endpoint, k Knowledge, primary string, led bool, now time.Time) []Candidate {
@@ -85,23 +98,15 @@
 	return nil
 }
 
-func sortReplicas(replicas []config.Endpoint, r Request, k Knowledge, now time.Time) {
+func sortReplicas(replicas []config.Endpoint, r Request, k Knowledge) {
 	slices.SortFunc(replicas, func(a, b config.Endpoint) int {
 		return cmp.Or(
-			cmp.Compare(avoided(k.Seen(a.Name), now), avoided(k.Seen(b.Name), now)),
 			cmp.Compare(cost(r.Domain, a, k), cost(r.Domain, b, k)),
 			cmp.Compare(xxhash.Sum64String(r.Salt+a.Name), xxhash.Sum64String(r.Salt+b.Name)),
 		)
 	})
 }
 
-func avoided(s Seen, now time.Time) int {
-	if now.Before(s.Avoid) {
-		return 1
-	}
-	return 0
-}
-
 // cost estimates how long an endpoint takes to answer beyond the statement itself.
 func cost(domain string, e config.Endpoint, k Knowledge) time.Duration {
 	return distance(domain, e.Domain) + time.Duration(k.Seen(e.Name).Waiting)*costWaiting
@@ -123,10 +128,13 @@
 	return name
 }
 
-func why(domain string, e config.Endpoint, s Seen, now time.Time) string {
+func why(r Request, e config.Endpoint, s Seen, now time.Time) string {
+	domain := r.Domain
 	switch {
 	case now.Before(s.Avoid):
 		return "replica, lately failed"
+	case s.behind(r.Need, now):
+		return "replica, lately not fresh enough"
 	case domain == e.Domain:
 		return "replica in the same failure domain"
 	case region(domain) == region(e.Domain):
--- a/route/knowledge.go
+++ b/route/knowledge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"siskincove/endpoint"
+	"siskincove/session"
 )
 
 // Seen is what an instance last learned of an endpoint.
@@ -16,6 +17,19 @@
 	Waiting int
 	// Avoid is until when the endpoint is tried only if no other is left.
 	Avoid time.Time
+	// Stale is the last need that the endpoint was not fresh enough for, and until when that is taken to hold.
+	Stale      session.Need
+	StaleUntil time.Time
+}
+
+// behind reports whether the endpoint was lately not fresh enough for a need that asked no more than this one.
+func (s Seen) behind(need session.Need, now time.Time) bool {
+	if !now.Before(s.StaleUntil) {
+		return false
+	}
+	younger := need.Age > 0 && (s.Stale.Age == 0 || need.Age <= s.Stale.Age)
+	older := s.Stale.Age > 0 && !younger
+	return need.Token.Covers(s.Stale.Token) && !older
 }
 
 // Knowledge is what an instance knows of a database's endpoints; it is an immutable value.
@@ -46,7 +60,16 @@
 
 // WithStatus returns the knowledge after an endpoint's owner has told its status.
 func (k Knowledge) WithStatus(name string, status endpoint.Status, waiting int, now time.Time) Knowledge {
-	return k.with(Seen{Endpoint: name, Status: status, At: now, Waiting: waiting})
+	s := k.Seen(name)
+	s.Status, s.At, s.Waiting, s.Avoid = status, now, waiting, time.Time{}
+	return k.with(s)
+}
+
+// WithStale returns the knowledge after an endpoint was not fresh enough for a need.
+func (k Knowledge) WithStale(name string, need session.Need, until time.Time) Knowledge {
+	s := k.Seen(name)
+	s.Stale, s.StaleUntil = need, until
+	return k.with(s)
 }
 
 // WithAvoid returns the knowledge after a failure at an endpoint that is to be avoided for a while.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	Log      Log      `toml:"log"`
 	Drain    Drain    `toml:"drain"`
 	Failover Failover `toml:"failover"`
+	TLS      TLS      `toml:"tls"`
 }
 
 // Default returns the settings with every default filled in.
@@ -43,6 +44,7 @@
 	s.Log.check(c)
 	s.Drain.check(c)
 	s.Failover.check(c)
+	s.TLS.check(c)
 	return s, d, c.problems
 }
 
@@ -72,6 +74,13 @@
 	}
 }
 
+// together reports a key that is set or missing without its companion.
+func (c *checker) together(key, value, other, companion string) {
+	if (value == "") != (companion == "") {
+		c.report(key, "must be set together with "+other)
+	}
+}
+
 func (c *checker) domain(key, value string) {
 	region, domain, found := strings.Cut(value, "/")
 	if !found || region == "" || domain == "" {
