--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -18,6 +18,7 @@
 	Failover failoverCommand `cmd:"" help:"Time without acknowledged writes after a primary is lost, beside a naive baseline."`
 	Share    shareCommand    `cmd:"" help:"Share of reads served by replicas as their lag grows, beside a naive baseline."`
 	Force    forceCommand    `cmd:"" help:"Time until a published configuration is in force everywhere."`
+	Overload overloadCommand `cmd:"" help:"What is still done when more is offered than the endpoints can do."`
 	Slopes   slopesCommand   `cmd:"" help:"What one more caller, database and instance costs an instance."`
 }
 
@@ -35,6 +36,23 @@
 	return experiment.Force{Deployment: d, Instances: c.Instances, Changes: c.Changes}.Run(ctx, os.Stdout)
 }
 
+type overloadCommand struct {
+	siteFlags
+	Rate     []float64     `help:"Operations offered each second." default:"300,600,1200,2400,300"`
+	Duration time.Duration `help:"Duration at each rate." default:"6s"`
+	Seed     uint64        `help:"Seed." default:"1"`
+}
+
+// Run measures and prints.
+func (c *overloadCommand) Run(ctx context.Context) error {
+	d, err := experiment.Parse(c.Deployment)
+	if err != nil {
+		return err
+	}
+	f := experiment.Overload{Deployment: d, Instances: c.Instances, Rates: c.Rate, Duration: c.Duration, Seed: c.Seed}
+	return f.Run(ctx, os.Stdout)
+}
+
 type slopesCommand struct {
 	Window time.Duration `help:"How long an idle system is watched." default:"5s"`
 }
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -94,15 +94,24 @@
 
 // Open starts a deployment with a number of instances and puts its objects in force.
 func Open(ctx context.Context, d Deployment, v Variant, instances int) (*Site, error) {
-	directory, err := os.MkdirTemp("", "siskincove-experiment")
+	return openSite(ctx, d, v, instances, workTime)
+}
+
+// openSite starts a deployment whose statements occupy their slots for the given time.
+func openSite(ctx context.Context, d Deployment, v Variant, instances int, work time.Duration) (*Site, error) {
+	directory, err := temporary()
 	if err != nil {
-		return nil, errors.Wrap(err, "directory")
+		return nil, err
 	}
 	s := &Site{deployment: d, variant: v, directory: directory}
 	if err := cluster.Build(".", directory); err != nil {
 		return nil, err
 	}
-	s.Cluster, err = cluster.Start(ctx, s.options(instances))
+	o := s.options(instances)
+	for i := range o.Groups {
+		o.Groups[i].Work = work
+	}
+	s.Cluster, err = cluster.Start(ctx, o)
 	if err != nil {
 		return nil, err
 	}
