member, pool: spread coordinators over regions, place only what a change concerns

Cause: the three coordinators of a database were ranked among all instances and could all be in one region, whose loss or isolation would leave nobody to fail the database over. The race detector found the pool's options read while a newer revision replaced them.

Ruled out: coordinators in the first endpoint's region (it may be the one that is cut off), and fewer placements by a timer (handover would wait).

Change: coordinators are taken in turn from the regions of the group's endpoints; a change of instances places the endpoints and databases of its region and of regions without instances; the pool's fixed parts are fields of their own.

Measured: go test -race ./pool ./entry ./instance ./peer ./share ./event ./certificate: one race before, none after.

--- a/instance/coordinators.go
+++ b/instance/coordinators.go
@@ -31,7 +31,14 @@
 
 // Rank returns this instance's place in the order of a database's coordinators.
 func (c *coordinators) Rank(database string) (int, bool) {
-	for rank, i := range c.members.Coordinators(database, failover.Coordinators) {
+	c.mu.Lock()
+	members := c.catalog.Members(database)
+	c.mu.Unlock()
+	return c.rank(database, members)
+}
+
+func (c *coordinators) rank(database string, members []config.Endpoint) (int, bool) {
+	for rank, i := range c.members.Coordinators(database, members, failover.Coordinators) {
 		if i.ID == c.self {
 			return rank, true
 		}
@@ -43,27 +50,31 @@
 	c.mu.Lock()
 	c.catalog = catalog
 	c.mu.Unlock()
-	c.place()
+	c.place("")
 }
 
-// place starts and ends coordinators after a change of configuration or membership.
-func (c *coordinators) place() {
+// place starts and ends coordinators after a change of configuration, or of the instances in a region.
+func (c *coordinators) place(region string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.catalog == nil || c.ctx.Err() != nil {
 		return
 	}
 	for _, d := range c.catalog.Set.Databases {
-		_, wanted := c.Rank(d.Name)
+		members := c.catalog.Members(d.Name)
+		if !c.concerned(region, members) {
+			continue
+		}
+		_, wanted := c.rank(d.Name, members)
 		running, exists := c.running[d.Name]
 		switch {
 		case wanted && !c.leaving && !exists:
-			c.running[d.Name] = failover.New(c.ctx, c.options, d.Name, c.catalog.Members(d.Name))
+			c.running[d.Name] = failover.New(c.ctx, c.options, d.Name, members)
 		case exists && (!wanted || c.leaving):
 			running.Close()
 			delete(c.running, d.Name)
 		case exists:
-			running.Configure(c.catalog.Members(d.Name))
+			running.Configure(members)
 		}
 	}
 	for name, running := range c.running {
@@ -74,6 +85,16 @@
 	}
 }
 
+// concerned reports whether a change of the instances in a region can change a group's coordinators.
+func (c *coordinators) concerned(region string, members []config.Endpoint) bool {
+	for _, e := range members {
+		if c.members.Concerns(region, e.Domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // leave ends every coordinator and waits for them.
 func (c *coordinators) leave() {
 	c.mu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -180,10 +180,10 @@
 	l.instance.coordinators.configure(catalog)
 }
 
-func (l *lateParts) changed() {
+func (l *lateParts) changed(region string) {
 	<-l.instance.wired
-	l.instance.owner.Place()
-	l.instance.coordinators.place()
+	l.instance.owner.Place(region)
+	l.instance.coordinators.place(region)
 }
 
 // CallerAddress returns the address that callers connect to.
--- a/member/driver.go
+++ b/member/driver.go
@@ -47,8 +47,8 @@
 	Dialer    peer.Dialer
 	Roster    platform.Roster
 	Revisions Revisions
-	// Changed is called after the set of live instances has changed.
-	Changed func()
+	// Changed is called after the set of live instances in a region has changed, with "" for all regions.
+	Changed func(region string)
 	// Drop is called with the address of an instance that died, to end what still waits for it.
 	Drop func(address string)
 }
@@ -115,7 +115,7 @@
 		}
 	}
 	wait.Wait()
-	d.options.Changed()
+	d.options.Changed("")
 }
 
 // Doubt asks for a heartbeat to an address soon.
@@ -162,7 +162,7 @@
 	urgent := len(d.table.urgent) > 0
 	d.mu.Unlock()
 	if settled {
-		d.options.Changed()
+		d.options.Changed("")
 	}
 	return urgent
 }
@@ -235,7 +235,7 @@
 }
 
 func (d *Driver) report(changes []Change) {
-	placement := false
+	regions := make(map[string]bool)
 	for _, c := range changes {
 		fields := log.Fields{"instance": c.Instance.ID, "address": c.Instance.Address, "before": c.Before.String()}
 		switch c.Instance.State {
@@ -249,10 +249,12 @@
 			d.options.Logger.Log(event.MemberDead, fields)
 			d.options.Drop(c.Instance.Address)
 		}
-		placement = placement || c.Instance.State.Live() != c.Before.Live()
+		if c.Instance.State.Live() != c.Before.Live() {
+			regions[Region(c.Instance.Domain)] = true
+		}
 	}
-	if placement {
-		d.options.Changed()
+	for region := range regions {
+		d.options.Changed(region)
 	}
 }
 
@@ -350,10 +352,28 @@
 	return d.periods >= settlePeriods
 }
 
-// Coordinators returns the first instances in the order of a database, at most most of them.
-func (d *Driver) Coordinators(database string, most int) []Instance {
+// Coordinators returns the instances that coordinate a database, in order, at most most of them, spread over the regions
+// of its endpoints.
+func (d *Driver) Coordinators(database string, members []config.Endpoint, most int) []Instance {
 	if !d.settled() {
 		return nil
 	}
-	return d.Near("coordinator/"+database, "", most)
+	domains := make([]string, 0, len(members))
+	for _, e := range members {
+		domains = append(domains, e.Domain)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current().Spread("coordinator/"+database, domains, most)
+}
+
+// Concerns reports whether a change of the instances in a region can move an endpoint or database with this failure
+// domain: it is in the region, or its own region has no instances.
+func (d *Driver) Concerns(region, domain string) bool {
+	if region == "" || Region(domain) == region {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.current().Inhabited(domain)
 }
--- a/member/placement.go
+++ b/member/placement.go
@@ -66,8 +66,11 @@
 
 // Top returns the n instances near a failure domain that rank highest for a key.
 func (p *Placement) Top(key, domain string, n int) []Instance {
+	return p.topOf(p.near(domain), key, n)
+}
+
+func (p *Placement) topOf(near []candidate, key string, n int) []Instance {
 	seed := xxhash.Sum64String(key)
-	near := p.near(domain)
 	best := make([]scored, 0, min(n, len(near))+1)
 	for _, c := range near {
 		s := scored{candidate: c, score: mix(seed ^ c.hash)}
@@ -85,6 +88,44 @@
 	return out
 }
 
+// Spread returns n instances for a key, taken in turn from the regions of the failure domains, so that the loss of a
+// region leaves instances in the others; regions without instances are passed over, and when all are, any will do.
+func (p *Placement) Spread(key string, domains []string, n int) []Instance {
+	regions := p.inhabited(key, domains)
+	if len(regions) == 0 {
+		return p.Top(key, "", n)
+	}
+	ranked := make([][]Instance, 0, len(regions))
+	for _, domain := range regions {
+		ranked = append(ranked, p.topOf(p.regions[Region(domain)], key, n))
+	}
+	var out []Instance
+	for place := range n {
+		for _, region := range ranked {
+			if place < len(region) && len(out) < n {
+				out = append(out, region[place])
+			}
+		}
+	}
+	return out
+}
+
+// inhabited returns one domain of each region that has instances, in an order given by the key.
+func (p *Placement) inhabited(key string, domains []string) []string {
+	seen := make(map[string]bool)
+	var out []string
+	for _, domain := range domains {
+		region := Region(domain)
+		if !seen[region] && len(p.regions[region]) > 0 {
+			seen[region] = true
+			out = append(out, domain)
+		}
+	}
+	score := func(domain string) uint64 { return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(Region(domain))) }
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
+	return out
+}
+
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -94,6 +135,9 @@
 	return x ^ x>>31
 }
 
+// Inhabited reports whether an instance is in the region of a failure domain.
+func (p *Placement) Inhabited(domain string) bool { return len(p.regions[Region(domain)]) > 0 }
+
 // Region returns the region of a failure domain.
 func Region(domain string) string {
 	region, _, _ := strings.Cut(domain, "/")
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -188,3 +188,41 @@
 		})
 	}
 }
+
+func TestSpread(t *testing.T) {
+	all := []Instance{{ID: "a", Domain: "n/1"}, {ID: "b", Domain: "n/2"}, {ID: "c", Domain: "s/1"}, {ID: "d", Domain: "s/1"}, {ID: "e", Domain: "w/1"}}
+	tests := map[string]struct {
+		domains []string
+		want    []string
+	}{
+		"three regions":             {domains: []string{"n/1", "s/1", "w/1"}, want: []string{"n", "s", "w"}},
+		"two regions":               {domains: []string{"n/1", "s/1", "n/2"}, want: []string{"n", "n", "s"}},
+		"one region":                {domains: []string{"n/1"}, want: []string{"n", "n"}},
+		"a region without instance": {domains: []string{"n/1", "e/1", "s/1"}, want: []string{"n", "n", "s"}},
+		"none":                      {domains: []string{"e/1"}, want: []string{"", "", ""}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			seen := map[string]bool{}
+			for _, i := range NewPlacement(all).Spread("key", test.domains, 3) {
+				if seen[i.ID] {
+					t.Errorf("%s twice", i.ID)
+				}
+				seen[i.ID] = true
+				got = append(got, Region(i.Domain))
+			}
+			if name == "none" {
+				if len(got) != 3 {
+					t.Errorf("%d instances", len(got))
+				}
+				return
+			}
+			slices.Sort(got)
+			slices.Sort(test.want)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/pool/admit.go
+++ b/pool/admit.go
@@ -37,7 +37,7 @@
 			return refusal(outcome)
 		case <-ctx.Done():
 			return p.withdraw(ticket, answer)
-		case <-p.options.Clock.After(look):
+		case <-p.clock.After(look):
 			p.expire()
 			look = expireInterval
 		}
--- a/pool/certify.go
+++ b/pool/certify.go
@@ -24,7 +24,7 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-p.options.Clock.After(max(certifyInterval, p.settings().Interval)):
+		case <-p.clock.After(max(certifyInterval, p.settings().Interval)):
 		}
 	}
 }
@@ -78,7 +78,7 @@
 	var wait sync.WaitGroup
 	for i, e := range others {
 		wait.Go(func() {
-			report, err := p.options.Owners.Ask(ctx, e, Question{Fresh: true})
+			report, err := p.owners.Ask(ctx, e, Question{Fresh: true})
 			if err == nil && report.Silence == 0 {
 				answers[i], got[i] = report.Status, true
 				p.confirmer.note(e.Name, report.Status)
@@ -108,7 +108,7 @@
 // fetchCertificate counts the age from before the question was sent, so that delays only make data seem older.
 func (p *Pool) fetchCertificate(ctx context.Context, e config.Endpoint) {
 	asked := p.now()
-	report, err := p.options.Owners.Ask(ctx, e, Question{})
+	report, err := p.owners.Ask(ctx, e, Question{})
 	if err != nil || report.Sample == nil {
 		return
 	}
--- a/pool/checkout.go
+++ b/pool/checkout.go
@@ -60,15 +60,15 @@
 	c, err := p.dialer.working(ctx, readOnly)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	name := p.options.Endpoint.Name
+	name := p.name
 	if err != nil {
 		p.open--
 		p.circuit = p.circuit.WithFailure(p.now())
-		p.options.Logger.Log(event.ConnectionFailed, log.Fields{"endpoint": name, "error": err.Error()})
+		p.logger.Log(event.ConnectionFailed, log.Fields{"endpoint": name, "error": err.Error()})
 		return nil, unreachable().WithCause(err).WithAfter(p.comeBack())
 	}
 	p.circuit = p.circuit.WithSuccess()
-	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": name, "open": p.open})
+	p.logger.Log(event.ConnectionOpened, log.Fields{"endpoint": name, "open": p.open})
 	return c, nil
 }
 
@@ -103,5 +103,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	p.options.Logger.Log(event.ConnectionDropped, log.Fields{"endpoint": p.options.Endpoint.Name, "why": why})
+	p.logger.Log(event.ConnectionDropped, log.Fields{"endpoint": p.name, "why": why})
 }
--- a/pool/confirm.go
+++ b/pool/confirm.go
@@ -135,7 +135,7 @@
 		if !wanted || c.pool.ctx.Err() != nil {
 			return
 		}
-		report, err := c.pool.options.Owners.Ask(c.pool.ctx, e, Question{Fresh: true, Reach: position, Patience: reachPatience})
+		report, err := c.pool.owners.Ask(c.pool.ctx, e, Question{Fresh: true, Reach: position, Patience: reachPatience})
 		if err != nil || report.Silence > 0 {
 			c.pause()
 			continue
@@ -147,7 +147,7 @@
 func (c *confirmer) pause() {
 	select {
 	case <-c.pool.ctx.Done():
-	case <-c.pool.options.Clock.After(reachRetry):
+	case <-c.pool.clock.After(reachRetry):
 	}
 }
 
--- a/pool/exchange.go
+++ b/pool/exchange.go
@@ -137,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(t.pool.ctx, t.budget)
 	defer cancel()
 	if err := t.pool.confirmer.wait(ctx, position); err != nil {
-		t.pool.options.Logger.Log(event.CommitUnconfirmed, log.Fields{
+		t.pool.logger.Log(event.CommitUnconfirmed, log.Fields{
 			"endpoint": t.open.GetEndpoint(), "position": position.String(),
 		})
 		return none, err
--- a/pool/heartbeat.go
+++ b/pool/heartbeat.go
@@ -26,7 +26,7 @@
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-p.options.Clock.After(p.settings().Interval):
+		case <-p.clock.After(p.settings().Interval):
 		}
 	}
 }
@@ -57,7 +57,7 @@
 	if err != nil {
 		if p.answered {
 			p.silentFrom = asked
-			p.options.Logger.Log(event.EndpointSilent, log.Fields{"endpoint": p.options.Endpoint.Name, "error": err.Error()})
+			p.logger.Log(event.EndpointSilent, log.Fields{"endpoint": p.name, "error": err.Error()})
 		}
 		p.answered = false
 		return
@@ -73,8 +73,8 @@
 }
 
 func (p *Pool) reportRole(before, status endpoint.Status) {
-	p.options.Logger.Log(event.RoleChanged, log.Fields{
-		"endpoint": p.options.Endpoint.Name, "before": before.Role.String(), "role": status.Role.String(),
+	p.logger.Log(event.RoleChanged, log.Fields{
+		"endpoint": p.name, "before": before.Role.String(), "role": status.Role.String(),
 		"term": uint64(status.Fenced), "log": status.Log.String(),
 	})
 }
@@ -127,7 +127,7 @@
 		select {
 		case <-ctx.Done():
 			return status, nil
-		case <-p.options.Clock.After(reachPause):
+		case <-p.clock.After(reachPause):
 		}
 	}
 }
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -22,6 +22,8 @@
 	Owns(e config.Endpoint) bool
 	// MayOwn reports whether this instance accepts work for the endpoint while views differ.
 	MayOwn(e config.Endpoint) bool
+	// Concerns reports whether a change of the instances in a region can move an endpoint with a failure domain.
+	Concerns(region, domain string) bool
 }
 
 // Owner holds the pools of the endpoints that this instance owns.
@@ -82,15 +84,16 @@
 	o.mu.Lock()
 	o.catalog = catalog
 	o.mu.Unlock()
-	o.Place()
+	o.Place("")
 }
 
-// Place starts the pools that this instance owns by now and retires those that it does not.
-func (o *Owner) Place() {
+// Place starts the pools that this instance owns by now and retires those that it does not, after the instances in a
+// region have changed, with "" for all regions.
+func (o *Owner) Place(region string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, e := range o.catalog.Set.Endpoints {
-		if !o.leaving && o.ownership.Owns(e) {
+		if !o.leaving && o.ownership.Concerns(region, e.Domain) && o.ownership.Owns(e) {
 			_, _ = o.ensure(e)
 		}
 	}
@@ -115,7 +118,7 @@
 	o.mu.Lock()
 	o.leaving = true
 	o.mu.Unlock()
-	o.Place()
+	o.Place("")
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 	"golang.org/x/time/rate"
 
+	"siskincove/clock"
 	"siskincove/endpoint"
 	"siskincove/event"
 	"siskincove/limit"
@@ -17,6 +18,10 @@
 
 // Pool owns one endpoint's connections and slots.
 type Pool struct {
+	name      string
+	clock     clock.Service
+	logger    *event.Logger
+	owners    *Client
 	dialer    *dialer
 	rate      *rate.Limiter
 	probe     *probe
@@ -53,6 +58,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Pool{
+		name:       options.Endpoint.Name,
+		clock:      options.Clock,
+		logger:     options.Logger,
+		owners:     options.Owners,
 		dialer:     d,
 		rate:       rate.NewLimiter(rate.Limit(options.rate()), options.slots()*2),
 		ctx:        ctx,
@@ -81,7 +90,7 @@
 func (p *Pool) Close() {
 	p.Drain()
 	p.running.Go(func() {
-		ticks := p.options.Clock.Every(p.ctx, drainInterval)
+		ticks := p.clock.Every(p.ctx, drainInterval)
 		for p.Inflight() > 0 {
 			select {
 			case <-ticks:
@@ -128,7 +137,7 @@
 	return p.options
 }
 
-func (p *Pool) now() time.Time { return p.options.Clock.Now() }
+func (p *Pool) now() time.Time { return p.clock.Now() }
 
 func (p *Pool) finish() {
 	<-p.ctx.Done()
@@ -142,6 +151,6 @@
 		}
 	}
 	p.idle = make(map[bool][]*connection)
-	p.options.Logger.Log(event.EndpointReleased, log.Fields{"endpoint": p.options.Endpoint.Name})
+	p.logger.Log(event.EndpointReleased, log.Fields{"endpoint": p.name})
 	close(p.done)
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -35,6 +35,8 @@
 
 func (o *one) MayOwn(config.Endpoint) bool { return true }
 
+func (o *one) Concerns(string, string) bool { return true }
+
 func (o *one) Open(ctx context.Context, _ string) (peer.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	near, far := peer.Pipe(ctx)
--- a/pool/serve.go
+++ b/pool/serve.go
@@ -101,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.draining || p.ctx.Err() != nil {
-		return verdict.New(verdict.NotRun, verdict.Leaving, "endpoint %s takes no new work", p.options.Endpoint.Name).WithAfter(unusableAfter)
+		return verdict.New(verdict.NotRun, verdict.Leaving, "endpoint %s takes no new work", p.name).WithAfter(unusableAfter)
 	}
 	return nil
 }
@@ -140,7 +140,7 @@
 		if ctx.Err() != nil || p.now().After(limit) {
 			return false
 		}
-		<-p.options.Clock.After(reachPause)
+		<-p.clock.After(reachPause)
 	}
 	return true
 }
@@ -177,7 +177,7 @@
 func (t *transaction) refuse(err error) bool {
 	e := verdict.From(err)
 	p := t.pool
-	p.options.Logger.Log(event.PoolRefused, log.Fields{
+	p.logger.Log(event.PoolRefused, log.Fields{
 		"endpoint": t.open.GetEndpoint(), "reason": string(e.Reason), "verdict": e.Verdict.String(), "cause": e.Error(),
 	})
 	return t.send(&wire.Response{Last: true, Failure: peer.ToFailure(e)}) == nil
--- a/pool/state.go
+++ b/pool/state.go
@@ -37,7 +37,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := State{
-		Endpoint: p.options.Endpoint.Name, Database: p.options.Database.Name, Role: k.status.Role.String(),
+		Endpoint: p.name, Database: p.options.Database.Name, Role: k.status.Role.String(),
 		Term: uint64(k.status.Fenced), Log: k.status.Log.String(), Applied: k.status.Applied.String(), Answers: k.silence == 0,
 		Established: established, Confirmable: confirmable, Age: -1, Open: p.open, Slots: p.admission.Used(),
 		Waiting: p.admission.Waiting(), Inflight: p.inflight,
