--- a/instance/instance.go
+++ b/instance/instance.go
@@ -174,8 +174,11 @@
 	return false
 }
 
-func (l *lateParts) apply(catalog *config.Catalog) {
+func (l *lateParts) apply(catalog *config.Catalog, first bool) {
 	<-l.instance.wired
+	if first {
+		l.instance.logger.Log(event.Ready, log.Fields{"instance": l.instance.settings.Instance.ID})
+	}
 	l.instance.owner.Configure(catalog)
 	l.instance.coordinators.configure(catalog)
 }
--- a/revision/follower.go
+++ b/revision/follower.go
@@ -39,8 +39,8 @@
 	Dialer  peer.Dialer
 	// Polls reports whether this instance is one that polls the platform for its failure domain.
 	Polls func() bool
-	// Apply is called with each catalog that comes into force, in order of revision.
-	Apply func(*config.Catalog)
+	// Apply is called with each catalog that comes into force, in order of revision, and whether it is the first.
+	Apply func(catalog *config.Catalog, first bool)
 }
 
 // current is a revision in force.
@@ -223,7 +223,8 @@
 		return
 	}
 	catalog := config.NewCatalog(set)
+	first := f.Catalog() == nil
 	f.current.Store(&current{number: number, hash: hash, catalog: catalog, data: data})
-	f.options.Apply(catalog)
+	f.options.Apply(catalog, first)
 	f.options.Logger.Log(event.RevisionInForce, log.Fields{"revision": number, "hash": hash})
 }
