standin: add the stand-ins to the repository

Cause: .gitignore named built programs by their bare names, and /standin also matched the directory of the stand-ins, so no commit so far held them and a fresh clone did not build.

Ruled out: a failed add; git check-ignore names the line.

Measured: git ls-files standin: no file before, all after.

--- /dev/null
+++ b/standin/authority/doc.go
@@ -0,0 +1,2 @@
+// Package authority makes certificates for tests and experiments.
+package authority
--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,181 @@
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Cluster is the started processes.
+type Cluster struct {
+	options   Options
+	platform  string
+	platformP *Process
+	linkP     *Process
+	proxy     string
+	linkAt    string
+	Groups    []*RunningGroup
+	Instances []*RunningInstance
+}
+
+// Build builds the programs of the module at root into a directory.
+func Build(root, directory string) error {
+	command := exec.Command("go", "build", "-o", directory, "./cmd/...")
+	command.Dir = root
+	out, err := command.CombinedOutput()
+	return errors.Wrapf(err, "building: %s", out)
+}
+
+// Start starts the platform, the groups and the instances; nothing is published yet.
+func Start(ctx context.Context, o Options) (*Cluster, error) {
+	c := &Cluster{options: o}
+	if err := c.start(ctx); err != nil {
+		c.Stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	if err := c.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, g := range c.options.Groups {
+		running, err := startGroup(ctx, c.options, g)
+		if running != nil {
+			c.Groups = append(c.Groups, running)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return c.startInstances(ctx)
+}
+
+func (c *Cluster) startInstances(ctx context.Context) error {
+	for n, domain := range c.options.Domains {
+		r, err := c.prepareInstance(n, domain)
+		if err != nil {
+			return err
+		}
+		c.Instances = append(c.Instances, r)
+	}
+	if err := c.startLink(ctx); err != nil {
+		return err
+	}
+	for n := range c.Instances {
+		if err := c.writeSettings(n); err != nil {
+			return err
+		}
+		if err := c.StartInstance(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startLink starts the proxy between instances, if one is wanted.
+func (c *Cluster) startLink(ctx context.Context) error {
+	if !c.options.Link {
+		return nil
+	}
+	args := []string{"link", "--domains", c.options.Between.String(), "--regions", c.options.Regions.String()}
+	for _, r := range c.Instances {
+		args = append(args, "--place", r.Peers+"="+r.Domain)
+	}
+	p, err := start(filepath.Join(c.options.Directory, "link.log"), filepath.Join(c.options.Binaries, "standin"), args...)
+	if err != nil {
+		return err
+	}
+	c.linkP = p
+	if c.proxy, err = p.expect(ctx, "proxy"); err != nil {
+		return err
+	}
+	c.linkAt, err = p.expect(ctx, "control")
+	return err
+}
+
+// Cut ends and refuses connections that instances of one failure domain dial to those of another, or allows them again.
+func (c *Cluster) Cut(from, to string, on bool) error {
+	return post(c.linkAt, "/cut", url.Values{"from": {from}, "to": {to}, "value": {strconv.FormatBool(on)}})
+}
+
+func (c *Cluster) startPlatform(ctx context.Context) error {
+	log := filepath.Join(c.options.Directory, "platform.log")
+	p, err := start(log, filepath.Join(c.options.Binaries, "standin"), "platform", "--lag", c.options.RosterLag.String())
+	if err != nil {
+		return err
+	}
+	c.platformP = p
+	c.platform, err = p.expect(ctx, "control")
+	return err
+}
+
+// PlatformURL returns the base address of the platform's protocols.
+func (c *Cluster) PlatformURL() string { return "http://" + c.platform }
+
+// PlatformFault sets a fault of the platform, as its control interface names it.
+func (c *Cluster) PlatformFault(name, value string) error {
+	return post(c.platform, "/control/fault", url.Values{"name": {name}, "value": {value}})
+}
+
+// Publish writes objects to a file and publishes them by the operators' tool; it returns what the tool printed.
+func (c *Cluster) Publish(objects string) (string, error) {
+	file := filepath.Join(c.options.Directory, "objects-"+rand.Text()+".toml")
+	if err := os.WriteFile(file, []byte(objects), 0o600); err != nil {
+		return "", errors.Wrap(err, "objects")
+	}
+	return c.Tool("publish", file)
+}
+
+// Tool runs a command of the operators' tool against the platform.
+func (c *Cluster) Tool(args ...string) (string, error) {
+	command := exec.Command(filepath.Join(c.options.Binaries, "siskincove"), args...)
+	command.Env = append(os.Environ(),
+		"SISKINCOVE_PLATFORM_URL="+c.PlatformURL(), "SISKINCOVE_PLATFORM_KEY=standin", "SISKINCOVE_PLATFORM_SECRET=standin-secret")
+	out, err := command.CombinedOutput()
+	return string(out), errors.Wrapf(err, "%s: %s", args[0], out)
+}
+
+// Stop ends every process.
+func (c *Cluster) Stop() {
+	for _, r := range c.Instances {
+		if r.Process != nil {
+			r.Process.Thaw()
+			r.Process.Kill()
+		}
+	}
+	for _, g := range c.Groups {
+		g.Process.Kill()
+	}
+	for _, p := range []*Process{c.linkP, c.platformP} {
+		if p != nil {
+			p.Kill()
+		}
+	}
+}
+
+// Callers returns the addresses that callers may connect to.
+func (c *Cluster) Callers() []string {
+	out := make([]string, 0, len(c.Instances))
+	for _, r := range c.Instances {
+		out = append(out, r.Callers)
+	}
+	return out
+}
+
+// startTool starts a stand-in program and returns it with the address that it prints.
+func (c *Cluster) startTool(args ...string) (*Process, string, error) {
+	p, err := start(filepath.Join(c.options.Directory, args[0]+".log"), filepath.Join(c.options.Binaries, "standin"), args...)
+	if err != nil {
+		return nil, "", err
+	}
+	address, err := p.expect(context.Background(), "control")
+	return p, address, err
+}
--- /dev/null
+++ b/standin/cluster/instance.go
@@ -0,0 +1,187 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/instance"
+)
+
+// RunningInstance is a started instance.
+type RunningInstance struct {
+	ID      string
+	Domain  string
+	Process *Process
+	Callers string
+	Peers   string
+	Health  string
+	file    string
+	log     string
+}
+
+const settingsText = `[instance]
+id = %q
+domain = %q
+
+[listen]
+callers = %q
+peers = %q
+health = %q
+proxy = %q
+
+[platform]
+url = %q
+key = "standin"
+secret = "standin-secret"
+
+[token]
+keys = ["a key for tests and experiments"]
+
+[log]
+level = %q
+
+%s
+`
+
+func (c *Cluster) prepareInstance(n int, domain string) (*RunningInstance, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	id := fmt.Sprintf("i%02d", n)
+	return &RunningInstance{
+		ID: id, Domain: domain, Callers: addresses[0], Peers: addresses[1], Health: addresses[2],
+		file: filepath.Join(c.options.Directory, id+".toml"), log: filepath.Join(c.options.Directory, id+".log"),
+	}, nil
+}
+
+// writeSettings writes the n-th instance's settings file.
+func (c *Cluster) writeSettings(n int) error {
+	r := c.Instances[n]
+	level := c.options.Level
+	if level == "" {
+		level = "info"
+	}
+	text := fmt.Sprintf(settingsText, r.ID, r.Domain, r.Callers, r.Peers, r.Health, c.proxy, c.PlatformURL(), level, c.options.Settings)
+	return errors.Wrap(os.WriteFile(r.file, []byte(text), 0o600), "settings")
+}
+
+const (
+	// Ports are taken below those that the system gives to outgoing connections, which could take one between the time
+	// that it is found free here and the time that an instance listens on it.
+	portFirst = 10000
+	portLast  = 32000
+	portTries = 1000
+)
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range portTries {
+		if len(out) == n {
+			return out, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", portFirst+rand.IntN(portLast-portFirst))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, address)
+	}
+	return nil, errors.New("no free addresses")
+}
+
+// StartInstance starts the n-th instance, also again after it was ended, and lists it at the platform.
+func (c *Cluster) StartInstance(n int) error {
+	r := c.Instances[n]
+	p, err := start(r.log, filepath.Join(c.options.Binaries, "siskincoved"), r.file)
+	if err != nil {
+		return err
+	}
+	r.Process = p
+	return c.List(n, "live")
+}
+
+// List tells the platform's list of instances that an instance is live, leaving or gone.
+func (c *Cluster) List(n int, state string) error {
+	r := c.Instances[n]
+	return post(c.platform, "/control/instance", url.Values{
+		"id": {r.ID}, "address": {r.Peers}, "domain": {r.Domain}, "state": {state},
+	})
+}
+
+// SettingsFile returns the instance's settings file, for tests that change it before a restart.
+func (r *RunningInstance) SettingsFile() string { return r.file }
+
+// Status asks an instance what it serves.
+func (r *RunningInstance) Status() (instance.Status, error) {
+	var s instance.Status
+	err := get(r.Health, "/status", &s)
+	return s, err
+}
+
+// Log returns what the instance has logged so far.
+func (r *RunningInstance) Log() string {
+	data, err := os.ReadFile(r.log)
+	if err != nil {
+		return ""
+	}
+	return string(data)
+}
+
+// WaitReady returns once every instance runs serves at least a revision and sees all other running ones.
+func (c *Cluster) WaitReady(ctx context.Context, revision uint64) error {
+	const pause = 50 * time.Millisecond
+	for {
+		missing := c.notReady(revision)
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("instances are not ready: %s", missing)
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (c *Cluster) notReady(revision uint64) string {
+	running := 0
+	for _, r := range c.Instances {
+		if r.Process != nil && !r.Process.Ended() {
+			running++
+		}
+	}
+	for _, r := range c.Instances {
+		if r.Process == nil || r.Process.Ended() {
+			continue
+		}
+		s, err := r.Status()
+		if err != nil {
+			return r.ID + ": " + err.Error()
+		}
+		if alive := alivePeers(s); !s.Ready || s.Revision < revision || alive < running-1 {
+			return fmt.Sprintf("%s: ready=%t revision=%d peers=%d of %d", r.ID, s.Ready, s.Revision, alive, running-1)
+		}
+	}
+	return ""
+}
+
+func alivePeers(s instance.Status) int {
+	alive := 0
+	for _, p := range s.Peers {
+		if p.State == "alive" || p.State == "suspect" {
+			alive++
+		}
+	}
+	return alive
+}
--- /dev/null
+++ b/standin/link/doc.go
@@ -0,0 +1,2 @@
+// Package link adds delay and cuts to connections between the processes of a test or an experiment.
+package link
