entry: run misdeclared reads as writes, end idle transactions

Ruled out: a better classification by words (functions that write have none).

Change: the refusal of a read-only connection turns the request into a write, once; a transaction that is idle for a minute is rolled back with 25P03.

Measured: go test ./entry: TestMisdeclaredRead got an error before and sees one read and one write after; TestIdleTransaction hung before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -16,6 +16,17 @@
 // attempt tries endpoints until one has served the request, or it may have run, or it is given up.
 func (c *caller) attempt(w *work) error {
 	c.entry.retries.request()
+	err := c.attemptRounds(w)
+	if err != nil && !w.write && verdict.From(err).Reason == verdict.ReadOnly {
+		// The endpoint has found out that the statement writes, which its first words did not tell.
+		w.write, w.tried = true, nil
+		return c.attemptRounds(w)
+	}
+	return err
+}
+
+// attemptRounds tries the endpoints in a few rounds with pauses between them.
+func (c *caller) attemptRounds(w *work) error {
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval, pauses.MaxInterval = backoffFirst, backoffMaximum
 	var last error
@@ -78,10 +89,7 @@
 }
 
 // moved reports whether a refusal only sends a read on to a fresher endpoint, which is no retry of work that was done.
-func moved(err error) bool {
-	reason := verdict.From(err).Reason
-	return reason == verdict.Stale || reason == verdict.ReadOnly
-}
+func moved(err error) bool { return verdict.From(err).Reason == verdict.Stale }
 
 // remember keeps what a refusal says of the endpoint, so that coming requests go elsewhere first.
 func (c *caller) remember(w *work, e config.Endpoint, need session.Need, err error) {
@@ -103,7 +111,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.Unsupported, verdict.Budget, verdict.Canceled:
+	case verdict.Unsupported, verdict.Budget, verdict.Canceled, verdict.ReadOnly:
 		return false
 	case verdict.Overload:
 		return !w.write
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -58,6 +59,8 @@
 
 func (c catalogs) Catalog() *config.Catalog { return c.catalog }
 
+const testIdle = 300 * time.Millisecond
+
 const objects = `
 [[service]]
 name = "certstore"
@@ -111,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e := New(ctx, listener, Options{
 		ID: "i0", Domain: "r/a", Keys: [][]byte{[]byte("key")}, Clock: clock.System{}, Logger: event.Discard(), Owners: o,
-		Catalogs: catalogs{config.NewCatalog(source.Set)}, Doubt: func(config.Endpoint) {}, Forward: func(context.Context, uint32, uint32) {},
+		Catalogs: catalogs{config.NewCatalog(source.Set)}, Idle: testIdle, Doubt: func(config.Endpoint) {}, Forward: func(context.Context, uint32, uint32) {},
 	})
 	t.Cleanup(func() {
 		cancel()
@@ -384,3 +387,53 @@
 	}
 	return out
 }
+
+// TestIdleTransaction leaves a transaction idle: it is ended, its owner is told, and the caller learns why.
+func TestIdleTransaction(t *testing.T) {
+	left := make(chan struct{})
+	_, address := begin(t, &owners{serve: func(_ *wire.Open, stream peer.Stream) {
+		payload := messages(t, &pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}, &pgproto3.ReadyForQuery{TxStatus: 'T'})
+		_ = stream.Send(&wire.Frame{Body: &wire.Frame_Response{Response: &wire.Response{Payload: payload, Last: true, Status: 'T'}}})
+		if _, err := stream.Receive(); err != nil {
+			close(left)
+		}
+	}})
+	conn := connect(t, address, "certstore")
+	ctx := context.Background()
+	if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+		t.Fatal(err)
+	}
+	<-left
+	_, err := conn.Exec(ctx, "SELECT 1")
+	var failure *pgproto3Error
+	if !asError(err, &failure) || failure.Code != codeIdle {
+		t.Errorf("error %v, want SQLSTATE %s", err, codeIdle)
+	}
+}
+
+// TestMisdeclaredRead sends a statement that looks like a read and writes: the endpoint refuses it on its read-only
+// connection, and it runs once, as a write at the primary.
+func TestMisdeclaredRead(t *testing.T) {
+	opened := make(chan *wire.Open, 100)
+	answer, refuse := answering(t), refusing(verdict.New(verdict.NotRun, verdict.ReadOnly, "statement writes"))
+	_, address := begin(t, &owners{serve: func(open *wire.Open, stream peer.Stream) {
+		opened <- open
+		if open.GetWrite() {
+			answer(open, stream)
+			return
+		}
+		refuse(open, stream)
+	}})
+	conn := connect(t, address, "certstore")
+	if _, err := conn.Exec(context.Background(), "SELECT next_serial()"); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for len(opened) > 0 {
+		open := <-opened
+		got = append(got, fmt.Sprintf("%s %t", open.GetEndpoint(), open.GetWrite()))
+	}
+	if len(got) != 2 || got[1] != "a true" {
+		t.Errorf("sent to %v, want one read and then a write at a", got)
+	}
+}
--- a/entry/fault.go
+++ b/entry/fault.go
@@ -21,6 +21,7 @@
 	codeStatement     = "26000"
 	codeAborted       = "25P02"
 	codeTooMany       = "53300"
+	codeIdle          = "25P03"
 )
 
 // errDrained ends an idle session of an instance that leaves.
--- a/entry/options.go
+++ b/entry/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"time"
 
 	"siskincove/clock"
 	"siskincove/config"
@@ -28,9 +29,11 @@
 	ID     string
 	Domain string
 	// Keys authenticate tokens; the first signs.
-	Keys     [][]byte
-	Clock    clock.Service
-	Logger   *event.Logger
+	Keys   [][]byte
+	Clock  clock.Service
+	Logger *event.Logger
+	// Idle is how long a transaction may wait for its caller's next request.
+	Idle     time.Duration
 	Owners   Owners
 	Catalogs Catalogs
 	// TLS is the configuration for callers that ask for it, nil for none; Required refuses those that do not.
--- a/entry/request.go
+++ b/entry/request.go
@@ -73,7 +73,7 @@
 // wait blocks until the caller sends something. Outside a transaction a draining instance interrupts the wait.
 func (c *caller) wait() error {
 	if c.stream != nil {
-		return c.reader.Wait()
+		return c.waitInside()
 	}
 	c.waiting.Store(true)
 	if c.entry.drains() {
@@ -82,13 +82,26 @@
 	err := c.reader.Wait()
 	c.waiting.Store(false)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.entry.drains() {
-		_ = c.conn.SetReadDeadline(time.Now().Add(drainGrace))
+		_ = c.conn.SetReadDeadline(c.entry.options.Clock.Now().Add(drainGrace))
 		err = c.reader.Wait()
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	return err
 }
 
+// waitInside waits for the next request of an open transaction, which holds a slot of its endpoint and so may not be idle
+// for long.
+func (c *caller) waitInside() error {
+	idle := c.entry.options.Idle
+	_ = c.conn.SetReadDeadline(c.entry.options.Clock.Now().Add(idle))
+	err := c.reader.Wait()
+	_ = c.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault(codeIdle, "transaction was idle for longer than %s and was rolled back", idle)
+	}
+	return err
+}
+
 func (c *caller) readError(err error) error {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.entry.drains():
--- a/instance/health.go
+++ b/instance/health.go
@@ -58,19 +58,25 @@
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		_ = server.Serve(listener)
 	}()
-	go func() {
-		defer close(h.done)
-		<-ctx.Done()
-		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-		defer cancel()
-		_ = server.Shutdown(stop)
-	}()
+	go h.end(ctx, server, served)
 	return h
 }
 
+// end shuts the server down once ctx has ended.
+func (h *health) end(ctx context.Context, server *http.Server, served <-chan struct{}) {
+	defer close(h.done)
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	_ = server.Shutdown(stop)
+	<-served
+}
+
 func (h *health) leave() { h.leaving.Store(true) }
 
 func (h *health) ready() bool {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -135,7 +135,7 @@
 	i.entry = entry.New(ctx, l.callers, entry.Options{
 		ID: s.Instance.ID, Domain: s.Instance.Domain, Keys: keys(s.Token), Clock: i.clock, Logger: i.logger,
 		Owners: client, Catalogs: i.follower, Doubt: i.doubt, Forward: i.forward,
-		TLS: i.secured.towardsCallers(), Required: s.TLS.Required,
+		TLS: i.secured.towardsCallers(), Required: s.TLS.Required, Idle: idleLimit,
 	})
 	i.health = newHealth(ctx, l.health, i)
 }
@@ -192,6 +192,9 @@
 // CallerAddress returns the address that callers connect to.
 func (i *Instance) CallerAddress() string { return i.settings.Listen.Callers }
 
+// idleLimit is how long a transaction may hold its slot while its caller sends nothing.
+const idleLimit = time.Minute
+
 // noticeTime is how long the instance goes on serving new callers after it is no longer ready, so that a balancer sees it.
 const noticeTime = 300 * time.Millisecond
 
