--- a/experiment/slopes.go
+++ b/experiment/slopes.go
@@ -68,36 +68,37 @@
 // instances varies the number of instances before one database.
 func (f Slopes) instances(ctx context.Context, line printer) error {
 	for _, n := range []int{3, 9, 21} {
-		s, err := Open(ctx, small(1), f.settings(), n)
-		if err != nil {
-			return err
-		}
-		got, err := f.idle(ctx, s)
-		s.Close()
-		if err != nil {
+		if _, err := f.size(ctx, line, "instances, 1 database", n, 1, n); err != nil {
 			return err
 		}
-		got.print(line, "instances, 1 database", n)
 	}
 	return nil
 }
 
+// size measures one size of what is varied.
+func (f Slopes) size(ctx context.Context, line printer, varied string, size, databases, instances int) (spent, error) {
+	s, err := Open(ctx, small(databases), f.settings(), instances)
+	if err != nil {
+		return spent{}, err
+	}
+	defer s.Close()
+	got, err := f.idle(ctx, s)
+	if err == nil {
+		got.print(line, varied, size)
+	}
+	return got, err
+}
+
 // databases varies the number of databases before three instances, so that each owns one endpoint of each.
 func (f Slopes) databases(ctx context.Context, line printer) error {
-	var sizes []int
+	sizes := []int{1, 6, 12}
 	var all []spent
-	for _, n := range []int{1, 6, 12} {
-		s, err := Open(ctx, small(n), f.settings(), 3)
-		if err != nil {
-			return err
-		}
-		got, err := f.idle(ctx, s)
-		s.Close()
+	for _, n := range sizes {
+		got, err := f.size(ctx, line, "databases, 3 instances", n, n, 3)
 		if err != nil {
 			return err
 		}
-		got.print(line, "databases, 3 instances", n)
-		sizes, all = append(sizes, n), append(all, got)
+		all = append(all, got)
 	}
 	last := len(all) - 1
 	d := float64(sizes[last] - sizes[0])
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,7 +13,7 @@
 
 // layers orders the packages: each may import those of lower layers only. The pure packages stand lowest.
 var layers = [][]string{
-	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "layout", "peer/wire", "verifier", "standin/authority"},
+	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "layout", "peer/wire", "verifier", "meter", "standin/authority"},
 	{"event", "session", "limit", "endpoint/postgres", "endpoint/managed", "platform/aws", "platform/dynamo", "platform/http", "platform/s3"},
 	{"config", "peer", "certificate"},
 	{"settings"},
--- /dev/null
+++ b/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the bytes of connections.
+package meter
--- a/peer/node.go
+++ b/peer/node.go
@@ -158,7 +158,7 @@
 		_ = conn.Close()
 		return
 	}
-	session, err := yamux.Server(&coalescer{Conn: metered{conn}}, config())
+	session, err := yamux.Server(joined(conn), config())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
-	session, err := yamux.Client(&coalescer{Conn: metered{conn}}, config())
+	session, err := yamux.Client(joined(conn), config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "peer")
