--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,6 +19,7 @@
 	Share    shareCommand    `cmd:"" help:"Share of reads served by replicas as their lag grows, beside a naive baseline."`
 	Force    forceCommand    `cmd:"" help:"Time until a published configuration is in force everywhere."`
 	Overload overloadCommand `cmd:"" help:"What is still done when more is offered than the endpoints can do."`
+	Commits  commitsCommand  `cmd:"" help:"Acknowledged writes a second to one database."`
 	Slopes   slopesCommand   `cmd:"" help:"What one more caller, database and instance costs an instance."`
 }
 
@@ -53,6 +54,22 @@
 	return f.Run(ctx, os.Stdout)
 }
 
+type commitsCommand struct {
+	siteFlags
+	Sessions int           `help:"Sessions that write." default:"60"`
+	Duration time.Duration `help:"How long they write." default:"6s"`
+}
+
+// Run measures and prints.
+func (c *commitsCommand) Run(ctx context.Context) error {
+	d, err := experiment.Parse(c.Deployment)
+	if err != nil {
+		return err
+	}
+	f := experiment.Commits{Deployment: d, Instances: c.Instances, Sessions: c.Sessions, Duration: c.Duration}
+	return f.Run(ctx, os.Stdout)
+}
+
 type slopesCommand struct {
 	Window   time.Duration `help:"How long an idle system is watched." default:"5s"`
 	Interval time.Duration `help:"Time between status questions." default:"200ms"`
--- a/cmd/siskincoved/main.go
+++ b/cmd/siskincoved/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -26,6 +27,9 @@
 const (
 	exitFailure  = 1
 	exitSettings = 2
+	// gcPercent lets the heap, which is small, grow further between collections than by default: a statement allocates
+	// much that it needs no longer than itself.
+	gcPercent = 400
 )
 
 type options struct {
@@ -54,6 +58,9 @@
 }
 
 func run(s settings.Settings, file document.Document) int {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	service := clock.System{}
--- a/experiment/latency.go
+++ b/experiment/latency.go
@@ -80,7 +80,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	return s, s.WaitReady(ctx, s.revision)
+	err = s.WaitReady(ctx, s.revision)
+	pause(ctx, settlePause)
+	return s, err
 }
 
 // paths sets up the ways: the stand-in's replica straight and by relay, and the system with the owner on the caller's
