failover: replace a primary that is declared leaving

Cause: reading docs/operators/drain.md as an operator: a leaving primary refused all writes until somebody stopped its server.

Ruled out: letting it take writes until then (a leaving endpoint gets no new work), and promoting the highest log of all, which would choose it again.

Change: a leaving primary is evidence like an isolated one, if a majority of the group stays: the leaving endpoints are asked for no promise.

--- a/event/event.go
+++ b/event/event.go
@@ -9,12 +9,12 @@
 
 // Event is one kind of log line; its number never changes meaning.
 type Event struct {
-	Number    int
-	Level     log.Level
-	Subsystem string
-	Message   string
+	Number    int       `json:"number"`
+	Level     log.Level `json:"level"`
+	Subsystem string    `json:"subsystem"`
+	Message   string    `json:"message"`
 	// Meaning tells operators what happened and what to do.
-	Meaning string
+	Meaning string `json:"meaning"`
 }
 
 var catalogue []Event
--- a/failover/coordinator.go
+++ b/failover/coordinator.go
@@ -140,7 +140,7 @@
 			sights[i] = Sight{Endpoint: e.Name}
 			report, err := c.options.Owners.Ask(ctx, e, pool.Question{})
 			if err == nil && report.Status.Role != endpoint.Unknown {
-				sights[i] = Sight{Endpoint: e.Name, Known: true, Status: report.Status, Silence: report.Silence}
+				sights[i] = Sight{Endpoint: e.Name, Known: true, Status: report.Status, Silence: report.Silence, Leaving: e.Leaving}
 			}
 		})
 	}
--- a/failover/watch.go
+++ b/failover/watch.go
@@ -14,6 +14,8 @@
 	Status   endpoint.Status
 	// Silence is for how long the endpoint has not answered its owner, 0 when it answers.
 	Silence time.Duration
+	// Leaving is set when the endpoint is declared so.
+	Leaving bool
 }
 
 func (s Sight) answers() bool { return s.Known && s.Silence == 0 }
@@ -30,6 +32,8 @@
 	Isolated Reason = "primary is cut off from its group"
 	// Leaderless means that no endpoint leads.
 	Leaderless Reason = "no endpoint leads"
+	// Departing means that the primary is declared leaving.
+	Departing Reason = "primary is declared leaving"
 	// Split means that an endpoint has promised a higher term than the primary's and so can't follow it.
 	Split Reason = "an endpoint has promised a higher term"
 )
@@ -80,8 +84,11 @@
 		j.Mend = strays(sights, leader)
 		return w, j
 	}
-	if reason == Isolated {
+	switch reason {
+	case Isolated:
 		j.Excluded = []string{leader.Endpoint}
+	case Departing:
+		j.Excluded = departing(sights)
 	}
 	lasted = max(lasted, now.Sub(w.since))
 	j.Lost = ballotPossible(sights, j.Excluded) && lasted >= required(reason, rank, timing)
@@ -139,10 +146,36 @@
 	if receiving < session.Majority(len(sights)) {
 		return cause(sights, leader), 0
 	}
-	if higher {
+	switch {
+	case higher:
 		return Split, 0
+	case leader.Leaving && successors(sights, leader) >= session.Majority(len(sights)):
+		return Departing, 0
+	default:
+		return NoReason, 0
 	}
-	return NoReason, 0
+}
+
+// departing returns the endpoints that are declared leaving.
+func departing(sights []Sight) []string {
+	var out []string
+	for _, s := range sights {
+		if s.Leaving {
+			out = append(out, s.Endpoint)
+		}
+	}
+	return out
+}
+
+// successors counts the answering endpoints that could lead in the place of one that leaves.
+func successors(sights []Sight, leader Sight) int {
+	n := 0
+	for _, s := range sights {
+		if s.Endpoint != leader.Endpoint && s.answers() && !s.Leaving {
+			n++
+		}
+	}
+	return n
 }
 
 // cause tells an isolated primary from one whose replicas are merely down, which a ballot would not help.
--- a/failover/watch_test.go
+++ b/failover/watch_test.go
@@ -26,6 +26,8 @@
 	replica := func(name string, receiving bool) Sight { return sight(name, endpoint.Replica, 1, receiving, 0) }
 	promised := sight("c", endpoint.Stopped, 2, false, 0)
 	unknown := Sight{Endpoint: "a"}
+	departing, gone := primary, replica("b", true)
+	departing.Leaving, gone.Leaving = true, true
 	dead := sight("a", endpoint.Primary, 1, false, time.Second)
 	tests := map[string]struct {
 		sights []Sight
@@ -47,6 +49,9 @@
 		"failed ballot fenced a majority":   {sights: []Sight{primary, sight("b", endpoint.Stopped, 2, false, 0), promised}, lasted: time.Second, want: Judgement{Lost: true, Reason: Isolated, Excluded: []string{"a"}, Highest: 2}},
 		"failed ballot fenced one":          {sights: []Sight{primary, replica("b", true), promised}, lasted: time.Second, want: Judgement{Reason: Split, Highest: 2}},
 		"failed ballot fenced one, long":    {sights: []Sight{primary, replica("b", true), promised}, lasted: 6 * time.Second, want: Judgement{Lost: true, Reason: Split, Highest: 2}},
+		"primary leaves":                    {sights: []Sight{departing, replica("b", true), replica("c", true)}, lasted: time.Second, want: Judgement{Lost: true, Reason: Departing, Excluded: []string{"a"}, Highest: 1}},
+		"primary leaves, nobody to succeed": {sights: []Sight{departing, gone, replica("c", true)}, lasted: time.Hour, want: Judgement{Leader: "a", Term: 1, Highest: 1}},
+		"a replica leaves":                  {sights: []Sight{primary, gone, replica("c", true)}, lasted: time.Hour, want: Judgement{Leader: "a", Term: 1, Highest: 1}},
 		"old primary back, still believing": {sights: []Sight{primary, sight("b", endpoint.Primary, 2, false, 0), sight("c", endpoint.Replica, 2, true, 0)}, lasted: time.Hour, want: Judgement{Leader: "b", Term: 2, Mend: []string{"a"}, Highest: 2}},
 	}
 	for name, test := range tests {
--- a/proof/instances_test.go
+++ b/proof/instances_test.go
@@ -219,6 +219,21 @@
 	})
 }
 
+// TestLeavingPrimary declares the primary leaving under load: another endpoint becomes primary, and nothing is lost.
+func TestLeavingPrimary(t *testing.T) {
+	c := begin(t, nil, cluster.Objects{Deadline: 3 * time.Second})
+	waitReserved(t, c)
+	underLoad(t, c, load.Pwani, 29, func() {
+		publish(t, c, cluster.Objects{Deadline: 3 * time.Second, Leaving: map[string]bool{database + "-0": true}})
+		if !eventually(func() bool { return leads(c, 0) }) {
+			t.Error("no other endpoint became primary")
+		}
+	})
+	if !eventually(func() bool { return whole(c) }) {
+		t.Error("the group is not whole again")
+	}
+}
+
 // TestCancel cancels a statement through another instance than the one that serves it.
 func TestCancel(t *testing.T) {
 	c := begin(t, nil, cluster.Objects{})
