instance: be ready only when the peers are known

Ruled out: a slow machine alone (the log shows the order of events), and a retry in the test, which would hide what a balancer sees too.

Change: readiness also asks that the instance knows its peers; the stand-in cluster waits until each group has owners and a primary that takes writes.

Conclusion: a balancer no longer sends callers to an instance that can't serve.

--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -121,7 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	if err := s.WaitReady(ctx, s.revision); err != nil {
+	if err := s.WaitUsable(ctx, s.revision); err != nil {
 		s.Close()
 		return nil, err
 	}
--- a/experiment/latency.go
+++ b/experiment/latency.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	err = s.WaitReady(ctx, s.revision)
+	err = s.WaitUsable(ctx, s.revision)
 	pause(ctx, settlePause)
 	return s, err
 }
--- a/instance/health.go
+++ b/instance/health.go
@@ -79,8 +79,10 @@
 
 func (h *health) leave() { h.leaving.Store(true) }
 
+// ready reports whether callers may be sent here: the instance has a configuration, knows its peers and stays.
 func (h *health) ready() bool {
-	return !h.leaving.Load() && h.instance.follower.Catalog() != nil
+	i := h.instance
+	return !h.leaving.Load() && i.follower.Catalog() != nil && i.members.Settled()
 }
 
 func (h *health) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/member/placed.go
+++ b/member/placed.go
@@ -62,12 +62,12 @@
 // Owns reports whether this instance is the owner of an endpoint by its own view, once it has settled.
 func (d *Driver) Owns(e config.Endpoint) bool {
 	order := d.order(e)
-	return d.settled() && len(order) > 0 && order[0].ID == d.options.Self.ID
+	return d.Settled() && len(order) > 0 && order[0].ID == d.options.Self.ID
 }
 
 // MayOwn reports whether this instance accepts work for an endpoint, as the first or the second in its order.
 func (d *Driver) MayOwn(e config.Endpoint) bool {
-	if !d.settled() {
+	if !d.Settled() {
 		return false
 	}
 	for _, i := range d.order(e) {
@@ -78,7 +78,8 @@
 	return false
 }
 
-func (d *Driver) settled() bool {
+// Settled reports whether this instance knows the others well enough to own endpoints.
+func (d *Driver) Settled() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.periods >= settlePeriods
@@ -87,7 +88,7 @@
 // Coordinators returns the instances that coordinate a database, in order, at most most of them, spread over the regions
 // of its endpoints.
 func (d *Driver) Coordinators(database string, members []config.Endpoint, most int) []Instance {
-	if !d.settled() {
+	if !d.Settled() {
 		return nil
 	}
 	domains := make([]string, 0, len(members))
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -74,7 +74,7 @@
 		}
 	})
 	publish(t, c, objects)
-	if err := c.WaitReady(ctx, 1); err != nil {
+	if err := c.WaitUsable(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
 	return c
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -138,22 +138,59 @@
 	return string(data)
 }
 
-// WaitReady returns once every instance runs serves at least a revision and sees all other running ones.
+const readyPause = 50 * time.Millisecond
+
+// WaitReady returns once every instance that runs serves at least a revision and sees all other running ones.
 func (c *Cluster) WaitReady(ctx context.Context, revision uint64) error {
-	const pause = 50 * time.Millisecond
+	return wait(ctx, func() string { return c.notReady(revision) })
+}
+
+// WaitUsable returns once, beyond WaitReady, every group has an owner for each endpoint and a primary that takes writes.
+func (c *Cluster) WaitUsable(ctx context.Context, revision uint64) error {
+	if err := c.WaitReady(ctx, revision); err != nil {
+		return err
+	}
+	return wait(ctx, c.notUsable)
+}
+
+// wait returns once nothing is missing any more.
+func wait(ctx context.Context, missing func() string) error {
 	for {
-		missing := c.notReady(revision)
-		if missing == "" {
+		text := missing()
+		if text == "" {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Newf("instances are not ready: %s", missing)
-		case <-time.After(pause):
+			return errors.Newf("instances are not ready: %s", text)
+		case <-time.After(readyPause):
 		}
 	}
 }
 
+func (c *Cluster) notUsable() string {
+	owned, led := make(map[string]int), make(map[string]bool)
+	for _, r := range c.Instances {
+		s, err := r.Status()
+		if err != nil {
+			return r.ID + ": " + err.Error()
+		}
+		for _, p := range s.Pools {
+			if p.Answers {
+				owned[p.Database]++
+			}
+			led[p.Database] = led[p.Database] || p.Role == "primary" && p.Established && p.Confirmable
+		}
+	}
+	for _, g := range c.Groups {
+		name := g.Options.Database
+		if owned[name] < membersPerGroup || !led[name] {
+			return fmt.Sprintf("%s: %d endpoints owned, usable primary %t", name, owned[name], led[name])
+		}
+	}
+	return ""
+}
+
 func (c *Cluster) notReady(revision uint64) string {
 	running := 0
 	for _, r := range c.Instances {
