entry: keep DEALLOCATE inside a transaction from the endpoint

Cause: reading the code: DEALLOCATE outside a transaction is answered here, but inside one it went to the endpoint and dropped statements that the connection's next user takes for prepared.

Ruled out: tracking what was dropped (the names are shared by sessions).

Change: it is answered here in both cases.

Measured: go test ./entry -run Deallocate fails without the change and passes with it.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -437,3 +437,31 @@
 		t.Errorf("sent to %v, want one read and then a write at a", got)
 	}
 }
+
+// TestDeallocate drops prepared statements inside a transaction: the endpoint, whose statements are shared, is not asked.
+func TestDeallocate(t *testing.T) {
+	requests := make(chan string, 10)
+	_, address := begin(t, &owners{serve: func(open *wire.Open, stream peer.Stream) {
+		payload := messages(t, &pgproto3.CommandComplete{CommandTag: []byte("BEGIN")}, &pgproto3.ReadyForQuery{TxStatus: 'T'})
+		_ = stream.Send(&wire.Frame{Body: &wire.Frame_Response{Response: &wire.Response{Payload: payload, Last: true, Status: 'T'}}})
+		for {
+			frame, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			requests <- string(frame.GetRequest().GetPayload())
+		}
+	}})
+	conn := connect(t, address, "certstore")
+	for _, sql := range []string{"BEGIN", "DEALLOCATE ALL"} {
+		if _, err := conn.Exec(context.Background(), sql); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(byte('T'), conn.PgConn().TxStatus()); diff != "" {
+		t.Error(diff)
+	}
+	if len(requests) > 0 {
+		t.Errorf("the endpoint was sent %q", <-requests)
+	}
+}
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -57,6 +57,10 @@
 
 // local answers what concerns the session alone.
 func (c *caller) local(r *request) (bool, error) {
+	if !r.wire.GetExtended() && r.class == classDeallocate {
+		// The statements of the session live here; those of the same names at the endpoint are shared.
+		return true, c.finishLocal(r, nil, "DEALLOCATE ALL")
+	}
 	if r.wire.GetExtended() || c.stream != nil {
 		return false, nil
 	}
@@ -69,8 +73,6 @@
 		clear(c.settings)
 		clear(c.statements)
 		return true, c.finishLocal(r, nil, "DISCARD ALL")
-	case classDeallocate:
-		return true, c.finishLocal(r, nil, "DEALLOCATE ALL")
 	case classShow:
 		return c.showLocal(r)
 	case classCommit, classRollback:
