--- a/config/check.go
+++ b/config/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -105,10 +106,10 @@
 
 func (c *checker) databases() {
 	for i, o := range c.source.Set.Databases {
-		if !contains(Vendors, o.Vendor) {
+		if !slices.Contains(Vendors, o.Vendor) {
 			c.report(KindDatabase, i, "vendor", "%q is none of %s", o.Vendor, strings.Join(Vendors, ", "))
 		}
-		if !contains([]string{"", TLSOff, TLSAuthority, TLSNamed}, o.TLS) {
+		if !slices.Contains([]string{"", TLSOff, TLSAuthority, TLSNamed}, o.TLS) {
 			c.report(KindDatabase, i, "tls", "%q is none of off, authority, named", o.TLS)
 		}
 		members := c.catalog.Members(o.Name)
@@ -126,15 +127,6 @@
 	}
 }
 
-func contains(list []string, text string) bool {
-	for _, item := range list {
-		if item == text {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *checker) endpoints() {
 	addresses := make(map[string]string)
 	for i, o := range c.source.Set.Endpoints {
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -1,6 +1,9 @@
 package entry
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // class is what a statement does, as far as its first words tell.
 type class uint8
@@ -42,7 +45,7 @@
 	case "commit", "end":
 		return classCommit
 	case "rollback", "abort":
-		if len(words) > 1 && containsText(words, "to") {
+		if len(words) > 1 && slices.Contains(words, "to") {
 			return classWrite
 		}
 		return classRollback
--- a/entry/handshake.go
+++ b/entry/handshake.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -159,7 +160,7 @@
 	catalog := c.entry.options.Catalogs.Catalog()
 	service, ok := catalog.Service(c.service)
 	allowed, _ := catalog.Caller(c.name)
-	if !ok || !containsText(allowed.Services, c.service) {
+	if !ok || !slices.Contains(allowed.Services, c.service) {
 		return fault(codeDatabase, "service %q does not exist or is not open to caller %q", c.service, c.name)
 	}
 	if route == "" {
@@ -178,15 +179,6 @@
 	return nil
 }
 
-func containsText(list []string, text string) bool {
-	for _, item := range list {
-		if item == text {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *caller) startupParameter(name, value string) error {
 	switch name {
 	case "user", "database", "replication":
--- a/entry/setting.go
+++ b/entry/setting.go
@@ -2,6 +2,7 @@
 
 import (
 	"regexp"
+	"slices"
 	"strings"
 
 	"siskincove/session"
@@ -44,7 +45,7 @@
 }
 
 func requireText(name, value string, allowed ...string) error {
-	if containsText(allowed, strings.ToLower(value)) {
+	if slices.Contains(allowed, strings.ToLower(value)) {
 		return nil
 	}
 	return fault(codeFeature, "setting %q can't be %s here", name, value)
--- a/failover/watch.go
+++ b/failover/watch.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"slices"
 	"time"
 
 	"siskincove/endpoint"
@@ -205,22 +206,13 @@
 func ballotPossible(sights []Sight, excluded []string) bool {
 	answering := 0
 	for _, s := range sights {
-		if s.answers() && !contains(excluded, s.Endpoint) {
+		if s.answers() && !slices.Contains(excluded, s.Endpoint) {
 			answering++
 		}
 	}
 	return answering >= session.Majority(len(sights))
 }
 
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
 // strays returns the answering endpoints that do not receive from the leader but could be told to.
 func strays(sights []Sight, leader Sight) []string {
 	if leader.Endpoint == "" {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -189,9 +189,6 @@
 	l.instance.coordinators.place(region)
 }
 
-// CallerAddress returns the address that callers connect to.
-func (i *Instance) CallerAddress() string { return i.settings.Listen.Callers }
-
 // idleLimit is how long a transaction may hold its slot while its caller sends nothing.
 const idleLimit = time.Minute
 
