--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -16,6 +16,7 @@
 		move    func()
 	}{
 		"system": {service: System{}, move: func() { time.Sleep(time.Millisecond) }},
+		"boot":   {service: Boot{}, move: func() { time.Sleep(time.Millisecond) }},
 		"manual": {service: manual, move: func() { manual.Advance(time.Millisecond) }},
 	}
 	for name, test := range tests {
--- a/config/catalog.go
+++ b/config/catalog.go
@@ -1,5 +1,7 @@
 package config
 
+import "time"
+
 // Catalog is a checked set with its objects by name; it is immutable.
 type Catalog struct {
 	Set        Set
@@ -11,6 +13,7 @@
 	limits     map[string]Limit
 	callers    map[string]Caller
 	members    map[string][]Endpoint
+	idle       time.Duration
 }
 
 // NewCatalog indexes a set.
@@ -41,6 +44,16 @@
 	return out
 }
 
+// WithIdle returns a copy whose transactions may stay idle for at most a time, 0 for no bound.
+func (c *Catalog) WithIdle(idle time.Duration) *Catalog {
+	next := *c
+	next.idle = idle
+	return &next
+}
+
+// Idle returns how long an open transaction may stay idle, 0 for no bound.
+func (c *Catalog) Idle() time.Duration { return c.idle }
+
 // Service returns the service called name.
 func (c *Catalog) Service(name string) (Service, bool) { o, ok := c.services[name]; return o, ok }
 
--- a/config/endpoint.go
+++ b/config/endpoint.go
@@ -12,4 +12,6 @@
 	Limit string `toml:"limit" json:"limit"`
 	// Leaving endpoints get no new work.
 	Leaving bool `toml:"leaving" json:"leaving,omitempty"`
+	// Incarnation is another one after each start of the endpoint, for endpoints that register themselves; else 0.
+	Incarnation uint64 `toml:"-" json:"incarnation,omitempty"`
 }
--- /dev/null
+++ b/connection/conn.go
@@ -0,0 +1,26 @@
+package connection
+
+import (
+	"context"
+	"time"
+
+	"siskincove/config"
+	"siskincove/statement"
+)
+
+// Conn is one connection to an endpoint, used by one goroutine at a time.
+type Conn interface {
+	// Exchange sends the steps in one write and returns their answers in order. With an error it returns the answers that
+	// came whole before it, and the connection can't be used again; a step without an answer may have run.
+	Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error)
+	// Broken is closed once the connection can't be used again.
+	Broken() <-chan struct{}
+	// Close ends the connection, which rolls back its transaction.
+	Close()
+}
+
+// Dialer opens connections to endpoints.
+type Dialer interface {
+	// Dial connects to an endpoint and makes sure that it is the one meant; errors are verdict errors for not run.
+	Dial(ctx context.Context, e config.Endpoint) (Conn, error)
+}
--- /dev/null
+++ b/connection/doc.go
@@ -0,0 +1,2 @@
+// Package connection keeps the connections of this instance to endpoints: how many, who waits for one, and what state each is in.
+package connection
--- /dev/null
+++ b/connection/pool.go
@@ -0,0 +1,157 @@
+package connection
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/event"
+	"siskincove/limit"
+	"siskincove/queue"
+	"siskincove/verdict"
+)
+
+// dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
+const dialTimeout = 600 * time.Millisecond
+
+// Options are what a pool needs to know and to use.
+type Options struct {
+	Endpoint config.Endpoint
+	Dialer   Dialer
+	Clock    clock.Service
+	Logger   *event.Logger
+	// Limit is how many connections may be open.
+	Limit int
+}
+
+// Pool holds the connections to one endpoint.
+type Pool struct {
+	options Options
+	queue   *queue.Queue
+
+	mu      sync.Mutex
+	idle    []*Held
+	circuit limit.Circuit
+	closed  bool
+}
+
+// New returns a pool without connections.
+func New(o Options) *Pool {
+	return &Pool{options: o, queue: queue.New(o.Limit, o.Clock)}
+}
+
+// Endpoint returns the endpoint.
+func (p *Pool) Endpoint() config.Endpoint { return p.options.Endpoint }
+
+// Used returns how many connections are in the hands of sessions.
+func (p *Pool) Used() int { return p.queue.Used() }
+
+// Resize changes how many connections may be open.
+func (p *Pool) Resize(limit int) { p.queue.Resize(limit) }
+
+// Close closes the idle connections; those in use are closed as they come back.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.discard()
+}
+
+// Discard closes the idle connections, as when one of them was found to be silent.
+func (p *Pool) Discard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.discard()
+}
+
+func (p *Pool) discard() {
+	for _, h := range p.idle {
+		h.Close()
+	}
+	p.idle = nil
+}
+
+// Acquire returns a connection, if possible one that has a session's settings; errors are verdict errors for not run.
+func (p *Pool) Acquire(ctx context.Context, class limit.Class, deadline time.Time, settings map[string]string) (*Held, error) {
+	if err := p.queue.Admit(ctx, class, deadline); err != nil {
+		return nil, err
+	}
+	if h := p.take(settings); h != nil {
+		return h, nil
+	}
+	h, err := p.dial(ctx, deadline)
+	if err != nil {
+		p.queue.Release(0)
+		return nil, err
+	}
+	return h, nil
+}
+
+// take returns an idle connection that still stands, nil when there is none.
+func (p *Pool) take(settings map[string]string) *Held {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, h := range p.idle {
+		if !h.broken() {
+			kept = append(kept, h)
+		}
+	}
+	p.idle = kept
+	if len(kept) == 0 {
+		return nil
+	}
+	best := len(kept) - 1
+	for i := len(kept) - 1; i >= 0; i-- {
+		if maps.Equal(kept[i].settings, settings) {
+			best = i
+			break
+		}
+	}
+	h := kept[best]
+	p.idle = append(kept[:best], kept[best+1:]...)
+	return h
+}
+
+func (p *Pool) dial(ctx context.Context, deadline time.Time) (*Held, error) {
+	now := p.options.Clock.Now()
+	p.mu.Lock()
+	allowed, pause := p.circuit.Allows(now), p.circuit.Remaining(now)
+	p.mu.Unlock()
+	if !allowed {
+		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint can't be reached").WithAfter(pause)
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(now)))
+	defer cancel()
+	conn, err := p.options.Dialer.Dial(ctx, p.options.Endpoint)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil {
+		p.circuit = p.circuit.WithFailure(p.options.Clock.Now())
+		p.options.Logger.Log(event.ConnectionFailed, log.Fields{
+			"endpoint": p.options.Endpoint.Name, "address": p.options.Endpoint.Address, "error": err.Error(),
+		})
+		return nil, err
+	}
+	p.circuit = p.circuit.WithSuccess()
+	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": p.options.Endpoint.Name})
+	return &Held{Conn: conn}, nil
+}
+
+// Release takes a connection back after it was held for a time; one that broke, or whose transaction did not end, is
+// closed.
+func (p *Pool) Release(h *Held, reuse bool, took time.Duration) {
+	p.mu.Lock()
+	if !reuse || h.broken() || p.closed {
+		h.Close()
+	} else {
+		p.idle = append(p.idle, h)
+	}
+	p.mu.Unlock()
+	p.queue.Release(took)
+}
--- /dev/null
+++ b/database/database.go
@@ -0,0 +1,181 @@
+package database
+
+import (
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/config"
+	"siskincove/connection"
+	"siskincove/endpoint"
+	"siskincove/event"
+	"siskincove/group"
+	"siskincove/session"
+)
+
+// Database is one group.
+type Database struct {
+	name    string
+	options Options
+
+	mu      sync.Mutex
+	view    group.View
+	members []config.Endpoint
+	pools   map[string]*connection.Pool
+	// changed is closed, and replaced, when another endpoint leads or none does.
+	changed chan struct{}
+}
+
+func newDatabase(name string, o Options) *Database {
+	return &Database{name: name, options: o, pools: make(map[string]*connection.Pool), changed: make(chan struct{})}
+}
+
+// Name returns the group's name.
+func (d *Database) Name() string { return d.name }
+
+// Members returns the group's endpoints.
+func (d *Database) Members() []config.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members
+}
+
+// View returns what was seen of the group.
+func (d *Database) View() group.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view
+}
+
+// Changed returns a channel that is closed once another endpoint leads, or none does.
+func (d *Database) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+// Choose returns the endpoints that may serve a statement, best first.
+func (d *Database) Choose(q group.Query) []group.Choice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	inflight := func(name string) int { return d.pools[name].Used() }
+	return d.view.Choose(q, d.members, inflight, d.options.Clock.Now())
+}
+
+// Pool returns the connections to an endpoint, and false when it is no longer a member.
+func (d *Database) Pool(endpoint string) (*connection.Pool, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p, ok := d.pools[endpoint]
+	return p, ok
+}
+
+// update changes the view and tells those who wait when another endpoint leads.
+func (d *Database) update(why string, change func(v group.View, now time.Time) group.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before, _ := d.view.Lead()
+	d.view = change(d.view, d.options.Clock.Now())
+	after, _ := d.view.Lead()
+	if before.Endpoint == after.Endpoint {
+		return
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+	d.options.Logger.Log(event.LeadChanged, log.Fields{
+		"database": d.name, "before": before.Endpoint, "after": after.Endpoint, "why": why,
+		"age": d.options.Clock.Now().Sub(after.At).String(),
+	})
+}
+
+// Led notes that an endpoint proved its lead at a time and told its log's position.
+func (d *Database) Led(name string, position endpoint.Position, at time.Time) {
+	d.update("proof", func(v group.View, _ time.Time) group.View { return v.WithLead(name, position, at) })
+}
+
+// Heard notes what a peer knows: an endpoint proved its lead at a time.
+func (d *Database) Heard(name string, c session.Certificate) {
+	if _, known := d.Pool(name); !known {
+		return
+	}
+	d.update("peer", func(v group.View, _ time.Time) group.View { return v.WithLead(name, c.Position, c.At) })
+}
+
+// Denied notes that an endpoint refused a statement, sent at a time, since it does not lead.
+func (d *Database) Denied(name string, sent time.Time) {
+	d.update("denial", func(v group.View, now time.Time) group.View { return v.WithDenial(name, sent, now) })
+}
+
+// Served notes a statement that an endpoint served.
+func (d *Database) Served(name string, position endpoint.Position, took time.Duration) {
+	d.update("", func(v group.View, now time.Time) group.View { return v.WithServed(name, position, took, now) })
+}
+
+// Busy notes that an endpoint had no free slot.
+func (d *Database) Busy(name string) {
+	d.update("", func(v group.View, now time.Time) group.View { return v.WithBusy(name, now) })
+}
+
+// Behind notes that an endpoint's log lacked a position.
+func (d *Database) Behind(name string, lacked, applied endpoint.Position) {
+	d.update("", func(v group.View, now time.Time) group.View { return v.WithBehind(name, lacked, applied, now) })
+}
+
+// Avoid notes that an endpoint failed and is not to be used for a while.
+func (d *Database) Avoid(name string, pause time.Duration) {
+	d.update("", func(v group.View, now time.Time) group.View { return v.WithAvoid(name, now.Add(pause)) })
+}
+
+// Lost notes that the coordinator believes an endpoint that led to be gone.
+func (d *Database) Lost(name string) {
+	d.update("lost", func(v group.View, now time.Time) group.View { return v.WithDenial(name, now, now) })
+}
+
+// configure takes over the group's endpoints and how many connections this instance may have to each.
+func (d *Database) configure(members []config.Endpoint, claim string, limit int) {
+	d.mu.Lock()
+	current := make(map[string]bool, len(members))
+	for _, e := range members {
+		current[e.Name] = true
+		d.place(e, limit)
+	}
+	for name, p := range d.pools {
+		if !current[name] {
+			d.drop(name, p)
+		}
+	}
+	d.members = members
+	d.mu.Unlock()
+	if claim != "" {
+		d.update("claim", func(v group.View, now time.Time) group.View { return v.WithClaim(claim, now) })
+	}
+}
+
+// place makes or resizes an endpoint's pool; an endpoint that was started anew shares nothing with the one before.
+func (d *Database) place(e config.Endpoint, limit int) {
+	if p, ok := d.pools[e.Name]; ok {
+		if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address {
+			p.Resize(limit)
+			return
+		}
+		d.drop(e.Name, p)
+	}
+	d.pools[e.Name] = connection.New(connection.Options{
+		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: limit,
+	})
+}
+
+func (d *Database) drop(name string, p *connection.Pool) {
+	p.Close()
+	delete(d.pools, name)
+	d.view = d.view.Without(name)
+}
+
+func (d *Database) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.pools {
+		d.drop(name, p)
+	}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskincove/config"
+	"siskincove/verdict"
+)
+
+// Dispatcher runs the statements of all sessions of this instance.
+type Dispatcher struct {
+	options  Options
+	ctx      context.Context
+	counters *counters
+	sessions atomic.Uint64
+	// running counts what goes on after the answer, such as rollbacks.
+	running sync.WaitGroup
+	done    chan struct{}
+}
+
+// New returns a dispatcher that ends with ctx.
+func New(ctx context.Context, o Options) *Dispatcher {
+	d := &Dispatcher{options: o, ctx: ctx, counters: newCounters(), done: make(chan struct{})}
+	go func() {
+		defer close(d.done)
+		<-ctx.Done()
+		d.running.Wait()
+	}()
+	return d
+}
+
+// Done is closed once ctx has ended and nothing runs any more.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+func (d *Dispatcher) now() time.Time { return d.options.Clock.Now() }
+
+// route returns the route that a caller's name stands for.
+func (d *Dispatcher) route(name string) (config.Route, *config.Catalog, *verdict.Error) {
+	catalog := d.options.Catalogs.Catalog()
+	if catalog == nil {
+		return config.Route{}, nil, verdict.New(verdict.NotRun, verdict.Unconfigured, "no configuration yet").WithAfter(comeBackAfter)
+	}
+	route, ok := catalog.Route(name)
+	if !ok {
+		return config.Route{}, nil, verdict.New(verdict.NotRun, verdict.Unrouted, "no route has the name %s", name)
+	}
+	return route, catalog, nil
+}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,6 +10,11 @@
 	StoppedForced     = define(103, log.WarnLevel, "daemon", "stopped by force", "The drain limit passed or a second signal came; the field inflight tells how many requests were cut off.")
 	CertificateLoaded = define(105, log.InfoLevel, "certificate", "certificate taken over", "A new certificate was found in its file and is shown from now on.")
 	CertificateFailed = define(106, log.ErrorLevel, "certificate", "certificate not taken over", "A certificate, key or authority file is missing, wrong or expired; the last good one is kept. Mend the file.")
+	LinesLeftOut      = define(110, log.WarnLevel, "daemon", "log lines left out", "More lines were written than the bound allows, or the output did not take them; the field count tells how many are missing.")
+	SettingsReloaded  = define(108, log.InfoLevel, "daemon", "settings read again", "The settings file changed; what can change while running is in force.")
+	SettingsFailed    = define(109, log.ErrorLevel, "daemon", "settings not taken over", "The changed settings file can't be read or has errors; the last good settings are kept.")
+	DependencyLost    = define(111, log.WarnLevel, "daemon", "dependency lost", "The field name tells what does not answer any more; error tells why.")
+	DependencyBack    = define(112, log.InfoLevel, "daemon", "dependency regained", "The field name tells what answers again; after tells for how long it did not.")
 	Ready             = define(104, log.InfoLevel, "daemon", "ready", "The instance answers its readiness address with success.")
 )
 
@@ -21,6 +26,10 @@
 	RequestRefused   = define(203, log.WarnLevel, "entry", "request refused", "A request was answered with an error of ours; verdict and reason say what the caller was told.")
 	RequestRetried   = define(204, log.InfoLevel, "entry", "request retried", "A request that did not run was sent to another endpoint or again.")
 	ProtocolViolated = define(205, log.WarnLevel, "entry", "protocol violated", "A caller sent a message that the protocol does not allow; its connection was closed.")
+	RequestServed    = define(207, log.InfoLevel, "dispatch", "request served", "A statement was answered; tries counts the endpoints asked, after is the position that the endpoint had to have.")
+	StatementFailed  = define(208, log.WarnLevel, "dispatch", "statement failed at an endpoint", "An endpoint did not serve a statement; why gives the reason and the next line with this request tells what followed.")
+	TransactionEnded = define(209, log.WarnLevel, "dispatch", "transaction lost", "A transaction was rolled back before its commit was sent; why gives the reason.")
+	SessionsEnding   = define(210, log.InfoLevel, "caller", "sessions ending", "The instance leaves and closes the sessions that wait for their callers; count tells how many are left.")
 	TokenRejected    = define(206, log.WarnLevel, "entry", "token rejected", "A caller's session token was not made by this deployment or not for this caller; a barrier is used instead.")
 )
 
@@ -35,6 +44,16 @@
 	BarrierFailed    = define(306, log.WarnLevel, "session", "barrier not taken", "No majority of the group's endpoints answered; the session's reads are refused for now.")
 )
 
+// Directory events, 310 to 329.
+var (
+	LeadChanged       = define(310, log.InfoLevel, "database", "primary changed", "This instance takes another endpoint for the primary from now on, or none; why tells whether by proof, claim, denial or a peer.")
+	EndpointsChanged  = define(311, log.InfoLevel, "directory", "endpoints changed", "The registered endpoints of this version are in force; from tells whether the store or a peer gave them.")
+	EntryUnreadable   = define(312, log.WarnLevel, "directory", "entry not readable", "A registered entry has missing or unknown fields and names no endpoint; the others hold.")
+	ConfigurationRead = define(313, log.InfoLevel, "directory", "configuration in force", "The operator's configuration of this version is in force; from tells whether the store or a peer gave it.")
+	EndpointMissing   = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; it is used while it answers, for a few seconds.")
+	EndpointGone      = define(315, log.InfoLevel, "directory", "endpoint gone", "An endpoint left, or stayed missing, and is no longer used.")
+)
+
 // Endpoint events, 400 to 499.
 var (
 	EndpointOwned     = define(400, log.InfoLevel, "pool", "endpoint owned", "This instance now opens the connections to the endpoint.")
@@ -61,6 +80,20 @@
 	FollowerMended  = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed nobody was pointed at the primary.")
 )
 
+// Succession events, 520 to 539.
+var (
+	PrimaryDoubted    = define(520, log.WarnLevel, "succession", "primary in doubt", "The coordinator asks every endpoint of the group; why gives the evidence and since its age.")
+	SuccessionStarted = define(521, log.WarnLevel, "succession", "succession started", "The primary is taken to be lost and the replicas are held, so that no commit can be acknowledged any more.")
+	PromotionOrdered  = define(522, log.WarnLevel, "succession", "promotion ordered", "The platform is told to promote the endpoint whose log holds every acknowledged commit.")
+	PromotionRefused  = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the order, which has no effect; another attempt starts with a higher fencing token.")
+	PromotionUnknown  = define(524, log.WarnLevel, "succession", "promotion without an answer", "The order may take effect later; the same one is repeated until the endpoint leads or the platform refuses it.")
+	SuccessionDone    = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took tells the time since the succession started.")
+	SuccessionStopped = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
+	HoldReleased      = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held without need receives again.")
+	FenceReserved     = define(528, log.InfoLevel, "succession", "fencing token reserved", "A fencing token that no other instance has was taken from the store, ahead of need.")
+	FenceMissing      = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store does not give one; another coordinator has to act.")
+)
+
 // Membership events, 600 to 699.
 var (
 	MemberAlive   = define(600, log.InfoLevel, "member", "instance alive", "An instance answers heartbeats.")
--- /dev/null
+++ b/group/choose.go
@@ -0,0 +1,158 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskincove/config"
+	"siskincove/endpoint"
+)
+
+// Query is a statement, or the first of a transaction, that needs an endpoint.
+type Query struct {
+	// Lead tells that only the primary may serve.
+	Lead bool
+	// Token is the position that the session must see.
+	Token endpoint.Position
+	// Age is the greatest accepted age of the data, 0 when it is not bounded.
+	Age time.Duration
+	// Domain is the failure domain of this instance, as region/domain.
+	Domain string
+	// Salt spreads sessions over endpoints that are equally good.
+	Salt string
+	// Tried are endpoints that have refused the statement in this round.
+	Tried []string
+}
+
+// Choice is an endpoint that may serve a statement.
+type Choice struct {
+	Endpoint config.Endpoint
+	// Lead tells that the endpoint has to prove that it leads when it runs the statement.
+	Lead bool
+	// After is the position that the endpoint has to have otherwise.
+	After endpoint.Position
+	// Why is the rule that gave the choice.
+	Why string
+}
+
+const (
+	// costRegion and costFar stand for the latency and the price of the way to another failure domain or region.
+	costRegion = 5 * time.Millisecond
+	costFar    = 30 * time.Millisecond
+	// costLead keeps reads off the primary, whose slots writes can't do without.
+	costLead = 25 * time.Millisecond
+	// costBusy is the wait that a refusal for want of a slot stands for.
+	costBusy = 120 * time.Millisecond
+	// costAvoid and costBehind put endpoints that failed or were behind lately last.
+	costAvoid  = 2 * time.Second
+	costBehind = time.Second
+	// costSalt is up to how much the order of endpoints differs between sessions.
+	costSalt = 8 * time.Millisecond
+	// certificateMargin covers what passes between the choice and the arrival of the statement, and clocks' grain.
+	certificateMargin = 20 * time.Millisecond
+	// denialPause is how long an endpoint that denied to lead is not asked again while no other is known to.
+	denialPause = 150 * time.Millisecond
+)
+
+// Choose returns the endpoints that may serve a statement, best first. In flight tells how many statements of this
+// instance an endpoint serves.
+func (v View) Choose(q Query, members []config.Endpoint, inflight func(string) int, now time.Time) []Choice {
+	if q.Lead {
+		return v.leads(q, members, now)
+	}
+	after, bounded := v.after(q, now)
+	type candidate struct {
+		choice Choice
+		cost   time.Duration
+	}
+	var out []candidate
+	for _, e := range members {
+		if slices.Contains(q.Tried, e.Name) {
+			continue
+		}
+		c := Choice{Endpoint: e, After: after, Why: "replica"}
+		if e.Name == v.lead.Endpoint {
+			c = Choice{Endpoint: e, Lead: true, Why: "primary"}
+		} else if !bounded || e.Leaving {
+			continue
+		}
+		out = append(out, candidate{choice: c, cost: v.cost(q, c, inflight(e.Name), now)})
+	}
+	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	choices := make([]Choice, 0, len(out))
+	for _, c := range out {
+		choices = append(choices, c.choice)
+	}
+	if len(choices) == 0 && len(q.Tried) == 0 {
+		return v.leads(q, members, now)
+	}
+	return choices
+}
+
+// after returns the position that a replica must have for a read, and false when no certificate is young enough to
+// tell.
+func (v View) after(q Query, now time.Time) (endpoint.Position, bool) {
+	if q.Age <= 0 {
+		return q.Token, true
+	}
+	c, ok := v.history.Oldest(now.Add(certificateMargin - q.Age))
+	return q.Token.Max(c.Position), ok
+}
+
+// leads returns the primary, or when none is known every endpoint that has not denied lately.
+func (v View) leads(q Query, members []config.Endpoint, now time.Time) []Choice {
+	var out []Choice
+	for _, e := range members {
+		if slices.Contains(q.Tried, e.Name) {
+			continue
+		}
+		if e.Name == v.lead.Endpoint {
+			if now.Before(v.member(e.Name).avoidUntil) {
+				return nil
+			}
+			return []Choice{{Endpoint: e, Lead: true, Why: "primary"}}
+		}
+		m := v.member(e.Name)
+		if v.lead.Endpoint == "" && now.Sub(m.deniedAt) >= denialPause && !now.Before(m.avoidUntil) {
+			out = append(out, Choice{Endpoint: e, Lead: true, Why: "no primary known"})
+		}
+	}
+	return out
+}
+
+// cost estimates how long an endpoint takes to answer, with what its use costs others added.
+func (v View) cost(q Query, c Choice, inflight int, now time.Time) time.Duration {
+	m := v.member(c.Endpoint.Name)
+	cost := distance(q.Domain, c.Endpoint.Domain) + m.latency + time.Duration(m.busyShare(now)*float64(costBusy))
+	cost += time.Duration(inflight) * m.latency / 2
+	if c.Lead {
+		cost += costLead
+	} else if m.lacks(c.After, now) {
+		cost += costBehind
+	}
+	if now.Before(m.avoidUntil) {
+		cost += costAvoid
+	}
+	salt := xxhash.Sum64String(q.Salt + c.Endpoint.Name)
+	return cost + time.Duration(salt%uint64(costSalt))
+}
+
+func distance(a, b string) time.Duration {
+	switch {
+	case a == b:
+		return 0
+	case region(a) == region(b):
+		return costRegion
+	default:
+		return costFar
+	}
+}
+
+func region(domain string) string {
+	name, _, _ := strings.Cut(domain, "/")
+	return name
+}
--- /dev/null
+++ b/hosted/instance.go
@@ -0,0 +1,174 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/caller"
+	"siskincove/config"
+	"siskincove/coordinator"
+	"siskincove/database"
+	"siskincove/directory"
+	"siskincove/dispatch"
+	"siskincove/event"
+	"siskincove/member"
+	"siskincove/peer"
+	"siskincove/succession"
+)
+
+const (
+	// pollersPerDomain is how many instances of a failure domain read the endpoints from the store; the others hear of
+	// changes from them.
+	pollersPerDomain = 1
+	// heartbeatPeriod is the time between two rounds of heartbeats, which also relay proofs and versions.
+	heartbeatPeriod = 400 * time.Millisecond
+	// rosterInterval is how often the list of instances is read; peers tell of new ones sooner.
+	rosterInterval = 30 * time.Second
+)
+
+// Instance is one running instance.
+type Instance struct {
+	options      Options
+	ctx          context.Context
+	cancel       context.CancelFunc
+	wired        chan struct{}
+	node         *peer.Node
+	members      *member.Driver
+	roster       *roster
+	directory    *directory.Directory
+	databases    *database.Registry
+	dispatcher   *dispatch.Dispatcher
+	coordinators *coordinator.Set[*succession.Coordinator]
+	callers      *caller.Server
+	health       *health
+}
+
+// New starts an instance; it ends with ctx, or gracefully by Leave.
+func New(ctx context.Context, o Options) (*Instance, error) {
+	l, err := listen(o.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, wired: make(chan struct{})}
+	i.start(l)
+	close(i.wired)
+	i.directory.Reapply()
+	s := o.Settings
+	o.Logger.Log(event.Started, log.Fields{
+		"instance": s.Instance.ID, "domain": s.Instance.Domain, "callers": s.Listen.Callers, "peers": s.Listen.Peers,
+	})
+	return i, nil
+}
+
+func (i *Instance) start(l listeners) {
+	o, s := i.options, i.options.Settings
+	i.node = peer.New(i.ctx, peer.Options{
+		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
+	})
+	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger})
+	i.directory = directory.New(i.ctx, directory.Options{
+		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: s.Regions, Polls: i.polls, Apply: i.apply,
+	})
+	i.startMembers()
+	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
+		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
+	})
+	i.startCoordinators()
+	i.callers = caller.New(i.ctx, l.callers, caller.Options{
+		Protocol: o.Protocol, Dispatcher: i.dispatcher, Clock: o.Clock, Logger: o.Logger,
+	})
+	i.health = newHealth(i.ctx, l, i)
+}
+
+func (i *Instance) startMembers() {
+	o, s := i.options, i.options.Settings
+	self := member.Instance{
+		ID: s.Instance.ID, Address: s.Listen.Peers, Domain: s.Instance.Domain, Incarnation: uint64(time.Now().UnixNano()),
+	}
+	i.roster = &roster{rows: o.Rows, self: self}
+	i.members = member.New(i.ctx, member.Options{
+		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
+		RosterInterval: rosterInterval, Period: heartbeatPeriod, Seeds: s.Listen.Seeds,
+		Extend: i.extend, Absorb: i.absorb, Changed: i.changed, Drop: i.node.Drop,
+	})
+}
+
+func (i *Instance) startCoordinators() {
+	o := i.options
+	i.coordinators = coordinator.New(i.ctx, coordinator.Options[*succession.Coordinator]{
+		Self: o.Settings.Instance.ID, Members: i.members, Count: succession.Coordinators,
+		Start: func(ctx context.Context, d config.Database, members []config.Endpoint) *succession.Coordinator {
+			return succession.Start(ctx, succession.Options{
+				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.Dialer, Promoter: o.Promoter,
+				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Announce: i.announce,
+			}, d, members)
+		},
+	})
+}
+
+// noRevisions stands for the configuration that instances publish themselves, which there is none of here.
+type noRevisions struct{}
+
+// Revision returns no revision.
+func (noRevisions) Revision() (uint64, string) { return 0, "" }
+
+// Heard ignores revisions.
+func (noRevisions) Heard(uint64, string) {}
+
+// polls reports whether this instance reads the endpoints for its failure domain.
+func (i *Instance) polls() bool {
+	<-i.wired
+	own := i.options.Settings.Instance
+	for _, other := range i.members.Near("poller/"+own.Domain, own.Domain, pollersPerDomain) {
+		if other.ID == own.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// apply brings a catalog into force.
+func (i *Instance) apply(catalog *config.Catalog, claims map[string]string) {
+	i.databases.Configure(catalog, claims, len(i.liveMembers()))
+	select {
+	case <-i.wired:
+		i.coordinators.Configure(catalog)
+	default:
+		// Reapply follows once all parts are wired.
+	}
+}
+
+func (i *Instance) liveMembers() []member.Instance {
+	select {
+	case <-i.wired:
+		return i.members.Live()
+	default:
+		return nil
+	}
+}
+
+// changed takes in that the set of live instances in a region changed.
+func (i *Instance) changed(region string) {
+	<-i.wired
+	i.directory.Reapply()
+	i.coordinators.Place(region)
+}
+
+// wait returns when every part has ended.
+func (i *Instance) wait() {
+	<-i.callers.Done()
+	<-i.dispatcher.Done()
+	<-i.members.Done()
+	<-i.directory.Done()
+	<-i.node.Done()
+	<-i.health.done
+}
+
+// Close ends the instance at once.
+func (i *Instance) Close() {
+	i.cancel()
+	i.wait()
+}
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,14 +13,14 @@
 
 // layers orders the packages: each may import those of lower layers only. The pure packages stand lowest.
 var layers = [][]string{
-	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "layout", "peer/wire", "verifier", "meter", "standin/authority"},
-	{"event", "session", "limit", "endpoint/postgres", "endpoint/managed", "platform/aws", "platform/dynamo", "platform/http", "platform/s3"},
-	{"config", "peer", "certificate"},
-	{"settings"},
-	{"route", "member", "pool", "revision"},
-	{"failover", "entry"},
-	{"instance"},
-	{"standin/link", "standin/platform", "load"},
+	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority"},
+	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/aws", "platform/dynamo", "platform/http", "platform/s3", "platform/rows"},
+	{"config", "peer", "certificate", "queue"},
+	{"settings", "connection", "group", "directory"},
+	{"route", "member", "pool", "revision", "database", "platform/line", "platform/sheet"},
+	{"failover", "entry", "dispatch", "succession", "coordinator"},
+	{"instance", "caller", "platform/order"},
+	{"standin/link", "standin/platform", "load", "hosted"},
 	{"standin/group"},
 	{"standin/cluster"},
 	{"experiment", "commands", "proof"},
@@ -28,11 +28,12 @@
 }
 
 // pure are the packages that decide: they may use no clock, socket or goroutine.
-var pure = []string{"session", "limit", "route", "verdict", "endpoint"}
+var pure = []string{"session", "limit", "route", "verdict", "endpoint", "statement", "group"}
 
 // pureFiles are the deciding files of packages that also hold a driver.
 var pureFiles = []string{
 	"member/table.go", "member/placement.go", "failover/ballot.go", "failover/watch.go", "failover/reservation.go", "revision/choice.go",
+	"directory/sheet.go", "directory/decoder.go", "succession/succession.go", "succession/watch.go", "succession/event.go",
 }
 
 func layerOf(path string) int {
--- a/member/driver.go
+++ b/member/driver.go
@@ -46,8 +46,19 @@
 	Dialer    peer.Dialer
 	Roster    platform.Roster
 	Revisions Revisions
+	// RosterInterval is how often the list is read once it names this instance, 0 for the default.
+	RosterInterval time.Duration
+	// Period is the time between two rounds of heartbeats without doubt, 0 for the default.
+	Period time.Duration
+	// Seeds are addresses, maybe stale, at which other instances may be met before the list is read.
+	Seeds []string
 	// Changed is called after the set of live instances in a region has changed, with "" for all regions.
 	Changed func(region string)
+	// Extend, if set, adds to each heartbeat what others should know.
+	Extend func(h *wire.Heartbeat)
+	// Absorb, if set, takes in what a heartbeat adds; asked is when this instance sent the one that it answers, zero for a
+	// heartbeat that answers none.
+	Absorb func(h *wire.Heartbeat, asked time.Time)
 	// Drop is called with the address of an instance that died, to end what still waits for it.
 	Drop func(address string)
 }
@@ -76,6 +87,12 @@
 
 // New starts a driver that ends with ctx.
 func New(ctx context.Context, o Options) *Driver {
+	if o.RosterInterval == 0 {
+		o.RosterInterval = rosterInterval
+	}
+	if o.Period == 0 {
+		o.Period = period
+	}
 	d := &Driver{options: o, started: o.Clock.Now(), done: make(chan struct{}), table: NewTable(o.Self), owners: make(map[string][]Instance), last: make(map[string]string)}
 	d.running.Go(func() { d.beat(ctx) })
 	d.running.Go(func() { d.readRoster(ctx) })
@@ -103,19 +120,23 @@
 	return d.table.Live()
 }
 
-// Leave marks this instance as leaving and tells every live peer at once.
-func (d *Driver) Leave(ctx context.Context) {
-	d.mu.Lock()
-	d.table.Leave(d.options.Clock.Now())
-	peers := d.table.Instances()
-	d.mu.Unlock()
+// Announce sends a heartbeat to every live peer at once.
+func (d *Driver) Announce(ctx context.Context) {
 	var wait sync.WaitGroup
-	for _, i := range peers {
+	for _, i := range d.Instances() {
 		if i.State.Live() {
 			wait.Go(func() { d.exchange(ctx, i) })
 		}
 	}
 	wait.Wait()
+}
+
+// Leave marks this instance as leaving and tells every live peer at once.
+func (d *Driver) Leave(ctx context.Context) {
+	d.mu.Lock()
+	d.table.Leave(d.options.Clock.Now())
+	d.mu.Unlock()
+	d.Announce(ctx)
 	d.options.Changed("")
 }
 
@@ -128,8 +149,9 @@
 
 func (d *Driver) beat(ctx context.Context) {
 	for {
+		d.greet(ctx)
 		urgent := d.round(ctx)
-		pause := period
+		pause := d.options.Period
 		if urgent {
 			pause = urgentPeriod
 		}
@@ -141,6 +163,36 @@
 	}
 }
 
+// greet sends heartbeats to the seeds while no list has named this instance.
+func (d *Driver) greet(ctx context.Context) {
+	d.mu.Lock()
+	listed := d.listed
+	d.mu.Unlock()
+	if listed {
+		return
+	}
+	var wait sync.WaitGroup
+	for _, address := range d.options.Seeds {
+		if address != d.options.Self.Address {
+			wait.Go(func() { d.meet(ctx, address) })
+		}
+	}
+	wait.Wait()
+}
+
+// meet exchanges heartbeats with whoever is at an address.
+func (d *Driver) meet(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	asked := d.options.Clock.Now()
+	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
+	if err != nil || reply.GetHeartbeat() == nil {
+		return
+	}
+	d.Take(reply.GetHeartbeat())
+	d.absorb(reply.GetHeartbeat(), asked)
+}
+
 // round sends one period's heartbeats and reports whether some instance is in doubt.
 func (d *Driver) round(ctx context.Context) bool {
 	d.mu.Lock()
@@ -172,9 +224,11 @@
 func (d *Driver) exchange(ctx context.Context, i Instance) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	asked := d.options.Clock.Now()
 	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
 	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
 		d.Take(reply.GetHeartbeat())
+		d.absorb(reply.GetHeartbeat(), asked)
 		return
 	}
 	d.mu.Lock()
@@ -183,15 +237,30 @@
 	d.report(changes)
 }
 
+func (d *Driver) absorb(h *wire.Heartbeat, asked time.Time) {
+	if d.options.Absorb != nil {
+		d.options.Absorb(h, asked)
+	}
+}
+
 // heartbeat returns this instance's own, with all it knows for a peer that does not know the others yet.
 func (d *Driver) heartbeat(whole bool) *wire.Heartbeat {
 	revision, _ := d.options.Revisions.Revision()
+	out := d.own(whole)
+	out.Revision = revision
+	if d.options.Extend != nil {
+		d.options.Extend(out)
+	}
+	return out
+}
+
+func (d *Driver) own(whole bool) *wire.Heartbeat {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.table.Self()
 	out := &wire.Heartbeat{
 		Id: self.ID, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
-		Leaving: self.State == Leaving, Revision: revision, Settled: d.listed,
+		Leaving: self.State == Leaving, Settled: d.listed,
 	}
 	rumours := d.table.News()
 	if whole && d.listed {
@@ -212,6 +281,7 @@
 		return false
 	}
 	d.Take(h)
+	d.absorb(h, time.Time{})
 	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(!h.GetSettled())}})
 	return true
 }
@@ -263,7 +333,7 @@
 	for {
 		pause := rosterUnlisted
 		if d.readRosterOnce(ctx) {
-			pause = rosterInterval
+			pause = d.options.RosterInterval
 		}
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue lets goroutines wait for what limit.Admission grants.
+package queue
--- a/session/certificate.go
+++ b/session/certificate.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"time"
 
 	"siskincove/endpoint"
@@ -55,6 +56,16 @@
 	return 0, false
 }
 
+// Oldest returns the oldest certificate that is not older than since, and false when there is none: the one that a
+// replica is most likely to cover.
+func (h History) Oldest(since time.Time) (Certificate, bool) {
+	n, _ := slices.BinarySearchFunc(h.certificates, since, func(c Certificate, t time.Time) int { return c.At.Compare(t) })
+	if n == len(h.certificates) {
+		return Certificate{}, false
+	}
+	return h.certificates[n], true
+}
+
 // Newest returns the newest certificate, and false when there is none.
 func (h History) Newest() (Certificate, bool) {
 	if len(h.certificates) == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,18 +10,24 @@
 // Settings are all sections of an instance's file.
 type Settings struct {
 	Instance Instance `toml:"instance"`
+	Callers  Callers  `toml:"callers"`
 	Listen   Listen   `toml:"listen"`
-	Platform Platform `toml:"platform"`
-	Token    Token    `toml:"token"`
-	Log      Log      `toml:"log"`
-	Drain    Drain    `toml:"drain"`
-	Failover Failover `toml:"failover"`
-	TLS      TLS      `toml:"tls"`
+	// Regions gives the region of each failure domain that endpoints may be in.
+	Regions   map[string]string `toml:"regions"`
+	Store     Store             `toml:"store"`
+	Promotion Promotion         `toml:"promotion"`
+	Platform  Platform          `toml:"platform"`
+	Token     Token             `toml:"token"`
+	Log       Log               `toml:"log"`
+	Drain     Drain             `toml:"drain"`
+	Failover  Failover          `toml:"failover"`
+	TLS       TLS               `toml:"tls"`
 }
 
 // Default returns the settings with every default filled in.
 func Default() Settings {
 	return Settings{
+		Callers:  defaultCallers(),
 		Platform: defaultPlatform(),
 		Log:      defaultLog(),
 		Drain:    defaultDrain(),
@@ -38,9 +44,9 @@
 	}
 	c := &checker{document: d}
 	s.Instance.check(c)
+	s.Callers.check(c)
 	s.Listen.check(c)
-	s.Platform.check(c)
-	s.Token.check(c)
+	s.checkProtocol(c)
 	s.Log.check(c)
 	s.Drain.check(c)
 	s.Failover.check(c)
@@ -48,6 +54,18 @@
 	return s, d, c.problems
 }
 
+// checkProtocol checks the sections that only one protocol uses.
+func (s Settings) checkProtocol(c *checker) {
+	if s.Callers.Protocol == ProtocolPlatform {
+		s.Store.check(c)
+		s.Promotion.check(c)
+		c.require("listen.metrics", s.Listen.Metrics)
+		return
+	}
+	s.Platform.check(c)
+	s.Token.check(c)
+}
+
 // checker collects the problems of a file.
 type checker struct {
 	document document.Document
--- /dev/null
+++ b/settings/store.go
@@ -0,0 +1,9 @@
+package settings
+
+// Store says where the platform's store of rows is.
+type Store struct {
+	// Address is an IP:port.
+	Address string `toml:"address"`
+}
+
+func (s Store) check(c *checker) { c.address("store.address", s.Address) }
--- /dev/null
+++ b/succession/coordinator.go
@@ -0,0 +1,307 @@
+package succession
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/connection"
+	"siskincove/database"
+	"siskincove/endpoint"
+	"siskincove/event"
+	"siskincove/statement"
+	"siskincove/store"
+)
+
+const (
+	// Coordinators is how many instances watch a database, each acting later than the one before.
+	Coordinators = 3
+	// roundInterval is how often the first coordinator looks whether the primary was proved to lead lately, and
+	// doubtInterval how often any does while there is doubt.
+	roundInterval = 200 * time.Millisecond
+	doubtInterval = 60 * time.Millisecond
+	// proofFresh is how old a proof may be that makes a question needless.
+	proofFresh = 350 * time.Millisecond
+	// surveyInterval is how often all endpoints are asked without doubt; standbyFactor is how much more rarely coordinators
+	// but the first do.
+	surveyInterval = 1200 * time.Millisecond
+	standbyFactor  = 3
+	// askTimeout bounds a question: two regions' round trip and the wait behind a statement.
+	askTimeout = 250 * time.Millisecond
+	// reservePause is the least pause between two attempts to reserve a fencing token.
+	reservePause   = 500 * time.Millisecond
+	reserveTimeout = 1500 * time.Millisecond
+)
+
+// DefaultTiming suits links of some ms and endpoints that restart within seconds.
+var DefaultTiming = Timing{
+	Refusing: 120 * time.Millisecond, Silent: 500 * time.Millisecond, Isolated: 700 * time.Millisecond,
+	Stagger: 700 * time.Millisecond, Stale: 2500 * time.Millisecond,
+}
+
+// Ranking tells the instances that coordinate a database.
+type Ranking interface {
+	// Rank returns this instance's place in the order of a database's coordinators, and false when it is none of them.
+	Rank(database string) (int, bool)
+}
+
+// Promoter gives orders to the platform.
+type Promoter interface {
+	// Promote orders that an endpoint becomes primary under a fencing token; ErrRefused and ErrBusy mean that the order has
+	// no effect, and any other error that it may take effect later.
+	Promote(ctx context.Context, database, endpoint string, fence uint64) error
+}
+
+// Options are what a coordinator needs to know and to use.
+type Options struct {
+	Timing    Timing
+	Clock     clock.Service
+	Logger    *event.Logger
+	Dialer    connection.Dialer
+	Promoter  Promoter
+	Rows      store.Rows
+	Databases *database.Registry
+	Ranking   Ranking
+	// Announce is called with a database whose primary was replaced.
+	Announce func(database string)
+}
+
+// Coordinator watches one database and replaces its primary.
+type Coordinator struct {
+	options  Options
+	name     string
+	probe    *probe
+	cancel   context.CancelFunc
+	done     chan struct{}
+	watch    Watch
+	doubt    bool
+	surveyed time.Time
+
+	mu      sync.Mutex
+	members []config.Endpoint
+	// acknowledge is how many replicas have received an acknowledged commit.
+	acknowledge int
+
+	// fence is the fencing token reserved ahead, 0 for none.
+	fence    uint64
+	reserved time.Time
+}
+
+// Start starts a coordinator for a database; it ends with ctx or Close.
+func Start(ctx context.Context, o Options, d config.Database, members []config.Endpoint) *Coordinator {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &Coordinator{
+		options: o, name: d.Name, probe: newProbe(o.Dialer, o.Clock), cancel: cancel, done: make(chan struct{}),
+		members: members, acknowledge: d.Acknowledge,
+	}
+	go c.run(ctx)
+	return c
+}
+
+// Configure takes over the group's endpoints.
+func (c *Coordinator) Configure(d config.Database, members []config.Endpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members, c.acknowledge = members, d.Acknowledge
+}
+
+// Close ends the coordinator.
+func (c *Coordinator) Close() { c.cancel() }
+
+// Done is closed when the coordinator has ended.
+func (c *Coordinator) Done() <-chan struct{} { return c.done }
+
+func (c *Coordinator) group() ([]config.Endpoint, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.members, c.acknowledge
+}
+
+func (c *Coordinator) run(ctx context.Context) {
+	defer close(c.done)
+	defer c.probe.close()
+	for ctx.Err() == nil {
+		pause := roundInterval
+		rank, ok := c.options.Ranking.Rank(c.name)
+		db, known := c.options.Databases.Get(c.name)
+		if ok && known {
+			c.round(ctx, db, rank)
+		}
+		switch {
+		case c.doubt:
+			pause = doubtInterval
+		case rank > 0:
+			pause *= standbyFactor
+		}
+		_ = clock.Wait(ctx, c.options.Clock, pause)
+	}
+}
+
+// round asks the endpoints if there is reason to, and acts on what they say.
+func (c *Coordinator) round(ctx context.Context, db *database.Database, rank int) {
+	members, _ := c.group()
+	c.probe.keep(members)
+	lead, led := db.View().Lead()
+	now := c.options.Clock.Now()
+	interval := surveyInterval
+	if rank > 0 {
+		interval *= standbyFactor
+	}
+	fresh := led && !lead.Claimed && now.Sub(lead.At) < proofFresh
+	if rank > 0 {
+		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofFresh+c.options.Timing.Silent
+	}
+	if fresh && !c.doubt && !leaving(members, lead.Endpoint) && now.Sub(c.surveyed) < interval {
+		return
+	}
+	c.surveyed = now
+	c.judge(ctx, db, rank, members)
+	c.reserve(ctx)
+}
+
+func leaving(members []config.Endpoint, name string) bool {
+	for _, e := range members {
+		if e.Name == name {
+			return e.Leaving
+		}
+	}
+	return true
+}
+
+// judge asks every endpoint and draws the conclusion.
+func (c *Coordinator) judge(ctx context.Context, db *database.Database, rank int, members []config.Endpoint) {
+	asked := c.options.Clock.Now()
+	sights := c.look(ctx, members)
+	lead, _ := db.View().Lead()
+	_, acknowledge := c.group()
+	survey := Survey{Lead: lead.Endpoint, Sights: sights, Acknowledge: acknowledge}
+	if !lead.Claimed {
+		survey.Proven = lead.At
+	}
+	var j Judgement
+	c.watch, j = c.watch.Take(survey, rank, c.options.Timing, c.options.Clock.Now())
+	if j.Lead != "" {
+		db.Led(j.Lead, j.Position, asked)
+	}
+	doubt := j.Reason != NoReason
+	if doubt && !c.doubt {
+		c.options.Logger.Log(event.PrimaryDoubted, log.Fields{"database": c.name, "why": string(j.Reason), "lead": lead.Endpoint, "rank": rank})
+	}
+	c.doubt = doubt
+	if len(j.Release) > 0 && c.settle(ctx, j.Lead) {
+		for _, name := range j.Release {
+			c.release(ctx, name)
+		}
+	}
+	if j.Replace {
+		c.replace(ctx, db, members, j, lead.Endpoint)
+	}
+}
+
+// look asks all endpoints at once.
+func (c *Coordinator) look(ctx context.Context, members []config.Endpoint) []Sight {
+	sights := make([]Sight, len(members))
+	var wait sync.WaitGroup
+	for i, e := range members {
+		wait.Go(func() { sights[i] = c.probe.ask(ctx, e, statement.Own(statement.Status), askTimeout) })
+	}
+	wait.Wait()
+	return sights
+}
+
+// settle makes sure that no order of a succession that was left halfway takes effect any more: the platform has seen a
+// higher fencing token once it has taken the order to promote the endpoint that leads anyway.
+func (c *Coordinator) settle(ctx context.Context, lead string) bool {
+	c.reserve(ctx)
+	if c.fence == 0 {
+		return false
+	}
+	fence := c.fence
+	c.fence = 0
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if err := c.options.Promoter.Promote(ctx, c.name, lead, fence); err != nil {
+		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": lead, "fence": fence, "error": err.Error()})
+		return false
+	}
+	return true
+}
+
+func (c *Coordinator) release(ctx context.Context, name string) {
+	members, _ := c.group()
+	for _, e := range members {
+		if e.Name == name {
+			c.probe.ask(ctx, e, statement.Own(statement.Resume), askTimeout)
+			c.options.Logger.Log(event.HoldReleased, log.Fields{"database": c.name, "endpoint": name})
+		}
+	}
+}
+
+// reserve keeps a fencing token in stock.
+func (c *Coordinator) reserve(ctx context.Context) {
+	now := c.options.Clock.Now()
+	if c.fence != 0 || now.Sub(c.reserved) < reservePause {
+		return
+	}
+	c.reserved = now
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	fence, err := Reserve(ctx, c.options.Rows, c.name)
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			c.options.Logger.Log(event.FenceMissing, log.Fields{"database": c.name, "error": err.Error()})
+		}
+		return
+	}
+	c.fence = fence
+	c.options.Logger.Log(event.FenceReserved, log.Fields{"database": c.name, "fence": fence})
+}
+
+// replace runs a succession to its end.
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, members []config.Endpoint, j Judgement, known string) {
+	if c.fence == 0 {
+		c.reserve(ctx)
+	}
+	if c.fence == 0 {
+		return
+	}
+	_, acknowledge := c.group()
+	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: lost(j, known), Acknowledge: acknowledge}
+	c.fence = 0
+	for _, e := range members {
+		if e.Name != plan.Lost {
+			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name, Leaving: e.Leaving})
+		}
+	}
+	c.options.Logger.Log(event.SuccessionStarted, log.Fields{
+		"database": c.name, "why": string(j.Reason), "since": c.options.Clock.Now().Sub(j.Since).String(), "lost": plan.Lost,
+		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
+	})
+	r := &run{coordinator: c, database: db, members: members, succession: New(plan)}
+	r.conduct(ctx)
+	c.watch, c.doubt = Watch{}, true
+	c.surveyed = time.Time{}
+	c.reserve(ctx)
+}
+
+// termBlock is by how much the terms of holds grow: it is more than the successions that can see the same newest term,
+// so that the fencing token makes their terms differ.
+const termBlock = 1 << 10
+
+// holdTerm returns a term above the newest one that no other succession uses for its holds.
+func holdTerm(newest endpoint.FencedTerm, fence uint64) endpoint.FencedTerm {
+	return (newest/termBlock+1)*termBlock + endpoint.FencedTerm(fence%termBlock)
+}
+
+// lost returns the primary to be replaced: the one that leads, or else the one that was known to.
+func lost(j Judgement, known string) string {
+	if j.Lead != "" {
+		return j.Lead
+	}
+	return known
+}
--- /dev/null
+++ b/succession/event.go
@@ -0,0 +1,56 @@
+package succession
+
+import "siskincove/endpoint"
+
+// Event is what a succession takes in.
+type Event interface{ event() }
+
+// Reply is what an endpoint said of itself, as the answer to an order or to a question.
+type Reply struct {
+	Endpoint string
+	Standing endpoint.Standing
+}
+
+// Ordered is what the platform made of the promotion.
+type Ordered struct {
+	Outcome Outcome
+}
+
+// Timeout ends a phase that lasted too long.
+type Timeout struct{}
+
+func (Reply) event()   {}
+func (Ordered) event() {}
+func (Timeout) event() {}
+
+// Outcome is what became of an order to the platform.
+type Outcome uint8
+
+const (
+	// Accepted orders take effect.
+	Accepted Outcome = iota
+	// Refused orders never take effect.
+	Refused
+	// NotTaken orders had no effect and may be given again.
+	NotTaken
+	// Unknown orders may take effect later.
+	Unknown
+)
+
+// Order is what a succession wants done.
+type Order uint8
+
+const (
+	// Hold stops a replica from receiving, under the plan's term.
+	Hold Order = iota
+	// Promote tells the platform to make an endpoint primary, under the plan's fencing token.
+	Promote
+	// Resume releases a replica that is held under the plan's term.
+	Resume
+)
+
+// Action is an order and the endpoint that it concerns.
+type Action struct {
+	Order    Order
+	Endpoint string
+}
--- /dev/null
+++ b/succession/watch.go
@@ -0,0 +1,251 @@
+package succession
+
+import (
+	"time"
+
+	"siskincove/endpoint"
+)
+
+// Sight is what one look at an endpoint gave.
+type Sight struct {
+	Endpoint string
+	// Answered tells that the endpoint answered, if only that it has no free slot.
+	Answered bool
+	// Refused tells that nothing listens at the endpoint's address.
+	Refused bool
+	// Standing is what the endpoint said of itself, nil when it said nothing.
+	Standing *endpoint.Standing
+	Leaving  bool
+}
+
+// Survey is what is known of a group after a look at all its endpoints.
+type Survey struct {
+	// Lead is the endpoint that was known to lead before the look, empty for none, and Proven when that was last proved,
+	// also by what peers tell.
+	Lead   string
+	Proven time.Time
+	Sights []Sight
+	// Acknowledge is how many replicas have received an acknowledged commit.
+	Acknowledge int
+}
+
+// Reason is the evidence that a primary has to be replaced.
+type Reason string
+
+const (
+	// NoReason means that the primary works.
+	NoReason Reason = ""
+	// Refusing means that nothing listens at the primary's address.
+	Refusing Reason = "primary refuses connections"
+	// Silent means that the primary does not answer.
+	Silent Reason = "primary does not answer"
+	// Leaderless means that no endpoint leads.
+	Leaderless Reason = "no endpoint leads"
+	// Departing means that the primary is leaving.
+	Departing Reason = "primary is leaving"
+	// Isolated means that no replica receives what the primary writes.
+	Isolated Reason = "no replica receives from the primary"
+)
+
+// Timing says how long evidence must last.
+type Timing struct {
+	// Refusing is for a primary whose address refuses connections, as after a crash.
+	Refusing time.Duration
+	// Silent is for one that does not answer, as behind a cut.
+	Silent time.Duration
+	// Isolated is for one whose replicas do not receive.
+	Isolated time.Duration
+	// Stagger is added for each coordinator before this one.
+	Stagger time.Duration
+	// Stale is how old a hold must be before it counts as forgotten by its owner.
+	Stale time.Duration
+}
+
+// Watch keeps how long the evidence against a primary has lasted; it is an immutable value.
+type Watch struct {
+	reason Reason
+	since  time.Time
+	// mark is where the primary's log stood when no replica had come as far, and marked since when.
+	mark   endpoint.Position
+	marked time.Time
+	// holds are the holds seen beside a working primary.
+	holds []seenHold
+}
+
+type seenHold struct {
+	endpoint string
+	term     endpoint.FencedTerm
+	since    time.Time
+}
+
+// Judgement is what a look leads to.
+type Judgement struct {
+	// Lead is the endpoint that said that it leads under the newest term, empty for none.
+	Lead     string
+	Position endpoint.Position
+	Reason   Reason
+	Since    time.Time
+	// Replace is set when a succession should start.
+	Replace bool
+	// Release are replicas whose holds were forgotten.
+	Release []string
+	// Term is the newest term that any endpoint knows or is held under.
+	Term endpoint.FencedTerm
+}
+
+// Take returns the watch after a look and what follows from it; rank is this coordinator's place in the order.
+func (w Watch) Take(s Survey, rank int, t Timing, now time.Time) (Watch, Judgement) {
+	j := Judgement{Term: newestTerm(s.Sights)}
+	lead := leadOf(s.Sights)
+	if lead != nil {
+		j.Lead, j.Position = lead.Endpoint, lead.Standing.Log
+	}
+	w = w.withMark(lead, s.Sights, now)
+	reason := w.evidence(s, lead, t, now)
+	if reason != w.reason {
+		w.reason, w.since = reason, now
+	}
+	// A proof that came by another way, as from a peer, is newer than the evidence.
+	if reason != NoReason && reason != Departing && reason != Isolated && s.Proven.After(w.since) {
+		w.since = now
+	}
+	j.Reason, j.Since = reason, w.since
+	j.Replace = reason != NoReason && now.Sub(w.since) >= t.patience(reason, rank) && promotable(s, j)
+	if reason == NoReason {
+		w, j.Release = w.withHolds(s.Sights, t, now)
+	}
+	return w, j
+}
+
+func newestTerm(sights []Sight) endpoint.FencedTerm {
+	newest := endpoint.FencedTerm(0)
+	for _, s := range sights {
+		if s.Standing != nil {
+			newest = max(newest, s.Standing.Term, s.Standing.Held)
+		}
+	}
+	return newest
+}
+
+// leadOf returns the endpoint that leads under the newest term, nil for none.
+func leadOf(sights []Sight) *Sight {
+	var best *Sight
+	for i, s := range sights {
+		if s.Standing != nil && s.Standing.Role == endpoint.Primary && (best == nil || s.Standing.Term > best.Standing.Term) {
+			best = &sights[i]
+		}
+	}
+	return best
+}
+
+func (w Watch) evidence(s Survey, lead *Sight, t Timing, now time.Time) Reason {
+	if lead != nil {
+		switch {
+		case lead.Leaving && successors(s.Sights, lead.Endpoint) > 0:
+			return Departing
+		case w.mark != (endpoint.Position{}) && now.Sub(w.marked) >= t.Isolated:
+			return Isolated
+		default:
+			return NoReason
+		}
+	}
+	for _, sight := range s.Sights {
+		if sight.Endpoint != s.Lead {
+			continue
+		}
+		switch {
+		case sight.Answered && sight.Standing == nil:
+			// It is busy, which is an answer.
+			return NoReason
+		case sight.Refused:
+			return Refusing
+		case !sight.Answered:
+			return Silent
+		}
+	}
+	return Leaderless
+}
+
+// withMark keeps where the primary's log stood when no replica had come as far.
+func (w Watch) withMark(lead *Sight, sights []Sight, now time.Time) Watch {
+	if lead == nil {
+		return w
+	}
+	replicas, reached := 0, false
+	for _, s := range sights {
+		if s.Endpoint == lead.Endpoint || s.Standing == nil {
+			continue
+		}
+		replicas++
+		reached = reached || s.Standing.Log.Covers(w.mark) && w.mark != (endpoint.Position{}) || s.Standing.Log.Covers(lead.Standing.Log)
+	}
+	switch {
+	case replicas == 0 || reached:
+		w.mark, w.marked = endpoint.Position{}, time.Time{}
+	case w.mark == (endpoint.Position{}):
+		w.mark, w.marked = lead.Standing.Log, now
+	}
+	return w
+}
+
+// successors counts the answering endpoints that could lead in the place of one that leaves.
+func successors(sights []Sight, lead string) int {
+	n := 0
+	for _, s := range sights {
+		if s.Endpoint != lead && s.Standing != nil && !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (t Timing) patience(r Reason, rank int) time.Duration {
+	stagger := time.Duration(rank) * t.Stagger
+	switch r {
+	case Refusing, Leaderless:
+		return t.Refusing + stagger
+	case Silent:
+		return t.Silent + stagger
+	default:
+		return stagger
+	}
+}
+
+// promotable reports whether enough replicas answer for a succession to succeed.
+func promotable(s Survey, j Judgement) bool {
+	lost := lost(j, s.Lead)
+	missing, answering := 0, 0
+	for _, sight := range s.Sights {
+		switch {
+		case sight.Endpoint == lost:
+		case sight.Standing != nil && sight.Standing.Role == endpoint.Replica:
+			answering++
+		default:
+			missing++
+		}
+	}
+	return answering > 0 && missing < max(s.Acknowledge, 1)
+}
+
+// withHolds keeps the holds seen beside a working primary and returns those that are forgotten.
+func (w Watch) withHolds(sights []Sight, t Timing, now time.Time) (Watch, []string) {
+	var holds []seenHold
+	var release []string
+	for _, s := range sights {
+		if s.Standing == nil || s.Standing.Held == 0 {
+			continue
+		}
+		h := seenHold{endpoint: s.Endpoint, term: s.Standing.Held, since: now}
+		for _, before := range w.holds {
+			if before.endpoint == h.endpoint && before.term == h.term {
+				h.since = before.since
+			}
+		}
+		holds = append(holds, h)
+		if now.Sub(h.since) >= t.Stale {
+			release = append(release, s.Endpoint)
+		}
+	}
+	w.holds = holds
+	return w, release
+}
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -30,4 +30,22 @@
 	ReadOnly Reason = "readonly"
 	// Canceled means that the caller gave up.
 	Canceled Reason = "canceled"
+	// Failed means that the endpoint ran the statement and reported a failure.
+	Failed Reason = "failed"
+	// Timeout means that the time for the statement passed.
+	Timeout Reason = "timeout"
+	// Aborted means that the transaction was lost before its commit was sent.
+	Aborted Reason = "aborted"
+	// Unprepared means that the prepared statement is not known.
+	Unprepared Reason = "unprepared"
+	// Unrouted means that no route has the name that the caller connects to.
+	Unrouted Reason = "unrouted"
+	// Misrouted means that another endpoint answers at the address.
+	Misrouted Reason = "misrouted"
+	// Connections means that the endpoint admits no further connection.
+	Connections Reason = "connections"
+	// Malformed means that the request can't be understood or has no place in the session's state.
+	Malformed Reason = "malformed"
+	// Oversized means that the request exceeds the bound on its size.
+	Oversized Reason = "oversized"
 )
