--- a/database/database.go
+++ b/database/database.go
@@ -23,12 +23,14 @@
 	view    group.View
 	members []config.Endpoint
 	pools   map[string]*connection.Pool
+	// leaving is since when an endpoint is known to leave.
+	leaving map[string]time.Time
 	// changed is closed, and replaced, when another endpoint leads or none does.
 	changed chan struct{}
 }
 
 func newDatabase(name string, o Options) *Database {
-	return &Database{name: name, options: o, pools: make(map[string]*connection.Pool), changed: make(chan struct{})}
+	return &Database{name: name, options: o, pools: make(map[string]*connection.Pool), leaving: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Name returns the group's name.
@@ -59,8 +61,21 @@
 func (d *Database) Choose(q group.Query) []group.Choice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.options.Clock.Now()
 	inflight := func(name string) int { return d.pools[name].Used() }
-	return d.view.Choose(q, d.members, inflight, d.options.Clock.Now())
+	return d.view.Choose(q, d.staying(now), inflight, now)
+}
+
+// staying returns the endpoints that may get new work.
+func (d *Database) staying(now time.Time) []config.Endpoint {
+	out := make([]config.Endpoint, 0, len(d.members))
+	for _, e := range d.members {
+		since, leaving := d.leaving[e.Name]
+		if !leaving || now.Sub(since) < d.options.Drain-noticeDelay {
+			out = append(out, e)
+		}
+	}
+	return out
 }
 
 // Pool returns the connections to an endpoint, and false when it is no longer a member.
@@ -102,6 +117,14 @@
 	d.update("peer", func(v group.View, _ time.Time) group.View { return v.WithLead(name, c.Position, c.At) })
 }
 
+// Hinted notes that, as a peer told, an endpoint led at about a time.
+func (d *Database) Hinted(name string, at time.Time) {
+	if _, known := d.Pool(name); !known {
+		return
+	}
+	d.update("hint", func(v group.View, _ time.Time) group.View { return v.WithHint(name, at) })
+}
+
 // Denied notes that an endpoint refused a statement, sent at a time, since it does not lead.
 func (d *Database) Denied(name string, sent time.Time) {
 	d.update("denial", func(v group.View, now time.Time) group.View { return v.WithDenial(name, sent, now) })
@@ -139,6 +162,7 @@
 	for _, e := range members {
 		current[e.Name] = true
 		d.place(e, limit)
+		d.note(e)
 	}
 	for name, p := range d.pools {
 		if !current[name] {
@@ -166,9 +190,21 @@
 	})
 }
 
+// note keeps since when an endpoint leaves.
+func (d *Database) note(e config.Endpoint) {
+	_, known := d.leaving[e.Name]
+	switch {
+	case !e.Leaving:
+		delete(d.leaving, e.Name)
+	case !known:
+		d.leaving[e.Name] = d.options.Clock.Now()
+	}
+}
+
 func (d *Database) drop(name string, p *connection.Pool) {
 	p.Close()
 	delete(d.pools, name)
+	delete(d.leaving, name)
 	d.view = d.view.Without(name)
 }
 
--- a/database/registry.go
+++ b/database/registry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"siskincove/clock"
 	"siskincove/config"
@@ -16,8 +17,14 @@
 	Dialer connection.Dialer
 	Clock  clock.Service
 	Logger *event.Logger
+	// Drain is how long after its notice a leaving endpoint may get new work.
+	Drain time.Duration
 }
 
+// noticeDelay is how much later than the store this instance may learn that an endpoint leaves: a reading of the table, a
+// heartbeat that relays it, and a slow call.
+const noticeDelay = 2500 * time.Millisecond
+
 const (
 	// connectionShare is the part of an endpoint's connections that instances divide among them; the rest is left for
 	// coordinators and for instances that do not know of each other yet.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -49,7 +49,9 @@
 	configuration store.Row
 	sheet         Sheet
 	listed        bool
-	lost          map[string]time.Time
+	// since is when the endpoints became known.
+	since time.Time
+	lost  map[string]time.Time
 }
 
 // New returns a directory that ends with ctx.
@@ -70,6 +72,17 @@
 // Catalog returns what is in force, nil until there is a configuration and the endpoints are known.
 func (d *Directory) Catalog() *config.Catalog { return d.catalog.Load() }
 
+// Refresh reads the endpoints anew, if the store answers at once, and reports whether they are known for long enough
+// that none is left out whose entry lapsed for a moment.
+func (d *Directory) Refresh(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	d.report(endpointReads, d.readEndpoints(ctx))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed && d.options.Clock.Now().Sub(d.since) >= missingPause
+}
+
 // Poke asks for the endpoints to be read soon, because what is known of them proved wrong.
 func (d *Directory) Poke() {
 	select {
@@ -126,6 +139,9 @@
 	if diff.Empty() && !first {
 		return
 	}
+	if first {
+		d.since = d.options.Clock.Now()
+	}
 	d.listed = true
 	for _, name := range diff.Missing {
 		d.options.Logger.Log(event.EndpointMissing, log.Fields{"endpoint": name, "from": from, "version": next.Version()})
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -26,6 +26,8 @@
 	// pause between two reads.
 	pollInterval = 1200 * time.Millisecond
 	pokePause    = 300 * time.Millisecond
+	// refreshTimeout bounds a reading that something urgent waits for.
+	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the others look whether something is to be done.
 	standbyInterval = time.Second
 	// retryFirst and retryMaximum pace calls while the store does not answer.
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -62,8 +62,11 @@
 		return answerAt(answers, own), err
 	}
 	opened, err := held.Exchange(ctx, deadline, append(steps, statement.Own(statement.Begin))...)
-	if err != nil || opened[own].Failure != nil {
-		return answerAt(opened, own), err
+	if err != nil {
+		return nil, err
+	}
+	if a := opened[own]; a.Failure != nil {
+		return &a, nil
 	}
 	answers, err := held.Exchange(ctx, deadline, step, statement.Own(statement.Rollback))
 	return answerAt(answers, 0), err
--- a/group/view.go
+++ b/group/view.go
@@ -61,7 +61,7 @@
 	if v.member(name).deniedAt.After(at) {
 		return v
 	}
-	if v.lead.Endpoint == "" || v.lead.Claimed || !at.Before(v.lead.At) {
+	if v.lead.Endpoint == "" || v.lead.Endpoint == name && v.lead.Claimed || !at.Before(v.lead.At) {
 		v.lead = Lead{Endpoint: name, At: at}
 	}
 	return v.WithCertificate(session.Certificate{Position: position, At: at})
@@ -91,6 +91,16 @@
 	return v
 }
 
+// WithHint returns the view after a peer told that an endpoint led at about a time, which is not exact enough for a
+// proof.
+func (v View) WithHint(name string, at time.Time) View {
+	if v.lead.Endpoint == name || v.member(name).deniedAt.After(at) || v.lead.Endpoint != "" && !at.After(v.lead.At) {
+		return v
+	}
+	v.lead = Lead{Endpoint: name, At: at, Claimed: true}
+	return v
+}
+
 // WithDenial returns the view after an endpoint refused a statement, sent at a time, because it does not lead.
 func (v View) WithDenial(name string, sent, now time.Time) View {
 	m := v.member(name)
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"siskincove/database"
 	"siskincove/directory"
 	"siskincove/event"
 	"siskincove/peer"
@@ -42,16 +43,12 @@
 	}
 }
 
-// absorb takes in what a peer's heartbeat adds. An age counts from when this instance asked: the answer can't be older
-// than the question, however long it was under way.
+// absorb takes in what a peer's heartbeat adds.
 func (i *Instance) absorb(h *wire.Heartbeat, asked time.Time) {
 	<-i.wired
-	if !asked.IsZero() {
-		for _, told := range h.GetLeads() {
-			if d, ok := i.databases.Get(told.GetDatabase()); ok {
-				at := asked.Add(-peer.Duration(told.GetAge()))
-				d.Heard(told.GetEndpoint(), session.Certificate{Position: peer.FromPosition(told.GetPosition()), At: at})
-			}
+	for _, told := range h.GetLeads() {
+		if d, ok := i.databases.Get(told.GetDatabase()); ok {
+			i.learn(d, told, asked)
 		}
 	}
 	theirs := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: h.GetEndpoints()}
@@ -60,6 +57,17 @@
 	}
 }
 
+// learn takes in who led a database. In an answer, an age counts from when this instance asked: the answer can't be
+// older than the question, however long it was under way. A heartbeat that answers none gives only a hint.
+func (i *Instance) learn(d *database.Database, told *wire.Lead, asked time.Time) {
+	age := peer.Duration(told.GetAge())
+	if asked.IsZero() {
+		d.Hinted(told.GetEndpoint(), i.options.Clock.Now().Add(-age))
+		return
+	}
+	d.Heard(told.GetEndpoint(), session.Certificate{Position: peer.FromPosition(told.GetPosition()), At: asked.Add(-age)})
+}
+
 // fetch takes over the directory of a peer that has a newer one.
 func (i *Instance) fetch(address string) {
 	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -68,7 +68,7 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
-	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger})
+	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: s.Drain.Endpoint.Std()})
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: s.Regions, Polls: i.polls, Apply: i.apply,
 	})
@@ -103,7 +103,8 @@
 		Start: func(ctx context.Context, d config.Database, members []config.Endpoint) *succession.Coordinator {
 			return succession.Start(ctx, succession.Options{
 				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.Dialer, Promoter: o.Promoter,
-				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Announce: i.announce,
+				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.directory.Refresh,
+				Announce: i.announce,
 			}, d, members)
 		},
 	})
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +68,9 @@
 	Rows      store.Rows
 	Databases *database.Registry
 	Ranking   Ranking
+	// Refresh reads the endpoints anew, if the store answers at once, and reports whether they are known well enough to
+	// tell which logs may hold acknowledged commits.
+	Refresh func(ctx context.Context) bool
 	// Announce is called with a database whose primary was replaced.
 	Announce func(database string)
 }
@@ -194,12 +198,14 @@
 	}
 	c.doubt = doubt
 	if len(j.Release) > 0 && c.settle(ctx, j.Lead) {
-		for _, name := range j.Release {
-			c.release(ctx, name)
+		for _, e := range members {
+			if slices.Contains(j.Release, e.Name) {
+				c.release(ctx, e)
+			}
 		}
 	}
 	if j.Replace {
-		c.replace(ctx, db, members, j, lead.Endpoint)
+		c.replace(ctx, db, members, j)
 	}
 }
 
@@ -232,14 +238,14 @@
 	return true
 }
 
-func (c *Coordinator) release(ctx context.Context, name string) {
-	members, _ := c.group()
-	for _, e := range members {
-		if e.Name == name {
-			c.probe.ask(ctx, e, statement.Own(statement.Resume), askTimeout)
-			c.options.Logger.Log(event.HoldReleased, log.Fields{"database": c.name, "endpoint": name})
-		}
+// release lets a replica receive again and reports whether it does.
+func (c *Coordinator) release(ctx context.Context, e config.Endpoint) bool {
+	sight := c.probe.ask(ctx, e, statement.Own(statement.Resume), askTimeout)
+	if sight.Standing == nil {
+		return false
 	}
+	c.options.Logger.Log(event.HoldReleased, log.Fields{"database": c.name, "endpoint": e.Name})
+	return true
 }
 
 // reserve keeps a fencing token in stock.
@@ -263,15 +269,19 @@
 }
 
 // replace runs a succession to its end.
-func (c *Coordinator) replace(ctx context.Context, db *database.Database, members []config.Endpoint, j Judgement, known string) {
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, members []config.Endpoint, j Judgement) {
 	if c.fence == 0 {
 		c.reserve(ctx)
 	}
-	if c.fence == 0 {
+	if c.fence == 0 || !c.options.Refresh(ctx) {
 		return
 	}
-	_, acknowledge := c.group()
-	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: lost(j, known), Acknowledge: acknowledge}
+	known, acknowledge := c.group()
+	if !slices.Equal(known, members) {
+		// An endpoint joined or left since the look: the next look takes it in.
+		return
+	}
+	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: j.Lost, Acknowledge: acknowledge}
 	c.fence = 0
 	for _, e := range members {
 		if e.Name != plan.Lost {
@@ -297,11 +307,3 @@
 func holdTerm(newest endpoint.FencedTerm, fence uint64) endpoint.FencedTerm {
 	return (newest/termBlock+1)*termBlock + endpoint.FencedTerm(fence%termBlock)
 }
-
-// lost returns the primary to be replaced: the one that leads, or else the one that was known to.
-func lost(j Judgement, known string) string {
-	if j.Lead != "" {
-		return j.Lead
-	}
-	return known
-}
--- a/succession/run.go
+++ b/succession/run.go
@@ -28,6 +28,8 @@
 	// leadInterval is how often the chosen endpoint is asked whether it leads.
 	leadInterval = 40 * time.Millisecond
 	eventQueue   = 16
+	// resumeTries is how often an endpoint without a free slot is told to receive again.
+	resumeTries = 10
 	// orderAge is how old holds may be when the first order is given: well below the time after which other coordinators
 	// take them for forgotten, which a suspension of this machine may have used up.
 	orderAge = 1200 * time.Millisecond
@@ -74,7 +76,7 @@
 			r.succession, actions = next.Take(Timeout{})
 			next = r.succession
 		}
-		if next.Phase() == Stopped {
+		if next.Phase() >= Done {
 			r.resume(outer, actions)
 			break
 		}
@@ -206,14 +208,28 @@
 
 // resume releases the replicas that this succession holds, and no others.
 func (r *run) resume(ctx context.Context, actions []Action) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
 	for _, a := range actions {
 		e, ok := r.member(a.Endpoint)
-		if a.Order != Resume || !ok {
-			continue
+		if a.Order == Resume && ok {
+			wait.Go(func() { r.resumeOne(ctx, e) })
 		}
-		sight := r.coordinator.probe.ask(ctx, e, statement.Own(statement.Status), askTimeout)
-		if sight.Standing != nil && sight.Standing.Held == r.succession.Plan().Term {
-			r.coordinator.release(ctx, e.Name)
+	}
+}
+
+func (r *run) resumeOne(ctx context.Context, e config.Endpoint) {
+	c := r.coordinator
+	for range resumeTries {
+		sight := c.probe.ask(ctx, e, statement.Own(statement.Status), askTimeout)
+		switch {
+		case sight.Standing != nil && sight.Standing.Held != r.succession.Plan().Term:
+			return
+		case sight.Standing != nil && c.release(ctx, e):
+			return
+		case !sight.Answered:
+			return
 		}
+		_ = clock.Wait(ctx, c.options.Clock, leadInterval)
 	}
 }
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -130,7 +130,7 @@
 	switch {
 	case r.Endpoint == s.target:
 		s.phase = Done
-		return s, nil
+		return s, s.release()
 	case r.Endpoint == s.plan.Lost || s.phase == Promoting:
 		return s, nil
 	default:
@@ -211,11 +211,19 @@
 // stop ends without a promotion and releases the holds.
 func (s Succession) stop(why string) (Succession, []Action) {
 	s.phase, s.why = Stopped, why
+	return s, s.release()
+}
+
+// release returns the orders that let the replicas receive again. A promotion releases none but its target, and while
+// the others are held no commit of the new primary can be acknowledged.
+func (s Succession) release() []Action {
 	out := make([]Action, 0, len(s.plan.Replicas))
 	for _, r := range s.plan.Replicas {
-		out = append(out, Action{Order: Resume, Endpoint: r.Name})
+		if r.Name != s.target || s.phase == Stopped {
+			out = append(out, Action{Order: Resume, Endpoint: r.Name})
+		}
 	}
-	return s, out
+	return out
 }
 
 // superseded ends without releasing anything.
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -68,7 +68,7 @@
 	// mark is where the primary's log stood when no replica had come as far, and marked since when.
 	mark   endpoint.Position
 	marked time.Time
-	// holds are the holds seen beside a working primary.
+	// holds are the holds seen, and since when.
 	holds []seenHold
 }
 
@@ -85,8 +85,10 @@
 	Position endpoint.Position
 	Reason   Reason
 	Since    time.Time
-	// Replace is set when a succession should start.
+	// Replace is set when a succession should start, and Lost is the endpoint that it replaces, whose log does not count;
+	// empty when none is known.
 	Replace bool
+	Lost    string
 	// Release are replicas whose holds were forgotten.
 	Release []string
 	// Term is the newest term that any endpoint knows or is held under.
@@ -109,14 +111,52 @@
 	if reason != NoReason && reason != Departing && reason != Isolated && s.Proven.After(w.since) {
 		w.since = now
 	}
-	j.Reason, j.Since = reason, w.since
-	j.Replace = reason != NoReason && now.Sub(w.since) >= t.patience(reason, rank) && promotable(s, j)
-	if reason == NoReason {
-		w, j.Release = w.withHolds(s.Sights, t, now)
+	j.Reason, j.Since, j.Lost = reason, w.since, lost(s, j.Lead)
+	w = w.withHolds(s.Sights, now)
+	lasted := now.Sub(w.since) >= t.patience(reason, rank)
+	j.Replace = reason != NoReason && lasted && promotable(s, j.Lost) && !w.underWay(t, rank, now)
+	if reason == NoReason && lead != nil {
+		j.Release = w.forgotten(t, now)
 	}
 	return w, j
 }
 
+// lost returns the endpoint to be replaced: the one that leads, or the one that did and does not answer. One that says it
+// is a replica is counted like the others.
+func lost(s Survey, lead string) string {
+	if lead != "" {
+		return lead
+	}
+	for _, sight := range s.Sights {
+		if sight.Endpoint == s.Lead && sight.Standing != nil {
+			return ""
+		}
+	}
+	return s.Lead
+}
+
+// underWay reports whether another coordinator's succession seems to be under way: some replica is held, and not for
+// long enough to count as forgotten.
+func (w Watch) underWay(t Timing, rank int, now time.Time) bool {
+	for _, h := range w.holds {
+		if now.Sub(h.since) < t.Stale+time.Duration(rank)*t.Stagger {
+			return true
+		}
+	}
+	return false
+}
+
+// forgotten returns the replicas that have been held beside a working primary for too long.
+func (w Watch) forgotten(t Timing, now time.Time) []string {
+	var out []string
+	for _, h := range w.holds {
+		if now.Sub(h.since) >= t.Stale {
+			out = append(out, h.endpoint)
+		}
+	}
+	return out
+}
+
 func newestTerm(sights []Sight) endpoint.FencedTerm {
 	newest := endpoint.FencedTerm(0)
 	for _, s := range sights {
@@ -212,8 +252,7 @@
 }
 
 // promotable reports whether enough replicas answer for a succession to succeed.
-func promotable(s Survey, j Judgement) bool {
-	lost := lost(j, s.Lead)
+func promotable(s Survey, lost string) bool {
 	missing, answering := 0, 0
 	for _, sight := range s.Sights {
 		switch {
@@ -227,10 +266,9 @@
 	return answering > 0 && missing < max(s.Acknowledge, 1)
 }
 
-// withHolds keeps the holds seen beside a working primary and returns those that are forgotten.
-func (w Watch) withHolds(sights []Sight, t Timing, now time.Time) (Watch, []string) {
+// withHolds keeps the holds that are seen, and since when.
+func (w Watch) withHolds(sights []Sight, now time.Time) Watch {
 	var holds []seenHold
-	var release []string
 	for _, s := range sights {
 		if s.Standing == nil || s.Standing.Held == 0 {
 			continue
@@ -242,10 +280,7 @@
 			}
 		}
 		holds = append(holds, h)
-		if now.Sub(h.since) >= t.Stale {
-			release = append(release, s.Endpoint)
-		}
 	}
 	w.holds = holds
-	return w, release
+	return w
 }
