directory: fetch a peer's directory once, and only what is newer

Change: accepted endpoints bear the peer's version; an inquiry names what is held and gets only what is newer; one fetch runs at a time.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -124,6 +124,10 @@
 		d.options.Logger.Log(event.EntryUnreadable, log.Fields{"endpoint": name, "error": err.Error()})
 	}
 	next, diff := d.sheet.With(rows, version, d.options.Decoder, d.options.Clock.Now(), unreadable)
+	if from == fromPeer {
+		// The same endpoints under a later version are as new as the peer's, and need not be fetched again.
+		next.version = version
+	}
 	d.replace(next, diff, from, !d.listed)
 }
 
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -28,11 +28,18 @@
 	return Versions{Configuration: d.configuration.Version, Endpoints: d.sheet.Version()}
 }
 
-// Offer returns what is in force here.
-func (d *Directory) Offer() Offer {
+// Offer returns what is in force here and newer than a peer's.
+func (d *Directory) Offer(theirs Versions) Offer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Offer{Configuration: d.configuration, Endpoints: d.sheet.Rows(), Version: d.sheet.Version()}
+	var o Offer
+	if d.configuration.Version > theirs.Configuration {
+		o.Configuration = d.configuration
+	}
+	if d.sheet.Version() > theirs.Endpoints {
+		o.Endpoints, o.Version = d.sheet.Rows(), d.sheet.Version()
+	}
+	return o
 }
 
 // Accept takes over what a peer has and is newer.
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -53,7 +53,7 @@
 	}
 	theirs := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: h.GetEndpoints()}
 	if theirs.NewerThan(i.directory.Versions()) {
-		i.fetch(h.GetAddress())
+		i.fetch(theirs, h.GetAddress())
 	}
 }
 
@@ -68,11 +68,19 @@
 	d.Heard(told.GetEndpoint(), session.Certificate{Position: peer.FromPosition(told.GetPosition()), At: asked.Add(-age)})
 }
 
-// fetch takes over the directory of a peer that has a newer one.
-func (i *Instance) fetch(address string) {
+// fetch takes over the directory of a peer that has a newer one, unless another peer has given as much by now.
+func (i *Instance) fetch(theirs directory.Versions, address string) {
+	i.fetching.Lock()
+	defer i.fetching.Unlock()
+	ours := i.directory.Versions()
+	if !theirs.NewerThan(ours) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
 	defer cancel()
-	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{}}})
+	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
+		Configuration: ours.Configuration, Endpoints: ours.Endpoints,
+	}}})
 	if err != nil {
 		i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
 		return
@@ -91,10 +99,11 @@
 	if i.members.Serve(first, stream) {
 		return true
 	}
-	if first.GetInquiry() == nil {
+	inquiry := first.GetInquiry()
+	if inquiry == nil {
 		return false
 	}
-	offer := i.directory.Offer()
+	offer := i.directory.Offer(directory.Versions{Configuration: inquiry.GetConfiguration(), Endpoints: inquiry.GetEndpoints()})
 	answer := &wire.Offer{Configuration: toRow(offer.Configuration), Version: offer.Version}
 	for _, row := range offer.Endpoints {
 		answer.Endpoints = append(answer.Endpoints, toRow(row))
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -43,6 +44,8 @@
 	coordinators *coordinator.Set[*succession.Coordinator]
 	callers      *caller.Server
 	health       *health
+	// fetching is held while a peer's directory is fetched, so that one is at a time.
+	fetching sync.Mutex
 }
 
 // New starts an instance; it ends with ctx, or gracefully by Leave.
