database: share connections among all known instances, dial one at a time

Sessions that reconnected before the configuration was read were refused, which used up their tries.

Change: the share counts every instance known in the last 30 s and is 2 until a list or a peer told of the others; a pool makes one connection at a time; a caller waits for the first configuration.

--- a/caller/conversation.go
+++ b/caller/conversation.go
@@ -69,7 +69,7 @@
 		return false
 	}
 	_ = c.codec.SetReadDeadline(time.Time{})
-	session, refused := c.server.options.Dispatcher.Open(opening.Database)
+	session, refused := c.server.options.Dispatcher.Open(c.server.ctx, opening.Database)
 	if refused != nil {
 		c.server.options.Logger.Log(event.CallerRefused, log.Fields{
 			"database": opening.Database, "user": opening.User, "reason": string(refused.Reason), "cause": refused.Message,
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -34,6 +34,10 @@
 	options Options
 	queue   *queue.Queue
 
+	// dialling is held while a connection is made: a new one costs the endpoint a slot for a while, and many at once would
+	// take all of them.
+	dialling sync.Mutex
+
 	mu      sync.Mutex
 	idle    []*Held
 	circuit limit.Circuit
@@ -84,7 +88,7 @@
 	if h := p.take(settings); h != nil {
 		return h, nil
 	}
-	h, err := p.dial(ctx, deadline)
+	h, err := p.open(ctx, deadline, settings)
 	if err != nil {
 		p.queue.Release(0)
 		return nil, err
@@ -92,6 +96,16 @@
 	return h, nil
 }
 
+// open makes a connection, unless one came back while another was being made.
+func (p *Pool) open(ctx context.Context, deadline time.Time, settings map[string]string) (*Held, error) {
+	p.dialling.Lock()
+	defer p.dialling.Unlock()
+	if h := p.take(settings); h != nil {
+		return h, nil
+	}
+	return p.dial(ctx, deadline)
+}
+
 // take returns an idle connection that still stands, nil when there is none.
 func (p *Pool) take(settings map[string]string) *Held {
 	p.mu.Lock()
@@ -126,6 +140,9 @@
 	if !allowed {
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint can't be reached").WithAfter(pause)
 	}
+	if !now.Before(deadline) {
+		return nil, verdict.New(verdict.NotRun, verdict.Overload, "no connection before the deadline")
+	}
 	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(now)))
 	defer cancel()
 	conn, err := p.options.Dialer.Dial(ctx, p.options.Endpoint)
--- a/database/registry.go
+++ b/database/registry.go
@@ -31,6 +31,8 @@
 	connectionShare = 0.85
 	// connectionMinimum is what an instance uses whatever its share.
 	connectionMinimum = 1
+	// connectionsUnknown is what an instance uses until it knows how many there are.
+	connectionsUnknown = 2
 )
 
 // Registry holds the databases in force.
@@ -66,7 +68,7 @@
 	return out
 }
 
-// Configure brings a catalog into force for a number of instances; claims tell which endpoint of a database is
+// Configure brings a catalog into force for a number of instances, 0 while that is not known; claims tell which endpoint of a database is
 // registered as primary.
 func (r *Registry) Configure(catalog *config.Catalog, claims map[string]string, instances int) {
 	r.mu.Lock()
@@ -90,5 +92,8 @@
 
 // share returns how many connections one of a number of instances may have to an endpoint.
 func share(connections, instances int) int {
-	return max(int(connectionShare*float64(connections))/max(instances, 1), connectionMinimum)
+	if instances == 0 {
+		return connectionsUnknown
+	}
+	return max(int(connectionShare*float64(connections))/instances, connectionMinimum)
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -9,14 +9,20 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/session"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
 
-// preparedMaximum bounds the prepared statements of one session.
-const preparedMaximum = 10000
+const (
+	// preparedMaximum bounds the prepared statements of one session.
+	preparedMaximum = 10000
+	// openPatience is how long a caller waits for the first configuration; callers give up after 2 s.
+	openPatience = 1600 * time.Millisecond
+	openPause    = 20 * time.Millisecond
+)
 
 // prepared is a statement that the caller has prepared, and the name that it has at endpoints.
 type prepared struct {
@@ -38,7 +44,12 @@
 }
 
 // Open starts a session for a name that callers connect to, or says why there is none.
-func (d *Dispatcher) Open(name string) (*Session, *verdict.Error) {
+// While there is no configuration yet, as after a start, it waits for one.
+func (d *Dispatcher) Open(ctx context.Context, name string) (*Session, *verdict.Error) {
+	until := d.now().Add(openPatience)
+	for d.options.Catalogs.Catalog() == nil && d.now().Before(until) && ctx.Err() == nil {
+		_ = clock.Wait(ctx, d.options.Clock, openPause)
+	}
 	if _, _, refused := d.route(name); refused != nil {
 		return nil, refused
 	}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -136,7 +136,7 @@
 
 // apply brings a catalog into force.
 func (i *Instance) apply(catalog *config.Catalog, claims map[string]string) {
-	i.databases.Configure(catalog, claims, len(i.liveMembers()))
+	i.databases.Configure(catalog, claims, i.census())
 	select {
 	case <-i.wired:
 		i.coordinators.Configure(catalog)
@@ -145,13 +145,18 @@
 	}
 }
 
-func (i *Instance) liveMembers() []member.Instance {
+// census returns how many instances there are, 0 while that is not known.
+func (i *Instance) census() int {
 	select {
 	case <-i.wired:
-		return i.members.Live()
 	default:
-		return nil
+		return 0
 	}
+	n, known := i.members.Census()
+	if !known {
+		return 0
+	}
+	return n
 }
 
 // changed takes in that the set of live instances in a region changed.
--- a/member/driver.go
+++ b/member/driver.go
@@ -113,6 +113,14 @@
 	return d.table.Instances()
 }
 
+// Census returns how many instances there are, this one included, and false while a list or a peer that knows the others
+// has not told of them.
+func (d *Driver) Census() (int, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.Census(d.options.Clock.Now()), d.listed
+}
+
 // Live returns the instances that may own endpoints.
 func (d *Driver) Live() []Instance {
 	d.mu.Lock()
--- a/member/table.go
+++ b/member/table.go
@@ -19,6 +19,9 @@
 	urgentMaximum = 16
 	// forgetAfter is how long a dead instance that the platform does not list is remembered.
 	forgetAfter = 10 * time.Minute
+	// censusMemory is for how long a dead instance is counted: an instance cut off from all others must not take their
+	// share, and cuts of some seconds are common.
+	censusMemory = 30 * time.Second
 	// retryDead is how often a dead instance is tried again.
 	retryDead = 5 * time.Second
 	// newsMaximum bounds the rumours sent with one heartbeat.
@@ -86,6 +89,18 @@
 	return out
 }
 
+// Census returns how many instances there are, this one included: also those that are not proved yet, or that died so
+// lately that they may be back or still hold connections.
+func (t *Table) Census(now time.Time) int {
+	n := 1
+	for _, i := range t.instances {
+		if i.State != Leaving && (i.State != Dead || now.Sub(i.Since) < censusMemory) {
+			n++
+		}
+	}
+	return n
+}
+
 // Leave marks this instance as leaving.
 func (t *Table) Leave(now time.Time) {
 	t.self = t.self.WithState(Leaving, now)
