succession: never promote a log that may lack an earlier term

Cause: found by TestFailover with a deaf replica. Once the crashed primary was no longer registered, its successor counted as isolated and the deaf replica was promoted, although commits acknowledged under the earlier term were held by the crashed primary and its successor alone. The model then showed that a replica which joins during a succession lets a living primary acknowledge commits that the chosen log lacks.

Change: a log must hold something of the lost primary's term, or all that it began with; a lost primary that answers is demoted before another is promoted; the stand-ins of the platform and the tests on them are added.

Ruled out: counting endpoints that are gone; their logs are gone with them.

--- /dev/null
+++ b/hosted/world_test.go
@@ -0,0 +1,218 @@
+package hosted
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/caller"
+	"siskincove/clock"
+	"siskincove/document"
+	"siskincove/event"
+	"siskincove/platform/line"
+	"siskincove/platform/order"
+	"siskincove/platform/rows"
+	"siskincove/platform/sheet"
+	"siskincove/settings"
+	"siskincove/standin/hosting"
+)
+
+// world is a deployment on loopback: stand-ins of the platform and instances of ours in this process.
+type world struct {
+	t         *testing.T
+	store     *hosting.Store
+	group     *hosting.Group
+	promotion *hosting.Promotion
+	instances []*Instance
+	addresses []string
+}
+
+// newWorld starts a group of three endpoints and a number of instances, and waits until they serve.
+func newWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	w := &world{t: t}
+	var err error
+	if w.store, err = hosting.NewStore(); err != nil {
+		t.Fatal(err)
+	}
+	w.store.Write("op", "config", map[string]any{
+		"version": 3,
+		"routes": []map[string]any{
+			{"name": "r1", "host": "main", "type": "primary", "service": "g", "timeout-ms": 4000, "priority": 1},
+			{"name": "r2", "host": "history", "type": "bounded_staleness", "service": "g", "timeout-ms": 4000, "priority": 2, "max-staleness-ms": 1500},
+			{"name": "r3", "host": "own", "type": "read_your_writes", "service": "g", "timeout-ms": 4000, "priority": 2, "max-staleness-ms": 2500},
+		},
+		"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}},
+		"limits":   map[string]any{"tx-idle-ms": 2000},
+	})
+	w.group, err = hosting.NewGroup(w.store, hosting.Options{
+		Name: "g", Zones: []string{"a", "b", "c"}, Sync: 1, Slots: 5, Connections: 60, Work: 2 * time.Millisecond,
+		Lag: 20 * time.Millisecond, Promote: 100 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w.promotion, err = hosting.NewPromotion(w.group); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.close)
+	for i := range instances {
+		w.start(i)
+	}
+	for _, i := range w.instances {
+		w.eventually("ready", i.health.ready)
+	}
+	return w
+}
+
+func (w *world) close() {
+	for _, i := range w.instances {
+		i.Close()
+	}
+	w.promotion.Close()
+	w.group.Close()
+	w.store.Close()
+}
+
+// free returns an address of loopback that nothing listens on.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (w *world) start(n int) *Instance { return w.startWithSeeds(n) }
+
+func (w *world) startWithSeeds(n int, seeds ...string) *Instance {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: fmt.Sprintf("n%d", n), Domain: "north/" + string("abc"[n%3])}
+	s.Listen = settings.Listen{Callers: free(w.t), Peers: free(w.t), Health: free(w.t), Metrics: free(w.t), Seeds: seeds}
+	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
+	s.Drain.Endpoint = document.Duration(7 * time.Second)
+	service := clock.Boot{}
+	i, err := New(context.Background(), Options{
+		Settings: s, Clock: service, Logger: testLogger(), Rows: rows.New(w.store.Address()), Decoder: sheet.Decoder{},
+		Dialer: line.Dialer{Clock: service}, Promoter: order.New(w.promotion.Address(), s.Instance.ID),
+		Protocol: func(conn net.Conn) caller.Codec { return line.NewCaller(conn) },
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.instances = append(w.instances, i)
+	w.addresses = append(w.addresses, s.Listen.Callers)
+	return i
+}
+
+// eventually waits up to 10 s for a condition.
+func (w *world) eventually(what string, holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	w.t.Fatalf("not within 10 s: %s", what)
+}
+
+// client is one caller's session.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// result is the answer to a query.
+type result struct {
+	rows     []string
+	receipt  string
+	code     string
+	state    string
+	position string
+}
+
+func dial(address, database string) (*client, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	c := &client{conn: conn, in: bufio.NewReader(conn)}
+	if _, err := fmt.Fprintf(conn, "START %s u\r\n", database); err != nil {
+		return nil, err
+	}
+	r, err := c.receive()
+	if err == nil && r.code != "" {
+		err = fmt.Errorf("start refused: %s", r.code)
+	}
+	return c, err
+}
+
+func (w *world) dial(n int, database string) *client {
+	w.t.Helper()
+	c, err := dial(w.addresses[n], database)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = c.conn.Close() })
+	return c
+}
+
+// receive reads up to the state; a refusal without one ends with the connection.
+func (c *client) receive() (result, error) {
+	var r result
+	for {
+		text, err := c.in.ReadString('\n')
+		if err != nil {
+			if r.code != "" {
+				return r, nil
+			}
+			return r, err
+		}
+		word, rest, _ := strings.Cut(strings.TrimSuffix(text, "\r\n"), " ")
+		switch word {
+		case "ROW":
+			r.rows = append(r.rows, rest)
+		case "DONE":
+			r.receipt = rest
+		case "ERR":
+			r.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			r.state, r.position, _ = strings.Cut(rest, " ")
+			return r, nil
+		}
+	}
+}
+
+func (c *client) query(id, text string) (result, error) {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return result{}, err
+	}
+	return c.receive()
+}
+
+// must runs a query that has to succeed.
+func (w *world) must(c *client, id, text string) result {
+	w.t.Helper()
+	r, err := c.query(id, text)
+	if err != nil || r.code != "" {
+		w.t.Fatalf("%s: %+v, %v", text, r, err)
+	}
+	return r
+}
+
+// testLogger writes to standard output if HOSTED_LOG is set.
+func testLogger() *event.Logger {
+	if os.Getenv("HOSTED_LOG") == "" {
+		return event.Discard()
+	}
+	return event.NewLogger(event.NewWriter(context.Background(), clock.System{}, os.Stdout), log.InfoLevel, clock.System{})
+}
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -147,6 +147,10 @@
 	for same < len(e.log) && same < len(log) && e.log[same].Position == log[same].Position {
 		same++
 	}
+	for len(e.readable) < same {
+		// A former primary could read all of its own records.
+		e.readable = append(e.readable, time.Time{})
+	}
 	e.readable = e.readable[:same]
 	for range log[same:] {
 		e.readable = append(e.readable, time.Now().Add(lag))
--- a/statement/kind.go
+++ b/statement/kind.go
@@ -32,12 +32,14 @@
 	Hold
 	// Resume ends a hold; it is never sent by callers.
 	Resume
+	// Demote makes a primary a replica; it is never sent by callers.
+	Demote
 )
 
 var names = map[Kind]string{
 	Begin: "begin", BeginRead: "begin read", Commit: "commit", Rollback: "rollback", Read: "read", Write: "write",
 	Set: "set", Prepare: "prepare", Execute: "execute", Forget: "forget", Reset: "reset", Status: "status",
-	Hold: "hold", Resume: "resume",
+	Hold: "hold", Resume: "resume", Demote: "demote",
 }
 
 // String returns the kind's name as it appears in logs.
--- a/statement/step.go
+++ b/statement/step.go
@@ -7,7 +7,7 @@
 	Request
 	// After is the position that the endpoint's log must have for a read or the begin of a transaction; zero asks none.
 	After endpoint.Position
-	// Term is the term of a Hold.
+	// Term is the term of a Hold or Demote.
 	Term endpoint.FencedTerm
 }
 
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -281,7 +281,7 @@
 		// An endpoint joined or left since the look: the next look takes it in.
 		return
 	}
-	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: j.Lost, Acknowledge: acknowledge, Contested: j.Contested}
+	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: j.Lost, Answers: j.Lead != "", Acknowledge: acknowledge, Floor: j.Floor, Contested: j.Contested}
 	c.fence = 0
 	for _, e := range members {
 		if e.Name != plan.Lost {
@@ -294,7 +294,7 @@
 	})
 	r := &run{coordinator: c, database: db, members: members, succession: New(plan)}
 	r.conduct(ctx)
-	c.watch, c.doubt = Watch{}, true
+	c.watch, c.doubt = Watch{floor: c.watch.floor, holds: c.watch.holds}, true
 	c.surveyed = time.Time{}
 	c.reserve(ctx)
 }
--- a/succession/event.go
+++ b/succession/event.go
@@ -47,6 +47,8 @@
 	Hold Order = iota
 	// Confirm asks a replica whether it is still held.
 	Confirm
+	// Demote makes the lost primary a replica.
+	Demote
 	// Promote tells the platform to make an endpoint primary, under the plan's fencing token.
 	Promote
 	// Resume releases a replica that is held under the plan's term.
--- a/succession/run.go
+++ b/succession/run.go
@@ -123,6 +123,8 @@
 			r.running.Go(func() { r.hold(ctx, e, events) })
 		case Confirm:
 			r.running.Go(func() { r.confirm(ctx, e, events) })
+		case Demote:
+			r.running.Go(func() { r.demote(ctx, e, events) })
 		case Promote:
 			r.running.Go(func() { r.promote(ctx, e, events) })
 		}
@@ -164,6 +166,23 @@
 	}
 }
 
+// demote repeats the order until the lost primary is a replica.
+func (r *run) demote(ctx context.Context, e config.Endpoint, events chan<- Event) {
+	c := r.coordinator
+	step := statement.Own(statement.Demote)
+	step.Term = r.succession.Plan().Term
+	for ctx.Err() == nil {
+		sight := c.probe.ask(ctx, e, step, askTimeout)
+		if sight.Standing != nil {
+			send(ctx, events, Reply{Endpoint: e.Name, Standing: *sight.Standing})
+			if sight.Standing.Role == endpoint.Replica {
+				return
+			}
+		}
+		_ = clock.Wait(ctx, c.options.Clock, confirmRetry)
+	}
+}
+
 func send(ctx context.Context, events chan<- Event, e Event) {
 	select {
 	case events <- e:
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -15,6 +15,9 @@
 	Holding Phase = iota
 	// Confirming asks the held replicas once more, since another succession may have held or released some meanwhile.
 	Confirming
+	// Demoting makes the lost primary, which answers, a replica: until another is promoted it could acknowledge commits
+	// with a replica that joins.
+	Demoting
 	// Promoting waits for the chosen endpoint to lead.
 	Promoting
 	// Done means that the chosen endpoint leads.
@@ -25,7 +28,7 @@
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"holding", "confirming", "promoting", "done", "stopped"}[p]
+	return [...]string{"holding", "confirming", "demoting", "promoting", "done", "stopped"}[p]
 }
 
 // Replica is an endpoint whose log may hold a commit that the lost primary has acknowledged.
@@ -41,16 +44,35 @@
 	Term endpoint.FencedTerm
 	// Fence is the fencing token of this succession's orders, which no other instance has.
 	Fence uint64
-	// Lost is the primary to be replaced, empty when none is known.
-	Lost string
+	// Lost is the primary to be replaced, empty when none is known, and Answers tells that it still leads and answers.
+	Lost    string
+	Answers bool
 	// Replicas are all endpoints but the lost primary.
 	Replicas []Replica
 	// Acknowledge is how many replicas have received an acknowledged commit.
 	Acknowledge int
+	// Floor is what a log must reach to be promoted.
+	Floor Floor
 	// Contested tells that replicas were held by another succession, an order of which may still be under way.
 	Contested bool
 }
 
+// Floor is what a log must reach to hold every commit that was acknowledged before the lost primary led. Those were
+// received by replicas of an earlier primary, which may be gone, and by the lost one itself; a replica has them once it
+// has received anything that the lost primary wrote, or all that it had when it began to lead.
+type Floor struct {
+	// Term is the term of the lost primary.
+	Term endpoint.FencedTerm
+	// Start is the log with which it began, if Known.
+	Start endpoint.Position
+	Known bool
+}
+
+// reached reports whether a log holds every commit that was acknowledged before the lost primary led.
+func (f Floor) reached(log endpoint.Position) bool {
+	return uint64(log.Term) >= uint64(f.Term) || f.Known && log.Covers(f.Start)
+}
+
 // Succession is one attempt to replace a primary; it is an immutable value.
 //
 // Every acknowledged commit is in the logs of as many replicas as the group acknowledges by. Once so many replicas are
@@ -119,6 +141,8 @@
 
 func (s Succession) reply(r Reply) (Succession, []Action) {
 	switch {
+	case s.phase == Demoting && r.Endpoint == s.plan.Lost:
+		return s.demoted(r)
 	case r.Standing.Role == endpoint.Primary:
 		return s.led(r)
 	case s.phase == Holding && !s.plan.Contested && r.Standing.Held != 0 && r.Standing.Held != s.plan.Term:
@@ -182,7 +206,19 @@
 		return s.superseded("another succession released " + r.Endpoint)
 	}
 	s.confirmed = append(slices.Clone(s.confirmed), r.Endpoint)
-	if len(s.confirmed) < len(s.held) {
+	switch {
+	case len(s.confirmed) < len(s.held):
+		return s, nil
+	case !s.plan.Answers:
+		return s.choose()
+	}
+	s.phase = Demoting
+	return s, []Action{{Order: Demote, Endpoint: s.plan.Lost}}
+}
+
+// demoted goes on once the lost primary is a replica.
+func (s Succession) demoted(r Reply) (Succession, []Action) {
+	if r.Standing.Role == endpoint.Primary {
 		return s, nil
 	}
 	return s.choose()
@@ -193,6 +229,9 @@
 	best := slices.MinFunc(s.held, func(a, b held) int {
 		return cmp.Or(b.log.Compare(a.log), leaves(a)-leaves(b), cmp.Compare(a.replica.Name, b.replica.Name))
 	})
+	if !s.plan.Floor.reached(best.log) {
+		return s.stop("log of " + best.replica.Name + " may lack acknowledged commits")
+	}
 	s.target, s.phase = best.replica.Name, Promoting
 	return s, []Action{{Order: Promote, Endpoint: s.target}}
 }
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -68,6 +68,8 @@
 	// mark is where the primary's log stood when no replica had come as far, and marked since when.
 	mark   endpoint.Position
 	marked time.Time
+	// floor is that of the newest primary seen.
+	floor Floor
 	// holds are the holds seen, and since when.
 	holds []seenHold
 }
@@ -89,6 +91,8 @@
 	// empty when none is known.
 	Replace bool
 	Lost    string
+	// Floor is what a log must reach to be promoted.
+	Floor Floor
 	// Contested tells that replicas are held by another succession.
 	Contested bool
 	// Release are replicas whose holds were forgotten.
@@ -104,7 +108,7 @@
 	if lead != nil {
 		j.Lead, j.Position = lead.Endpoint, lead.Standing.Log
 	}
-	w = w.withMark(lead, s.Sights, now)
+	w = w.withMark(lead, s.Sights, now).withFloor(lead, s.Sights)
 	reason := w.evidence(s, lead, t, now)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
@@ -113,11 +117,12 @@
 	if reason != NoReason && reason != Departing && reason != Isolated && s.Proven.After(w.since) {
 		w.since = now
 	}
+	j.Floor = w.floor
 	j.Reason, j.Since, j.Lost = reason, w.since, lost(s, j.Lead)
 	w = w.withHolds(s.Sights, now)
 	j.Contested = len(w.holds) > 0
 	lasted := now.Sub(w.since) >= t.patience(reason, rank)
-	j.Replace = reason != NoReason && lasted && promotable(s, j.Lost) && !w.underWay(t, rank, now)
+	j.Replace = reason != NoReason && lasted && promotable(s, j) && !w.underWay(t, rank, now)
 	if reason == NoReason && lead != nil {
 		j.Release = w.forgotten(t, now)
 	}
@@ -231,6 +236,20 @@
 	return w
 }
 
+// withFloor keeps what a log must reach to be promoted. A primary that has written nothing yet shows the log with which it
+// began.
+func (w Watch) withFloor(lead *Sight, sights []Sight) Watch {
+	for _, s := range sights {
+		if s.Standing != nil && s.Standing.Term > w.floor.Term {
+			w.floor = Floor{Term: s.Standing.Term}
+		}
+	}
+	if lead != nil && lead.Standing.Term == w.floor.Term && uint64(lead.Standing.Log.Term) < uint64(w.floor.Term) {
+		w.floor.Start, w.floor.Known = lead.Standing.Log, true
+	}
+	return w
+}
+
 // successors counts the answering endpoints that could lead in the place of one that leaves.
 func successors(sights []Sight, lead string) int {
 	n := 0
@@ -255,18 +274,19 @@
 }
 
 // promotable reports whether enough replicas answer for a succession to succeed.
-func promotable(s Survey, lost string) bool {
-	missing, answering := 0, 0
+func promotable(s Survey, j Judgement) bool {
+	reached := false
+	missing := 0
 	for _, sight := range s.Sights {
 		switch {
-		case sight.Endpoint == lost:
+		case sight.Endpoint == j.Lost:
 		case sight.Standing != nil && sight.Standing.Role == endpoint.Replica:
-			answering++
+			reached = reached || j.Floor.reached(sight.Standing.Log)
 		default:
 			missing++
 		}
 	}
-	return answering > 0 && missing < max(s.Acknowledge, 1)
+	return reached && missing < max(s.Acknowledge, 1)
 }
 
 // withHolds keeps the holds that are seen, and since when.
--- a/succession/watch_test.go
+++ b/succession/watch_test.go
@@ -133,9 +133,41 @@
 				}
 				w, got = w.Take(s, test.rank, timing, epoch.Add(l.after))
 			}
+			got.Floor = Floor{}
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Error(diff)
 			}
 		})
 	}
 }
+
+// TestFloor never replaces a primary by a replica that has nothing of its term, which may lack what an earlier primary
+// acknowledged.
+func TestFloor(t *testing.T) {
+	second := func(role endpoint.Role, name string, log endpoint.Position) Sight {
+		return Sight{Endpoint: name, Answered: true, Standing: &endpoint.Standing{Role: role, Term: 2, Log: log}}
+	}
+	later := endpoint.Position{Term: 2, Offset: 9}
+	tests := map[string]struct {
+		first   []Sight
+		replica endpoint.Position
+		want    bool
+	}{
+		"nothing of the term":       {first: []Sight{second(endpoint.Primary, "p", later)}, replica: position(5)},
+		"something of the term":     {first: []Sight{second(endpoint.Primary, "p", later)}, replica: endpoint.Position{Term: 2, Offset: 8}, want: true},
+		"all that it began with":    {first: []Sight{second(endpoint.Primary, "p", position(7))}, replica: position(7), want: true},
+		"less than it began with":   {first: []Sight{second(endpoint.Primary, "p", position(7))}, replica: position(6)},
+		"term known from a replica": {first: []Sight{second(endpoint.Replica, "a", position(5))}, replica: position(5)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w, _ := Watch{}.Take(Survey{Lead: "p", Sights: test.first, Acknowledge: 1}, 0, timing, epoch)
+			gone := Survey{Lead: "p", Sights: []Sight{{Endpoint: "p", Refused: true}, second(endpoint.Replica, "a", test.replica)}, Acknowledge: 1}
+			w, _ = w.Take(gone, 0, timing, epoch.Add(time.Second))
+			_, j := w.Take(gone, 0, timing, epoch.Add(2*time.Second))
+			if j.Replace != test.want {
+				t.Errorf("replace %t, floor %+v", j.Replace, j.Floor)
+			}
+		})
+	}
+}
