--- a/connection/held.go
+++ b/connection/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"siskincove/statement"
 )
@@ -17,6 +18,8 @@
 	// uncertain is set when the settings may differ from what is known, as after the rollback of a transaction that
 	// changed them.
 	uncertain bool
+	// idleSince is when the connection came back to its pool.
+	idleSince time.Time
 }
 
 // Fit returns the steps that make the connection's settings those of a session.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -16,6 +16,10 @@
 	"siskincove/verdict"
 )
 
+// idleLimit is how long connections that are not needed are kept, but for one: an endpoint counts those of an instance that
+// lost power for some seconds more, and a burst returns sooner than that.
+const idleLimit = 2 * time.Second
+
 // dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
 const dialTimeout = 600 * time.Millisecond
 
@@ -106,6 +110,17 @@
 	return p.dial(ctx, deadline)
 }
 
+// Trim closes connections that have not been needed for a while, but keeps one.
+func (p *Pool) Trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Clock.Now()
+	for len(p.idle) > 1 && now.Sub(p.idle[0].idleSince) > idleLimit {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
+}
+
 // take returns an idle connection that still stands, nil when there is none.
 func (p *Pool) take(settings map[string]string) *Held {
 	p.mu.Lock()
@@ -167,6 +182,7 @@
 	if !reuse || h.broken() || p.closed {
 		h.Close()
 	} else {
+		h.idleSince = p.options.Clock.Now()
 		p.idle = append(p.idle, h)
 	}
 	p.mu.Unlock()
--- a/database/database.go
+++ b/database/database.go
@@ -208,6 +208,15 @@
 	d.view = d.view.Without(name)
 }
 
+// Trim closes the connections that are not needed.
+func (d *Database) Trim() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.Trim()
+	}
+}
+
 func (d *Database) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -178,7 +178,8 @@
 	w := *t.work
 	now := t.session.dispatcher.now()
 	w.deadline = now.Add(w.deadline.Sub(w.started))
-	w.started, w.tries, w.backoff, w.last, w.why = now, 1, backoffFirst, nil, "transaction"
+	w.started, w.tries, w.last, w.why = now, 1, nil, "transaction"
+	w.pace = w.usual.scaled(paceOpen)
 	return &w
 }
 
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -21,11 +21,18 @@
 	answerMargin = 20 * time.Millisecond
 	// leastTime is the least time that is worth trying an endpoint in.
 	leastTime = 8 * time.Millisecond
-	// backoffFirst and backoffMaximum pace the tries at endpoints without a free slot, whose statements take some tens of
-	// ms; backoffFactor makes the pauses longer.
-	backoffFirst   = 4 * time.Millisecond
-	backoffMaximum = 30 * time.Millisecond
+	// backoffFirst and backoffMaximum are the parts of a statement's time that pace its tries at endpoints without a free
+	// slot: what has less time asks more often. backoffFactor makes the pauses longer, so that what waits for long, and is
+	// late already, gives way to what can still be in time.
+	backoffFirst   = 1.0 / 250
+	backoffMaximum = 1.0 / 30
 	backoffFactor  = 1.5
+	// paceUrgent is the pace of high priorities, and paceOpen that of statements of an open transaction, whose earlier work
+	// would be lost.
+	paceUrgent = 0.5
+	paceOpen   = 0.15
+	// priorityUrgent is the lowest urgent priority; 0 is the highest.
+	priorityUrgent = 1
 	// leadPause is how often a statement that waits for a primary looks again without being told of one.
 	leadPause = 50 * time.Millisecond
 	// attemptShare is the part of a read's time that one endpoint gets before another is tried.
@@ -52,8 +59,10 @@
 	deadline time.Time
 	// patience bounds one try of a read.
 	patience time.Duration
-	backoff  time.Duration
-	tries    int
+	// usual is the pace that the route gives, and pace what the tries so far have made of it.
+	usual pace
+	pace  pace
+	tries int
 	// last is the last failure that certainly had no effect, nil when nothing was tried.
 	last *verdict.Error
 	// placed and after are the last choice, for the log.
@@ -83,7 +92,7 @@
 			Lead: write || route.Reads == config.ReadsPrimary, Token: token, Age: allowance.Age.Std(),
 			Domain: d.options.Domain, Salt: s.salt,
 		},
-		started: now, deadline: now.Add(timeout - answerMargin), backoff: backoffFirst,
+		started: now, deadline: now.Add(timeout - answerMargin), usual: newPace(timeout, priority), pace: newPace(timeout, priority),
 		patience: time.Duration(attemptShare * float64(timeout)),
 	}, nil
 }
@@ -120,9 +129,27 @@
 	}
 }
 
+// pace is how soon a statement that found no free slot is tried again.
+type pace struct {
+	next, most time.Duration
+}
+
+func newPace(timeout time.Duration, priority int) pace {
+	part := 1.0
+	if priority <= priorityUrgent {
+		part = paceUrgent
+	}
+	return pace{next: time.Duration(part * backoffFirst * float64(timeout)), most: time.Duration(part * backoffMaximum * float64(timeout))}
+}
+
+// scaled returns the pace with all pauses multiplied.
+func (p pace) scaled(part float64) pace {
+	return pace{next: time.Duration(part * float64(p.next)), most: time.Duration(part * float64(p.most))}
+}
+
 func (w *work) takeBackoff() time.Duration {
-	pause := time.Duration((0.5 + rand.Float64()) * float64(w.backoff))
-	w.backoff = min(time.Duration(backoffFactor*float64(w.backoff)), backoffMaximum)
+	pause := time.Duration((0.5 + rand.Float64()) * float64(w.pace.next))
+	w.pace.next = min(time.Duration(backoffFactor*float64(w.pace.next)), w.pace.most)
 	return pause
 }
 
--- a/failover/coordinator.go
+++ b/failover/coordinator.go
@@ -77,7 +77,7 @@
 }
 
 // Configure takes over the group's members of a newer revision.
-func (c *Coordinator) Configure(members []config.Endpoint) {
+func (c *Coordinator) Configure(_ config.Database, members []config.Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.members = members
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"siskincove/caller"
+	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/coordinator"
 	"siskincove/database"
@@ -35,6 +36,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	wired        chan struct{}
+	tidied       chan struct{}
 	node         *peer.Node
 	members      *member.Driver
 	roster       *roster
@@ -55,9 +57,10 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{options: o, ctx: ctx, cancel: cancel, wired: make(chan struct{})}
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, wired: make(chan struct{}), tidied: make(chan struct{})}
 	i.start(l)
 	close(i.wired)
+	go i.tidy()
 	i.directory.Reapply()
 	s := o.Settings
 	o.Logger.Log(event.Started, log.Fields{
@@ -113,6 +116,19 @@
 	})
 }
 
+// tidyInterval is how often connections that are not needed are looked for.
+const tidyInterval = time.Second
+
+// tidy closes connections that are not needed until the instance ends.
+func (i *Instance) tidy() {
+	defer close(i.tidied)
+	for clock.Wait(i.ctx, i.options.Clock, tidyInterval) == nil {
+		for _, d := range i.databases.All() {
+			d.Trim()
+		}
+	}
+}
+
 // noRevisions stands for the configuration that instances publish themselves, which there is none of here.
 type noRevisions struct{}
 
@@ -174,6 +190,7 @@
 	<-i.directory.Done()
 	<-i.node.Done()
 	<-i.health.done
+	<-i.tidied
 }
 
 // Close ends the instance at once.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -10,6 +10,7 @@
 
 	"siskincove/clock"
 	"siskincove/config"
+	"siskincove/coordinator"
 	"siskincove/endpoint"
 	"siskincove/endpoint/managed"
 	"siskincove/endpoint/postgres"
@@ -42,7 +43,7 @@
 	members      *member.Driver
 	owner        *pool.Owner
 	follower     *revision.Follower
-	coordinators *coordinators
+	coordinators *coordinator.Set[*failover.Coordinator]
 	entry        *entry.Entry
 	health       *health
 	secured      secured
@@ -127,10 +128,15 @@
 		Client: client, Ownership: i.members, Vendors: []endpoint.Vendor{postgres.Vendor{}, managed.Vendor{}},
 		Secure: i.secured.towardsEndpoints(),
 	})
-	i.coordinators = newCoordinators(ctx, s.Instance.ID, i.members, failover.Options{
-		ID: s.Instance.ID, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
-		Timing: failover.Timing{Silence: s.Failover.Silence.Std(), Stagger: s.Failover.Stagger.Std()},
-		Owners: client, Table: p.Table,
+	i.coordinators = coordinator.New(ctx, coordinator.Options[*failover.Coordinator]{
+		Self: s.Instance.ID, Members: i.members, Count: failover.Coordinators,
+		Start: func(ctx context.Context, d config.Database, members []config.Endpoint) *failover.Coordinator {
+			return failover.New(ctx, failover.Options{
+				ID: s.Instance.ID, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
+				Timing: failover.Timing{Silence: s.Failover.Silence.Std(), Stagger: s.Failover.Stagger.Std()},
+				Owners: client, Table: p.Table, Ranking: i.coordinators,
+			}, d.Name, members)
+		},
 	})
 	i.entry = entry.New(ctx, l.callers, entry.Options{
 		ID: s.Instance.ID, Domain: s.Instance.Domain, Keys: keys(s.Token), Clock: i.clock, Logger: i.logger,
@@ -180,13 +186,13 @@
 		l.instance.logger.Log(event.Ready, log.Fields{"instance": l.instance.settings.Instance.ID})
 	}
 	l.instance.owner.Configure(catalog)
-	l.instance.coordinators.configure(catalog)
+	l.instance.coordinators.Configure(catalog)
 }
 
 func (l *lateParts) changed(region string) {
 	<-l.instance.wired
 	l.instance.owner.Place(region)
-	l.instance.coordinators.place(region)
+	l.instance.coordinators.Place(region)
 }
 
 // idleLimit is how long a transaction may hold its slot while its caller sends nothing.
@@ -201,7 +207,7 @@
 	i.logger.Log(event.Stopping, log.Fields{"instance": i.settings.Instance.ID})
 	i.health.leave()
 	_ = clock.Wait(ctx, i.clock, noticeTime)
-	i.coordinators.leave()
+	i.coordinators.Leave()
 	i.members.Leave(ctx)
 	left := i.entry.Drain(ctx)
 	err := i.owner.Leave(ctx)
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,7 +13,7 @@
 
 // layers orders the packages: each may import those of lower layers only. The pure packages stand lowest.
 var layers = [][]string{
-	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority"},
+	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/aws", "platform/dynamo", "platform/http", "platform/s3", "platform/rows"},
 	{"config", "peer", "certificate", "queue"},
 	{"settings", "connection", "group", "directory"},
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,7 @@
 	"siskincove/endpoint"
 	"siskincove/event"
 	"siskincove/limit"
+	"siskincove/queue"
 	"siskincove/session"
 	"siskincove/share"
 )
@@ -25,6 +26,7 @@
 	dialer    *dialer
 	rate      *rate.Limiter
 	probe     *probe
+	slots     *queue.Queue
 	asking    share.Group[endpoint.Status]
 	confirmer *confirmer
 	running   sync.WaitGroup
@@ -34,10 +36,7 @@
 
 	mu         sync.Mutex
 	options    Options
-	admission  *limit.Admission
 	circuit    limit.Circuit
-	next       limit.Ticket
-	waiting    map[limit.Ticket]chan limit.Outcome
 	idle       map[bool][]*connection
 	open       int
 	inflight   int
@@ -68,8 +67,7 @@
 		cancel:     cancel,
 		done:       make(chan struct{}),
 		options:    options,
-		admission:  limit.NewAdmission(options.slots()),
-		waiting:    make(map[limit.Ticket]chan limit.Outcome),
+		slots:      queue.New(options.slots(), options.Clock),
 		idle:       make(map[bool][]*connection),
 		serving:    make(map[uint64]*transaction),
 		silentFrom: options.Clock.Now(),
@@ -127,7 +125,7 @@
 	}
 	p.options = options
 	p.draining = options.Endpoint.Leaving
-	p.admission.Resize(options.slots())
+	p.slots.Resize(options.slots())
 	p.rate.SetLimit(rate.Limit(options.rate()))
 }
 
--- a/pool/serve.go
+++ b/pool/serve.go
@@ -86,13 +86,13 @@
 	if err := t.check(ctx); err != nil {
 		return err
 	}
-	if err := t.pool.admit(ctx, t.class, t.pool.now().Add(t.budget)); err != nil {
+	if err := t.pool.slots.Admit(ctx, t.class, t.pool.now().Add(t.budget)); err != nil {
 		return err
 	}
 	t.granted = t.pool.now()
 	c, err := t.pool.checkout(ctx, !t.open.GetWrite())
 	if err != nil {
-		t.pool.release(t.pool.now().Sub(t.granted))
+		t.pool.slots.Release(t.pool.now().Sub(t.granted))
 		return err
 	}
 	t.connection = c
@@ -193,11 +193,7 @@
 	return t.stream.Send(&wire.Frame{Body: &wire.Frame_Response{Response: r}})
 }
 
-func (p *Pool) queued() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.admission.Waiting()
-}
+func (p *Pool) queued() int { return p.slots.Waiting() }
 
 // finish returns the connection, if its state is certain, and the slot; this comes before the last answer is sent, so
 // that a caller's next request finds them free.
@@ -211,7 +207,7 @@
 	} else {
 		t.pool.discard(t.connection, t.dirty)
 	}
-	t.pool.release(t.pool.now().Sub(t.granted))
+	t.pool.slots.Release(t.pool.now().Sub(t.granted))
 }
 
 // end marks the connection as no longer the transaction's, and reports whether it was marked before.
--- a/pool/state.go
+++ b/pool/state.go
@@ -39,8 +39,8 @@
 	s := State{
 		Endpoint: p.name, Database: p.options.Database.Name, Role: k.status.Role.String(),
 		Term: uint64(k.status.Fenced), Log: k.status.Log.String(), Applied: k.status.Applied.String(), Answers: k.silence == 0,
-		Established: established, Confirmable: confirmable, Age: -1, Open: p.open, Slots: p.admission.Used(),
-		Waiting: p.admission.Waiting(), Inflight: p.inflight,
+		Established: established, Confirmable: confirmable, Age: -1, Open: p.open, Slots: p.slots.Used(),
+		Waiting: p.slots.Waiting(), Inflight: p.inflight,
 	}
 	if age, ok := p.history.Age(k.status.Applied, p.now()); ok {
 		s.Age = age.Milliseconds()
