connection: reach an endpoint by way of another instance while the direct way is cut

In the overload of another database, statements were sent with less time left than they take: each took a slot for nothing and broke its connection (418 in 10 s), and new ones need a slot too.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"siskincove/config"
@@ -23,4 +24,9 @@
 type Dialer interface {
 	// Dial connects to an endpoint and makes sure that it is the one meant; errors are verdict errors for not run.
 	Dial(ctx context.Context, e config.Endpoint) (Conn, error)
+	// Over does the same over a link that leads to the endpoint; it closes the link when it fails.
+	Over(ctx context.Context, e config.Endpoint, link net.Conn) (Conn, error)
 }
+
+// Detour returns a link to an endpoint by way of another instance, for when the direct way is cut.
+type Detour func(ctx context.Context, e config.Endpoint) (net.Conn, error)
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/clock"
 	"siskincove/config"
@@ -20,8 +23,12 @@
 // lost power for some seconds more, and a burst returns sooner than that.
 const idleLimit = 2 * time.Second
 
-// dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
-const dialTimeout = 600 * time.Millisecond
+const (
+	// dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
+	dialTimeout = 400 * time.Millisecond
+	// detourMemory is how long the direct way is not tried first after it was cut; cuts of some seconds are common.
+	detourMemory = 3 * time.Second
+)
 
 // Options are what a pool needs to know and to use.
 type Options struct {
@@ -31,6 +38,8 @@
 	Logger   *event.Logger
 	// Limit is how many connections may be open.
 	Limit int
+	// Detour, if set, is used while the endpoint can't be reached directly.
+	Detour Detour
 }
 
 // Pool holds the connections to one endpoint.
@@ -45,7 +54,9 @@
 	mu      sync.Mutex
 	idle    []*Held
 	circuit limit.Circuit
-	closed  bool
+	// cutUntil is until when the direct way counts as cut.
+	cutUntil time.Time
+	closed   bool
 }
 
 // New returns a pool without connections.
@@ -151,16 +162,15 @@
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	allowed, pause := p.circuit.Allows(now), p.circuit.Remaining(now)
+	cut := p.options.Detour != nil && now.Before(p.cutUntil)
 	p.mu.Unlock()
-	if !allowed {
+	if !allowed && !cut {
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint can't be reached").WithAfter(pause)
 	}
 	if !now.Before(deadline) {
 		return nil, verdict.New(verdict.NotRun, verdict.Overload, "no connection before the deadline")
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(now)))
-	defer cancel()
-	conn, err := p.options.Dialer.Dial(ctx, p.options.Endpoint)
+	conn, err := p.connect(ctx, deadline)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -175,6 +185,56 @@
 	return &Held{Conn: conn}, nil
 }
 
+// connect makes a connection directly, or by way of another instance while the direct way is cut.
+func (p *Pool) connect(ctx context.Context, deadline time.Time) (Conn, error) {
+	p.mu.Lock()
+	cut := p.options.Detour != nil && p.options.Clock.Now().Before(p.cutUntil)
+	p.mu.Unlock()
+	if cut {
+		if conn, err := p.around(ctx, deadline); err == nil {
+			return conn, nil
+		}
+	}
+	bounded, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(p.options.Clock.Now())))
+	defer cancel()
+	conn, err := p.options.Dialer.Dial(bounded, p.options.Endpoint)
+	if err == nil || cut || p.options.Detour == nil || !isCut(err) {
+		return conn, err
+	}
+	p.mu.Lock()
+	p.cutUntil = p.options.Clock.Now().Add(detourMemory)
+	p.mu.Unlock()
+	if conn, detourErr := p.around(ctx, deadline); detourErr == nil {
+		return conn, nil
+	}
+	return nil, err
+}
+
+// isCut reports whether a connection failed on the way: nothing answered at all. An endpoint that is there may be slow to
+// start a session, since it needs a slot for that.
+func isCut(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial" && !errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// around makes a connection by way of another instance.
+func (p *Pool) around(ctx context.Context, deadline time.Time) (Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(p.options.Clock.Now())))
+	defer cancel()
+	link, err := p.options.Detour(ctx, p.options.Endpoint)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := p.options.Dialer.Over(ctx, p.options.Endpoint, link)
+	if err == nil {
+		p.options.Logger.Log(event.DetourTaken, log.Fields{"endpoint": p.options.Endpoint.Name, "by": link.RemoteAddr().String()})
+		p.mu.Lock()
+		p.cutUntil = p.options.Clock.Now().Add(detourMemory)
+		p.mu.Unlock()
+	}
+	return conn, err
+}
+
 // Release takes a connection back after it was held for a time; one that broke, or whose transaction did not end, is
 // closed.
 func (p *Pool) Release(h *Held, reuse bool, took time.Duration) {
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,6 +61,11 @@
 	return &conn{broken: make(chan struct{})}, nil
 }
 
+// Over makes a connection over any link.
+func (d *dialer) Over(context.Context, config.Endpoint, net.Conn) (Conn, error) {
+	return &conn{broken: make(chan struct{})}, nil
+}
+
 func newPool(d *dialer, limit int) *Pool {
 	return New(Options{Dialer: d, Clock: clock.System{}, Logger: event.Discard(), Limit: limit})
 }
@@ -178,3 +186,42 @@
 		t.Error("statement is taken for prepared on a cleared connection")
 	}
 }
+
+// TestDetour goes by way of another instance while the direct way is cut, and not when the endpoint itself refuses.
+func TestDetour(t *testing.T) {
+	for name, test := range map[string]struct {
+		err     error
+		detours int
+	}{
+		"way is cut":       {err: verdict.New(verdict.NotRun, verdict.Unreachable, "timeout").WithCause(&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}), detours: 2},
+		"slow to start":    {err: verdict.New(verdict.NotRun, verdict.Unreachable, "timeout").WithCause(&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded})},
+		"endpoint refuses": {err: verdict.New(verdict.NotRun, verdict.Unreachable, "refused").WithCause(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})},
+		"too many":         {err: verdict.New(verdict.NotRun, verdict.Connections, "too many")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			detours := 0
+			p := New(Options{Dialer: failing{err: test.err}, Clock: clock.System{}, Logger: event.Discard(), Limit: 3, Detour: func(context.Context, config.Endpoint) (net.Conn, error) {
+				detours++
+				near, _ := net.Pipe()
+				return near, nil
+			}})
+			for range 2 {
+				_, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil)
+			}
+			if detours != test.detours {
+				t.Errorf("%d detours", detours)
+			}
+		})
+	}
+}
+
+// failing reaches endpoints only over a detour.
+type failing struct {
+	err error
+}
+
+func (f failing) Dial(context.Context, config.Endpoint) (Conn, error) { return nil, f.err }
+
+func (failing) Over(context.Context, config.Endpoint, net.Conn) (Conn, error) {
+	return &conn{broken: make(chan struct{})}, nil
+}
--- a/database/database.go
+++ b/database/database.go
@@ -187,6 +187,7 @@
 	}
 	d.pools[e.Name] = connection.New(connection.Options{
 		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: limit,
+		Detour: d.options.Detour,
 	})
 }
 
--- a/database/registry.go
+++ b/database/registry.go
@@ -17,6 +17,8 @@
 	Dialer connection.Dialer
 	Clock  clock.Service
 	Logger *event.Logger
+	// Detour, if set, leads to an endpoint by way of another instance.
+	Detour connection.Detour
 	// Drain is how long after its notice a leaving endpoint may get new work.
 	Drain time.Duration
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,11 @@
 	return &scripted{endpoints: e, name: target.Name, broken: make(chan struct{})}, nil
 }
 
+// Over is not used by these tests.
+func (e *endpoints) Over(context.Context, config.Endpoint, net.Conn) (connection.Conn, error) {
+	return nil, errCut
+}
+
 // scripted is a connection that answers by the endpoint's next script, or with success.
 type scripted struct {
 	endpoints *endpoints
@@ -377,3 +383,25 @@
 		t.Error(diff)
 	}
 }
+
+// TestNoStatementAtTheLastMoment answers the pattern of a day on which a database has one fresh endpoint: a statement
+// that gets a slot just before its time is up takes it for nothing, and its connection is lost.
+func TestNoStatementAtTheLastMoment(t *testing.T) {
+	busy := make([]script, 1000)
+	for i := range busy {
+		busy[i] = fail(statement.Write, verdict.Overload, statement.Idle)
+	}
+	s, e := open(t, "main", map[string][]script{"p": busy})
+	db, _ := s.dispatcher.options.Databases.Get("db")
+	for range 100 {
+		db.Served("p", position, 80*time.Millisecond)
+	}
+	started := time.Now()
+	a := s.Run(context.Background(), write("1"))
+	if took := time.Since(started); took > 300*time.Millisecond-answerMargin-80*time.Millisecond {
+		t.Errorf("tried for %s of 300 ms at an endpoint that takes 80 ms", took)
+	}
+	if a.Failure == nil || a.Failure.Verdict != verdict.NotRun || len(e.sent) < 5 {
+		t.Errorf("%+v after %d tries", a.Failure, len(e.sent))
+	}
+}
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -19,8 +19,10 @@
 	defaultTimeout = 10 * time.Second
 	// answerMargin is left of a statement's time for the answer's way to the caller.
 	answerMargin = 20 * time.Millisecond
-	// leastTime is the least time that is worth trying an endpoint in.
-	leastTime = 8 * time.Millisecond
+	// leastTime is the least time that is worth trying an endpoint in, and takesShare what it must be of the time that the
+	// endpoint's statements take: one that is given up while it runs has taken its slot for nothing.
+	leastTime  = 8 * time.Millisecond
+	takesShare = 1.5
 	// backoffFirst and backoffMaximum are the parts of a statement's time that pace its tries at endpoints without a free
 	// slot: what has less time asks more often. backoffFactor makes the pauses longer, so that what waits for long, and is
 	// late already, gives way to what can still be in time.
@@ -111,6 +113,9 @@
 		changed := w.database.Changed()
 		if choices := w.database.Choose(w.query); len(choices) > 0 {
 			c := choices[0]
+			if w.deadline.Sub(w.session.dispatcher.now()) < time.Duration(takesShare*float64(c.Takes)) {
+				return group.Choice{}, w.exhausted()
+			}
 			w.tries++
 			w.placed, w.why, w.after = c.Endpoint.Name, c.Why, c.After.String()
 			return c, nil
@@ -168,6 +173,9 @@
 
 // exhausted is the refusal of a statement whose time is up and that certainly had no effect.
 func (w *work) exhausted() *verdict.Error {
+	if w.last == nil && w.tries == 0 && len(w.database.Choose(w.query)) > 0 {
+		return verdict.New(verdict.NotRun, verdict.Overload, "endpoints take longer than the statement's time").WithAfter(comeBackAfter)
+	}
 	if w.last == nil {
 		return verdict.New(verdict.NotRun, verdict.Unreachable, "no primary of %s is known", w.route.Database).WithAfter(comeBackAfter)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -68,6 +68,9 @@
 	PoolRefused       = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason says why.")
 )
 
+// DetourTaken belongs to the endpoint events.
+var DetourTaken = define(410, log.InfoLevel, "connection", "detour taken", "The endpoint can't be reached directly; a connection was made by way of another instance.")
+
 // Failover events, 500 to 599.
 var (
 	PrimaryLost     = define(500, log.WarnLevel, "failover", "primary lost", "The coordinator has no working primary for the database and starts a ballot; why gives the evidence.")
--- a/group/choose.go
+++ b/group/choose.go
@@ -35,6 +35,8 @@
 	Lead bool
 	// After is the position that the endpoint has to have otherwise.
 	After endpoint.Position
+	// Takes is how long the endpoint's statements of this instance took lately, on average.
+	Takes time.Duration
 	// Why is the rule that gave the choice.
 	Why string
 }
@@ -85,6 +87,7 @@
 	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	choices := make([]Choice, 0, len(out))
 	for _, c := range out {
+		c.choice.Takes = v.member(c.choice.Endpoint.Name).latency
 		choices = append(choices, c.choice)
 	}
 	if len(choices) == 0 && len(q.Tried) == 0 {
@@ -114,11 +117,11 @@
 			if now.Before(v.member(e.Name).avoidUntil) {
 				return nil
 			}
-			return []Choice{{Endpoint: e, Lead: true, Why: "primary"}}
+			return []Choice{{Endpoint: e, Lead: true, Takes: v.member(e.Name).latency, Why: "primary"}}
 		}
 		m := v.member(e.Name)
 		if v.lead.Endpoint == "" && now.Sub(m.deniedAt) >= denialPause && !now.Before(m.avoidUntil) {
-			out = append(out, Choice{Endpoint: e, Lead: true, Why: "no primary known"})
+			out = append(out, Choice{Endpoint: e, Lead: true, Takes: m.latency, Why: "no primary known"})
 		}
 	}
 	return out
--- a/group/choose_test.go
+++ b/group/choose_test.go
@@ -107,6 +107,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			got := test.view.Choose(test.query, members, idle, test.now)
+			for i := range got {
+				if got[i].Takes != firstLatency {
+					t.Errorf("takes %s", got[i].Takes)
+				}
+				got[i].Takes = 0
+			}
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Error(diff)
 			}
@@ -146,7 +152,7 @@
 		v = v.WithCertificate(session.Certificate{Position: at(1, uint64(i)), At: epoch.Add(time.Duration(i) * 100 * time.Millisecond)})
 	}
 	got := v.Choose(Query{Age: 600 * time.Millisecond, Tried: []string{"p", "r2"}}, members, idle, epoch.Add(time.Second))
-	want := []Choice{{Endpoint: members[1], After: at(1, 5), Why: "replica"}}
+	want := []Choice{{Endpoint: members[1], After: at(1, 5), Takes: firstLatency, Why: "replica"}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -94,11 +94,15 @@
 }
 
 // Serve answers an exchange that a peer begins.
-func (i *Instance) Serve(_ context.Context, first *wire.Frame, stream peer.Stream) bool {
+func (i *Instance) Serve(ctx context.Context, first *wire.Frame, stream peer.Stream) bool {
 	<-i.wired
 	if i.members.Serve(first, stream) {
 		return true
 	}
+	if detour := first.GetDetour(); detour != nil {
+		i.relay(ctx, detour, stream)
+		return false
+	}
 	inquiry := first.GetInquiry()
 	if inquiry == nil {
 		return false
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -74,7 +74,7 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
-	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: s.Drain.Endpoint.Std()})
+	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: s.Drain.Endpoint.Std(), Detour: i.detour})
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: s.Regions, Polls: i.polls, Apply: i.apply,
 	})
