succession: a full primary whose replicas all lag gives way to one of them

Change: when the primary has had no free slot for 1.5 s while every replica lags by over 2 s, a replica is promoted as for a lost primary. It can be read to the end of its log at once, and the former primary is a fresh replica. At most once in 12 s for a database.

Ruled out: shorter or longer pauses between tries (within noise); what is late is bound by 5 slots over 7 s of work a second.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -43,6 +43,8 @@
 var DefaultTiming = Timing{
 	Refusing: 120 * time.Millisecond, Silent: 500 * time.Millisecond, Isolated: 700 * time.Millisecond,
 	Stagger: 700 * time.Millisecond, Stale: 2500 * time.Millisecond,
+	// Callers accept an age of some seconds; a promotion costs some hundred ms, and lag lasts for many seconds.
+	Pressed: 1500 * time.Millisecond, Lag: 2 * time.Second, Pause: 12 * time.Second,
 }
 
 // Ranking tells the instances that coordinate a database.
@@ -139,6 +141,8 @@
 		switch {
 		case c.doubt:
 			pause = doubtInterval
+		case c.watch.looksClosely():
+			pause = roundInterval
 		case rank > 0:
 			pause *= standbyFactor
 		}
@@ -160,7 +164,7 @@
 	if rank > 0 {
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofFresh+c.options.Timing.Silent
 	}
-	if fresh && !c.doubt && !leaving(members, lead.Endpoint) && now.Sub(c.surveyed) < interval {
+	if fresh && !c.doubt && !c.watch.looksClosely() && !leaving(members, lead.Endpoint) && now.Sub(c.surveyed) < interval {
 		return
 	}
 	c.surveyed = now
@@ -294,7 +298,7 @@
 	})
 	r := &run{coordinator: c, database: db, members: members, succession: New(plan)}
 	r.conduct(ctx)
-	c.watch, c.doubt = Watch{floor: c.watch.floor, holds: c.watch.holds}, true
+	c.watch, c.doubt = c.watch.again(), true
 	c.surveyed = time.Time{}
 	c.reserve(ctx)
 }
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -43,6 +43,9 @@
 	Leaderless Reason = "no endpoint leads"
 	// Departing means that the primary is leaving.
 	Departing Reason = "primary is leaving"
+	// Pressed means that the primary has no free slots while no replica is fresh enough to take reads. A replica that is
+	// promoted can be read up to the end of its log at once, and the former primary then is a fresh replica.
+	Pressed Reason = "primary has no free slots and all replicas lag"
 	// Isolated means that no replica receives what the primary writes.
 	Isolated Reason = "no replica receives from the primary"
 )
@@ -57,6 +60,10 @@
 	Isolated time.Duration
 	// Stagger is added for each coordinator before this one.
 	Stagger time.Duration
+	// Pressed is for one without free slots while all replicas lag by more than Lag; it is replaced at most once in Pause.
+	Pressed time.Duration
+	Lag     time.Duration
+	Pause   time.Duration
 	// Stale is how old a hold must be before it counts as forgotten by its owner.
 	Stale time.Duration
 }
@@ -68,6 +75,12 @@
 	// mark is where the primary's log stood when no replica had come as far, and marked since when.
 	mark   endpoint.Position
 	marked time.Time
+	// pressed is since when the primary has had no free slot while all replicas lagged, and busy when it last said so.
+	pressed time.Time
+	busy    time.Time
+	// term is the newest one seen, and changed since when.
+	term    endpoint.FencedTerm
+	changed time.Time
 	// floor is that of the newest primary seen.
 	floor Floor
 	// holds are the holds seen, and since when.
@@ -108,13 +121,13 @@
 	if lead != nil {
 		j.Lead, j.Position = lead.Endpoint, lead.Standing.Log
 	}
-	w = w.withMark(lead, s.Sights, now).withFloor(lead, s.Sights)
+	w = w.withMark(lead, s.Sights, now).withFloor(lead, s.Sights).withPress(s, lead, t, now)
 	reason := w.evidence(s, lead, t, now)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
 	}
 	// A proof that came by another way, as from a peer, is newer than the evidence.
-	if reason != NoReason && reason != Departing && reason != Isolated && s.Proven.After(w.since) {
+	if reason != NoReason && reason != Departing && reason != Isolated && reason != Pressed && s.Proven.After(w.since) {
 		w.since = now
 	}
 	j.Floor = w.floor
@@ -191,6 +204,8 @@
 		switch {
 		case lead.Leaving && successors(s.Sights, lead.Endpoint) > 0:
 			return Departing
+		case w.isPressed(t, now):
+			return Pressed
 		case w.mark != (endpoint.Position{}) && now.Sub(w.marked) >= t.Isolated:
 			return Isolated
 		default:
@@ -214,6 +229,43 @@
 	return Leaderless
 }
 
+// withPress keeps since when the primary has had no free slot while every replica lagged too far to take reads.
+func (w Watch) withPress(s Survey, lead *Sight, t Timing, now time.Time) Watch {
+	if newest := newestTerm(s.Sights); newest > w.term {
+		if w.term != 0 {
+			w.changed = now
+		}
+		w.term = newest
+	}
+	primary, lagging := s.Lead, 0
+	if lead != nil {
+		primary = lead.Endpoint
+	}
+	for _, sight := range s.Sights {
+		switch {
+		case sight.Endpoint == primary && sight.Answered && sight.Standing == nil:
+			w.busy = now
+		case sight.Endpoint == primary || !sight.Answered:
+		case sight.Standing != nil && sight.Standing.Lag < t.Lag:
+			w.pressed = time.Time{}
+			return w
+		case sight.Standing != nil:
+			lagging++
+		}
+	}
+	switch {
+	case lagging == 0 || now.Sub(w.busy) > t.Pressed:
+		w.pressed = time.Time{}
+	case w.pressed.IsZero():
+		w.pressed = now
+	}
+	return w
+}
+
+func (w Watch) isPressed(t Timing, now time.Time) bool {
+	return !w.pressed.IsZero() && now.Sub(w.pressed) >= t.Pressed && now.Sub(w.changed) >= t.Pause
+}
+
 // withMark keeps where the primary's log stood when no replica had come as far.
 func (w Watch) withMark(lead *Sight, sights []Sight, now time.Time) Watch {
 	if lead == nil {
@@ -273,6 +325,9 @@
 	}
 }
 
+// looksClosely reports whether the evidence of a primary without free slots needs more looks soon.
+func (w Watch) looksClosely() bool { return !w.pressed.IsZero() }
+
 // promotable reports whether enough replicas answer for a succession to succeed.
 func promotable(s Survey, j Judgement) bool {
 	reached := false
@@ -307,3 +362,8 @@
 	w.holds = holds
 	return w
 }
+
+// again returns the watch after a succession: what was learned stays, evidence has to last anew.
+func (w Watch) again() Watch {
+	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed}
+}
--- a/succession/watch_test.go
+++ b/succession/watch_test.go
@@ -14,6 +14,7 @@
 var timing = Timing{
 	Refusing: 100 * time.Millisecond, Silent: 500 * time.Millisecond, Isolated: 700 * time.Millisecond,
 	Stagger: 700 * time.Millisecond, Stale: 2500 * time.Millisecond,
+	Pressed: time.Second, Lag: 2 * time.Second, Pause: 10 * time.Second,
 }
 
 func position(offset uint64) endpoint.Position { return endpoint.Position{Term: 1, Offset: offset} }
@@ -33,6 +34,12 @@
 	return s
 }
 
+func lagging(name string) Sight {
+	s := replica(name, 5)
+	s.Standing.Lag = 3 * time.Second
+	return s
+}
+
 func leavingOf(s Sight) Sight {
 	s.Leaving = true
 	return s
@@ -87,6 +94,19 @@
 			looks: []look{{sights: beside(refused, replica("a", 5), Sight{Endpoint: "b"})}, {after: time.Second, sights: beside(refused, replica("a", 5), Sight{Endpoint: "b"})}},
 			want:  Judgement{Reason: Refusing, Since: epoch, Lost: "p", Term: 1},
 		},
+		"full primary beside a fresh replica": {
+			looks: []look{{sights: beside(busy, lagging("a"), replica("b", 5))}, {after: 900 * time.Millisecond, sights: beside(busy, lagging("a"), replica("b", 5))}, {after: 1100 * time.Millisecond, sights: beside(primary("p", 5), lagging("a"), replica("b", 5))}},
+			want:  Judgement{Lead: "p", Position: position(5), Lost: "p", Term: 1},
+		},
+		// The pattern of scale-1 and scale-2: one database has a single endpoint that can take its reads.
+		"full primary while all replicas lag": {
+			looks: []look{{sights: beside(busy, lagging("a"), lagging("b"))}, {after: 900 * time.Millisecond, sights: beside(busy, lagging("a"), lagging("b"))}, {after: 1100 * time.Millisecond, sights: beside(primary("p", 5), lagging("a"), lagging("b"))}},
+			want:  Judgement{Lead: "p", Position: position(5), Reason: Pressed, Since: epoch.Add(1100 * time.Millisecond), Replace: true, Lost: "p", Term: 1},
+		},
+		"primary with free slots while all replicas lag": {
+			looks: []look{{sights: beside(primary("p", 5), lagging("a"), lagging("b"))}, {after: 5 * time.Second, sights: beside(primary("p", 5), lagging("a"), lagging("b"))}},
+			want:  Judgement{Lead: "p", Position: position(5), Lost: "p", Term: 1},
+		},
 		// Found on trouble-3 (LOST): the endpoint that was believed to lead was left out although it was a replica.
 		"former primary that answers as a replica is counted": {
 			looks: []look{{sights: beside(replica("p", 9), both...)}, {after: time.Second, sights: beside(replica("p", 9), both...)}},
