succession: know a full primary by what waits there

Cause: endpoints let some 40 statements wait for their slots, and BUSY comes only beyond that, so it was seen rarely; a question took longer than its 250 ms.

Change: a primary is full when 12 statements run or wait there, when it says so, or when a question goes unanswered while callers' statements prove its lead; 0.8 s of that are enough.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -44,7 +44,8 @@
 	Refusing: 120 * time.Millisecond, Silent: 500 * time.Millisecond, Isolated: 700 * time.Millisecond,
 	Stagger: 700 * time.Millisecond, Stale: 2500 * time.Millisecond,
 	// Callers accept an age of some seconds; a promotion costs some hundred ms, and lag lasts for many seconds.
-	Pressed: 1500 * time.Millisecond, Lag: 2 * time.Second, Pause: 12 * time.Second,
+	// Waiting is above the 3 to 6 slots of the users' endpoints, which let some tens of statements wait.
+	Pressed: 800 * time.Millisecond, Waiting: 12, Lag: 2 * time.Second, Pause: 12 * time.Second,
 }
 
 // Ranking tells the instances that coordinate a database.
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -60,8 +60,10 @@
 	Isolated time.Duration
 	// Stagger is added for each coordinator before this one.
 	Stagger time.Duration
-	// Pressed is for one without free slots while all replicas lag by more than Lag; it is replaced at most once in Pause.
+	// Pressed is for one without free slots, where at least Waiting statements run or wait, while all replicas lag by more
+	// than Lag; it is replaced at most once in Pause.
 	Pressed time.Duration
+	Waiting int
 	Lag     time.Duration
 	Pause   time.Duration
 	// Stale is how old a hold must be before it counts as forgotten by its owner.
@@ -243,7 +245,7 @@
 	}
 	for _, sight := range s.Sights {
 		switch {
-		case sight.Endpoint == primary && sight.Answered && sight.Standing == nil:
+		case sight.Endpoint == primary && t.full(sight, s.Proven, now):
 			w.busy = now
 		case sight.Endpoint == primary || !sight.Answered:
 		case sight.Standing != nil && sight.Standing.Lag < t.Lag:
@@ -262,6 +264,19 @@
 	return w
 }
 
+// full reports whether a primary has no free slot: it says so, many statements wait there, or a question to it waits for
+// so long that it went without an answer, although callers' statements are served.
+func (t Timing) full(s Sight, proven, now time.Time) bool {
+	switch {
+	case s.Standing != nil:
+		return s.Standing.Busy >= t.Waiting
+	case s.Answered:
+		return true
+	default:
+		return !s.Refused && now.Sub(proven) < t.Pressed
+	}
+}
+
 func (w Watch) isPressed(t Timing, now time.Time) bool {
 	return !w.pressed.IsZero() && now.Sub(w.pressed) >= t.Pressed && now.Sub(w.changed) >= t.Pause
 }
--- a/succession/watch_test.go
+++ b/succession/watch_test.go
@@ -14,7 +14,7 @@
 var timing = Timing{
 	Refusing: 100 * time.Millisecond, Silent: 500 * time.Millisecond, Isolated: 700 * time.Millisecond,
 	Stagger: 700 * time.Millisecond, Stale: 2500 * time.Millisecond,
-	Pressed: time.Second, Lag: 2 * time.Second, Pause: 10 * time.Second,
+	Pressed: time.Second, Waiting: 12, Lag: 2 * time.Second, Pause: 10 * time.Second,
 }
 
 func position(offset uint64) endpoint.Position { return endpoint.Position{Term: 1, Offset: offset} }
