--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -25,7 +25,7 @@
 	// changes from them.
 	pollersPerDomain = 1
 	// heartbeatPeriod is the time between two rounds of heartbeats, which also relay proofs and versions.
-	heartbeatPeriod = 400 * time.Millisecond
+	heartbeatPeriod = 700 * time.Millisecond
 	// rosterInterval is how often the list of instances is read; peers tell of new ones sooner.
 	rosterInterval = 30 * time.Second
 )
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -30,8 +30,8 @@
 	proofFresh = 350 * time.Millisecond
 	// surveyInterval is how often all endpoints are asked without doubt; standbyFactor is how much more rarely coordinators
 	// but the first do.
-	surveyInterval = 1200 * time.Millisecond
-	standbyFactor  = 3
+	surveyInterval = 1500 * time.Millisecond
+	standbyFactor  = 4
 	// askTimeout bounds a question: two regions' round trip and the wait behind a statement.
 	askTimeout = 250 * time.Millisecond
 	// reservePause is the least pause between two attempts to reserve a fencing token.
