--- a/directory/sheet_test.go
+++ b/directory/sheet_test.go
@@ -88,8 +88,10 @@
 		},
 		"entry that came back": {
 			readings: []reading{
-				{version: 5, rows: both}, {version: 6, rows: map[string]string{"r": "replica ready 1"}},
-				{after: 2 * time.Second, version: 7, rows: both}, {after: 9 * time.Second, version: 8, rows: both},
+				{version: 5, rows: both},
+				{version: 6, rows: map[string]string{"r": "replica ready 1"}},
+				{after: 2 * time.Second, version: 7, rows: both},
+				{after: 9 * time.Second, version: 8, rows: both},
 			},
 			endpoints: []string{"p", "r"}, claim: "p", version: 7,
 		},
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -252,9 +252,12 @@
 			route: "main", scripts: map[string][]script{"p": {succeed, succeed, cut}},
 			requests: []statement.Request{own(statement.Begin), write("1"), write("2"), read("3"), own(statement.Rollback), read("4")},
 			want: []outcome{
-				{State: statement.Open}, {Receipt: "receipt of 1", State: statement.Open},
+				{State: statement.Open},
+				{Receipt: "receipt of 1", State: statement.Open},
 				{Verdict: "not run", Reason: verdict.Aborted, State: statement.Failed},
-				{Verdict: "not run", Reason: verdict.Malformed, State: statement.Failed}, {}, {Receipt: "receipt of 4"},
+				{Verdict: "not run", Reason: verdict.Malformed, State: statement.Failed},
+				{},
+				{Receipt: "receipt of 4"},
 			},
 			sent: []string{"p: begin ", "p: write 1", "p: write 2", "p: begin ", "p: read 4", "p: rollback "},
 		},
@@ -268,8 +271,10 @@
 			route: "main", scripts: map[string][]script{"p": {succeed, succeed, fail(statement.Write, verdict.NotPrimary, statement.Failed)}},
 			requests: []statement.Request{own(statement.Begin), write("1"), write("2"), own(statement.Commit)},
 			want: []outcome{
-				{State: statement.Open}, {Receipt: "receipt of 1", State: statement.Open},
-				{Verdict: "not run", Reason: verdict.NotPrimary, State: statement.Failed}, {Verdict: "not run", Reason: verdict.Aborted},
+				{State: statement.Open},
+				{Receipt: "receipt of 1", State: statement.Open},
+				{Verdict: "not run", Reason: verdict.NotPrimary, State: statement.Failed},
+				{Verdict: "not run", Reason: verdict.Aborted},
 			},
 			sent: []string{"p: begin ", "p: write 1", "p: write 2", "p: rollback "},
 		},
@@ -287,8 +292,10 @@
 		"prepared statement is prepared once on a connection": {
 			route: "history",
 			requests: []statement.Request{
-				{ID: "s", Kind: statement.Prepare, Name: "s1", Value: "shape"}, {ID: "1", Kind: statement.Execute, Name: "s1", Value: "x"},
-				{ID: "2", Kind: statement.Execute, Name: "s1", Value: "x"}, {ID: "f", Kind: statement.Forget, Name: "s1"},
+				{ID: "s", Kind: statement.Prepare, Name: "s1", Value: "shape"},
+				{ID: "1", Kind: statement.Execute, Name: "s1", Value: "x"},
+				{ID: "2", Kind: statement.Execute, Name: "s1", Value: "x"},
+				{ID: "f", Kind: statement.Forget, Name: "s1"},
 				{ID: "3", Kind: statement.Execute, Name: "s1", Value: "x"},
 			},
 			want: []outcome{{}, {Receipt: "receipt of 1"}, {Receipt: "receipt of 2"}, {}, {Verdict: "not run", Reason: verdict.Unprepared}},
@@ -301,8 +308,11 @@
 		"misplaced statements": {
 			route: "main", requests: []statement.Request{own(statement.Commit), own(statement.Rollback), own(statement.Begin), own(statement.Begin), own(statement.Rollback)},
 			want: []outcome{
-				{Verdict: "not run", Reason: verdict.Malformed}, {Verdict: "not run", Reason: verdict.Malformed}, {State: statement.Open},
-				{Verdict: "not run", Reason: verdict.Malformed, State: statement.Open}, {},
+				{Verdict: "not run", Reason: verdict.Malformed},
+				{Verdict: "not run", Reason: verdict.Malformed},
+				{State: statement.Open},
+				{Verdict: "not run", Reason: verdict.Malformed, State: statement.Open},
+				{},
 			},
 		},
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -11,8 +11,8 @@
 	CertificateLoaded = define(105, log.InfoLevel, "certificate", "certificate taken over", "A new certificate was found in its file and is shown from now on.")
 	CertificateFailed = define(106, log.ErrorLevel, "certificate", "certificate not taken over", "A certificate, key or authority file is missing, wrong or expired; the last good one is kept. Mend the file.")
 	LinesLeftOut      = define(110, log.WarnLevel, "daemon", "log lines left out", "More lines were written than the bound allows, or the output did not take them; the field count tells how many are missing.")
-	SettingsReloaded  = define(108, log.InfoLevel, "daemon", "settings read again", "The settings file changed; what can change while running is in force.")
-	SettingsFailed    = define(109, log.ErrorLevel, "daemon", "settings not taken over", "The changed settings file can't be read or has errors; the last good settings are kept.")
+	SettingsReloaded  = define(108, log.InfoLevel, "daemon", "settings read again", "The settings file changed and is valid; the next start takes it over.")
+	SettingsFailed    = define(109, log.ErrorLevel, "daemon", "settings not valid", "The changed settings file can't be read or has errors; the instance goes on, but its next start would fail. Mend the file.")
 	DependencyLost    = define(111, log.WarnLevel, "daemon", "dependency lost", "The field name tells what does not answer any more; error tells why.")
 	DependencyBack    = define(112, log.InfoLevel, "daemon", "dependency regained", "The field name tells what answers again; after tells for how long it did not.")
 	Ready             = define(104, log.InfoLevel, "daemon", "ready", "The instance answers its readiness address with success.")
@@ -65,12 +65,10 @@
 	EndpointSilent    = define(406, log.WarnLevel, "pool", "endpoint silent", "The endpoint stopped answering status questions.")
 	CommitUnconfirmed = define(407, log.WarnLevel, "pool", "commit not confirmed", "A commit was not confirmed by a majority in time; the caller was told that it may have run.")
 	EndpointDraining  = define(408, log.InfoLevel, "pool", "endpoint leaving", "The endpoint is declared leaving and gets no new work.")
+	DetourTaken       = define(410, log.InfoLevel, "connection", "detour taken", "The endpoint can't be reached directly; a connection was made by way of another instance.")
 	PoolRefused       = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason says why.")
 )
 
-// DetourTaken belongs to the endpoint events.
-var DetourTaken = define(410, log.InfoLevel, "connection", "detour taken", "The endpoint can't be reached directly; a connection was made by way of another instance.")
-
 // Failover events, 500 to 599.
 var (
 	PrimaryLost     = define(500, log.WarnLevel, "failover", "primary lost", "The coordinator has no working primary for the database and starts a ballot; why gives the evidence.")
--- a/group/choose_test.go
+++ b/group/choose_test.go
@@ -44,7 +44,8 @@
 		"no primary known": {
 			query: Query{Lead: true, Domain: domain}, now: epoch,
 			want: []Choice{
-				{Endpoint: members[0], Lead: true, Why: "no primary known"}, {Endpoint: members[1], Lead: true, Why: "no primary known"},
+				{Endpoint: members[0], Lead: true, Why: "no primary known"},
+				{Endpoint: members[1], Lead: true, Why: "no primary known"},
 				{Endpoint: members[2], Lead: true, Why: "no primary known"},
 			},
 		},
@@ -60,7 +61,8 @@
 		"replica near first, primary before a far one": {
 			view: led(), query: Query{Token: at(1, 8), Domain: domain}, now: epoch,
 			want: []Choice{
-				{Endpoint: members[1], After: at(1, 8), Why: "replica"}, {Endpoint: members[0], Lead: true, Why: "primary"},
+				{Endpoint: members[1], After: at(1, 8), Why: "replica"},
+				{Endpoint: members[0], Lead: true, Why: "primary"},
 				{Endpoint: members[2], After: at(1, 8), Why: "replica"},
 			},
 		},
@@ -76,7 +78,8 @@
 			view:  led().WithBehind("r1", at(1, 9), at(1, 3), second),
 			query: Query{Token: at(1, 9), Domain: domain}, now: second,
 			want: []Choice{
-				{Endpoint: members[0], Lead: true, Why: "primary"}, {Endpoint: members[2], After: at(1, 9), Why: "replica"},
+				{Endpoint: members[0], Lead: true, Why: "primary"},
+				{Endpoint: members[2], After: at(1, 9), Why: "replica"},
 				{Endpoint: members[1], After: at(1, 9), Why: "replica"},
 			},
 		},
@@ -89,14 +92,16 @@
 			view:  led().WithBusy("r1", epoch).WithBusy("r1", epoch).WithBusy("r1", epoch),
 			query: Query{Domain: domain}, now: epoch,
 			want: []Choice{
-				{Endpoint: members[0], Lead: true, Why: "primary"}, {Endpoint: members[2], Why: "replica"},
+				{Endpoint: members[0], Lead: true, Why: "primary"},
+				{Endpoint: members[2], Why: "replica"},
 				{Endpoint: members[1], Why: "replica"},
 			},
 		},
 		"failed replica goes last": {
 			view: led().WithAvoid("r1", second), query: Query{Domain: domain}, now: epoch,
 			want: []Choice{
-				{Endpoint: members[0], Lead: true, Why: "primary"}, {Endpoint: members[2], Why: "replica"},
+				{Endpoint: members[0], Lead: true, Why: "primary"},
+				{Endpoint: members[2], Why: "replica"},
 				{Endpoint: members[1], Why: "replica"},
 			},
 		},
--- a/member/driver.go
+++ b/member/driver.go
@@ -128,17 +128,6 @@
 	return d.table.Live()
 }
 
-// Announce sends a heartbeat to every live peer at once.
-func (d *Driver) Announce(ctx context.Context) {
-	var wait sync.WaitGroup
-	for _, i := range d.Instances() {
-		if i.State.Live() {
-			wait.Go(func() { d.exchange(ctx, i) })
-		}
-	}
-	wait.Wait()
-}
-
 // Leave marks this instance as leaving and tells every live peer at once.
 func (d *Driver) Leave(ctx context.Context) {
 	d.mu.Lock()
@@ -171,36 +160,6 @@
 	}
 }
 
-// greet sends heartbeats to the seeds while no list has named this instance.
-func (d *Driver) greet(ctx context.Context) {
-	d.mu.Lock()
-	listed := d.listed
-	d.mu.Unlock()
-	if listed {
-		return
-	}
-	var wait sync.WaitGroup
-	for _, address := range d.options.Seeds {
-		if address != d.options.Self.Address {
-			wait.Go(func() { d.meet(ctx, address) })
-		}
-	}
-	wait.Wait()
-}
-
-// meet exchanges heartbeats with whoever is at an address.
-func (d *Driver) meet(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	asked := d.options.Clock.Now()
-	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
-	if err != nil || reply.GetHeartbeat() == nil {
-		return
-	}
-	d.Take(reply.GetHeartbeat())
-	d.absorb(reply.GetHeartbeat(), asked)
-}
-
 // round sends one period's heartbeats and reports whether some instance is in doubt.
 func (d *Driver) round(ctx context.Context) bool {
 	d.mu.Lock()
@@ -336,33 +295,3 @@
 		d.options.Changed(region)
 	}
 }
-
-func (d *Driver) readRoster(ctx context.Context) {
-	for {
-		pause := rosterUnlisted
-		if d.readRosterOnce(ctx) {
-			pause = d.options.RosterInterval
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.options.Clock.After(pause):
-		}
-	}
-}
-
-// readRosterOnce reads the list and reports whether this instance has been listed by now.
-func (d *Driver) readRosterOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
-	defer cancel()
-	list, err := d.options.Roster.List(ctx)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err != nil {
-		d.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
-		return d.listed
-	}
-	d.table.Roster(list, d.options.Clock.Now())
-	d.listed = d.listed || d.table.Listed(d.options.Self.ID)
-	return d.listed
-}
--- /dev/null
+++ b/member/greet.go
@@ -0,0 +1,50 @@
+package member
+
+import (
+	"context"
+	"sync"
+
+	"siskincove/peer"
+	"siskincove/peer/wire"
+)
+
+// Announce sends a heartbeat to every live peer at once.
+func (d *Driver) Announce(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, i := range d.Instances() {
+		if i.State.Live() {
+			wait.Go(func() { d.exchange(ctx, i) })
+		}
+	}
+	wait.Wait()
+}
+
+// greet sends heartbeats to the seeds while no list has named this instance.
+func (d *Driver) greet(ctx context.Context) {
+	d.mu.Lock()
+	listed := d.listed
+	d.mu.Unlock()
+	if listed {
+		return
+	}
+	var wait sync.WaitGroup
+	for _, address := range d.options.Seeds {
+		if address != d.options.Self.Address {
+			wait.Go(func() { d.meet(ctx, address) })
+		}
+	}
+	wait.Wait()
+}
+
+// meet exchanges heartbeats with whoever is at an address.
+func (d *Driver) meet(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	asked := d.options.Clock.Now()
+	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
+	if err != nil || reply.GetHeartbeat() == nil {
+		return
+	}
+	d.Take(reply.GetHeartbeat())
+	d.absorb(reply.GetHeartbeat(), asked)
+}
--- /dev/null
+++ b/succession/press.go
@@ -0,0 +1,58 @@
+package succession
+
+import (
+	"time"
+)
+
+// withPress keeps since when the primary has had no free slot while every replica lagged too far to take reads.
+func (w Watch) withPress(s Survey, lead *Sight, t Timing, now time.Time) Watch {
+	if newest := newestTerm(s.Sights); newest > w.term {
+		if w.term != 0 {
+			w.changed = now
+		}
+		w.term = newest
+	}
+	primary, lagging := s.Lead, 0
+	if lead != nil {
+		primary = lead.Endpoint
+	}
+	for _, sight := range s.Sights {
+		switch {
+		case sight.Endpoint == primary && t.full(sight, s.Proven, now):
+			w.busy = now
+		case sight.Endpoint == primary || !sight.Answered:
+		case sight.Standing != nil && sight.Standing.Lag < t.Lag:
+			w.pressed = time.Time{}
+			return w
+		case sight.Standing != nil:
+			lagging++
+		}
+	}
+	switch {
+	case lagging == 0 || now.Sub(w.busy) > t.Pressed:
+		w.pressed = time.Time{}
+	case w.pressed.IsZero():
+		w.pressed = now
+	}
+	return w
+}
+
+// full reports whether a primary has no free slot: it says so, many statements wait there, or a question to it waits for
+// so long that it went without an answer, although callers' statements are served.
+func (t Timing) full(s Sight, proven, now time.Time) bool {
+	switch {
+	case s.Standing != nil:
+		return s.Standing.Busy >= t.Waiting
+	case s.Answered:
+		return true
+	default:
+		return !s.Refused && now.Sub(proven) < t.Pressed
+	}
+}
+
+func (w Watch) isPressed(t Timing, now time.Time) bool {
+	return !w.pressed.IsZero() && now.Sub(w.pressed) >= t.Pressed && now.Sub(w.changed) >= t.Pause
+}
+
+// looksClosely reports whether the evidence of a primary without free slots needs more looks soon.
+func (w Watch) looksClosely() bool { return !w.pressed.IsZero() }
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -89,12 +89,6 @@
 	holds []seenHold
 }
 
-type seenHold struct {
-	endpoint string
-	term     endpoint.FencedTerm
-	since    time.Time
-}
-
 // Judgement is what a look leads to.
 type Judgement struct {
 	// Lead is the endpoint that said that it leads under the newest term, empty for none.
@@ -158,28 +152,6 @@
 	return s.Lead
 }
 
-// underWay reports whether another coordinator's succession seems to be under way: some replica is held, and not for
-// long enough to count as forgotten.
-func (w Watch) underWay(t Timing, rank int, now time.Time) bool {
-	for _, h := range w.holds {
-		if now.Sub(h.since) < t.Stale+time.Duration(rank)*t.Stagger {
-			return true
-		}
-	}
-	return false
-}
-
-// forgotten returns the replicas that have been held beside a working primary for too long.
-func (w Watch) forgotten(t Timing, now time.Time) []string {
-	var out []string
-	for _, h := range w.holds {
-		if now.Sub(h.since) >= t.Stale {
-			out = append(out, h.endpoint)
-		}
-	}
-	return out
-}
-
 func newestTerm(sights []Sight) endpoint.FencedTerm {
 	newest := endpoint.FencedTerm(0)
 	for _, s := range sights {
@@ -231,56 +203,6 @@
 	return Leaderless
 }
 
-// withPress keeps since when the primary has had no free slot while every replica lagged too far to take reads.
-func (w Watch) withPress(s Survey, lead *Sight, t Timing, now time.Time) Watch {
-	if newest := newestTerm(s.Sights); newest > w.term {
-		if w.term != 0 {
-			w.changed = now
-		}
-		w.term = newest
-	}
-	primary, lagging := s.Lead, 0
-	if lead != nil {
-		primary = lead.Endpoint
-	}
-	for _, sight := range s.Sights {
-		switch {
-		case sight.Endpoint == primary && t.full(sight, s.Proven, now):
-			w.busy = now
-		case sight.Endpoint == primary || !sight.Answered:
-		case sight.Standing != nil && sight.Standing.Lag < t.Lag:
-			w.pressed = time.Time{}
-			return w
-		case sight.Standing != nil:
-			lagging++
-		}
-	}
-	switch {
-	case lagging == 0 || now.Sub(w.busy) > t.Pressed:
-		w.pressed = time.Time{}
-	case w.pressed.IsZero():
-		w.pressed = now
-	}
-	return w
-}
-
-// full reports whether a primary has no free slot: it says so, many statements wait there, or a question to it waits for
-// so long that it went without an answer, although callers' statements are served.
-func (t Timing) full(s Sight, proven, now time.Time) bool {
-	switch {
-	case s.Standing != nil:
-		return s.Standing.Busy >= t.Waiting
-	case s.Answered:
-		return true
-	default:
-		return !s.Refused && now.Sub(proven) < t.Pressed
-	}
-}
-
-func (w Watch) isPressed(t Timing, now time.Time) bool {
-	return !w.pressed.IsZero() && now.Sub(w.pressed) >= t.Pressed && now.Sub(w.changed) >= t.Pause
-}
-
 // withMark keeps where the primary's log stood when no replica had come as far.
 func (w Watch) withMark(lead *Sight, sights []Sight, now time.Time) Watch {
 	if lead == nil {
@@ -340,9 +262,6 @@
 	}
 }
 
-// looksClosely reports whether the evidence of a primary without free slots needs more looks soon.
-func (w Watch) looksClosely() bool { return !w.pressed.IsZero() }
-
 // promotable reports whether enough replicas answer for a succession to succeed.
 func promotable(s Survey, j Judgement) bool {
 	reached := false
@@ -359,25 +278,6 @@
 	return reached && missing < max(s.Acknowledge, 1)
 }
 
-// withHolds keeps the holds that are seen, and since when.
-func (w Watch) withHolds(sights []Sight, now time.Time) Watch {
-	var holds []seenHold
-	for _, s := range sights {
-		if s.Standing == nil || s.Standing.Held == 0 {
-			continue
-		}
-		h := seenHold{endpoint: s.Endpoint, term: s.Standing.Held, since: now}
-		for _, before := range w.holds {
-			if before.endpoint == h.endpoint && before.term == h.term {
-				h.since = before.since
-			}
-		}
-		holds = append(holds, h)
-	}
-	w.holds = holds
-	return w
-}
-
 // again returns the watch after a succession: what was learned stays, evidence has to last anew.
 func (w Watch) again() Watch {
 	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed}
