hosted: give each instance of a test its own loopback address

Cause: TestServes failed once with an address in use: a port that was found free was taken by a connection of a test beside it before it was listened on.

Change: each instance of a test has an IP number of 127/8 to itself.

Conclusion: nothing else in these tests takes a port that may be taken.

--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,14 +82,17 @@
 	w.store.Close()
 }
 
-// free returns an address of loopback that nothing listens on.
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// addresses counts the loopback addresses given out by this process.
+var addresses atomic.Uint32
+
+// address returns a loopback IP number of its own, which no connection of another test can have taken a port of.
+func address() string {
+	const (
+		pids  = 200
+		hosts = 250
+	)
+	n := int(addresses.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%pids, n/hosts, 1+n%hosts)
 }
 
 func (w *world) start(n int) *Instance { return w.startWithSeeds(n) }
@@ -96,7 +100,8 @@
 func (w *world) startWithSeeds(n int, seeds ...string) *Instance {
 	s := settings.Default()
 	s.Instance = settings.Instance{ID: fmt.Sprintf("n%d", n), Domain: "north/" + string("abc"[n%3])}
-	s.Listen = settings.Listen{Callers: free(w.t), Peers: free(w.t), Health: free(w.t), Metrics: free(w.t), Seeds: seeds}
+	ip := address()
+	s.Listen = settings.Listen{Callers: ip + ":7101", Peers: ip + ":7102", Health: ip + ":7103", Metrics: ip + ":7104", Seeds: seeds}
 	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
 	s.Drain.Endpoint = document.Duration(7 * time.Second)
 	service := clock.Boot{}
