dispatch, connection: bound the wait for a connection, leave a silent endpoint sooner

Change: the wait ends 40 ms before the statement's time; a read leaves an endpoint after half of the route's target, or six times what the endpoint takes if that is more, at most 0.45 of its time.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -26,6 +26,9 @@
 const (
 	// dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
 	dialTimeout = 400 * time.Millisecond
+	// dialLeast is the least time before a deadline that is worth making a connection in: it takes 12 to 27 ms of the
+	// endpoint's work and then the statement's.
+	dialLeast = 40 * time.Millisecond
 	// detourMemory is how long the direct way is not tried first after it was cut; cuts of some seconds are common.
 	detourMemory = 3 * time.Second
 )
@@ -47,9 +50,9 @@
 	options Options
 	queue   *queue.Queue
 
-	// dialling is held while a connection is made: a new one costs the endpoint a slot for a while, and many at once would
+	// dialling is full while a connection is made: a new one costs the endpoint a slot for a while, and many at once would
 	// take all of them.
-	dialling sync.Mutex
+	dialling chan struct{}
 
 	mu      sync.Mutex
 	idle    []*Held
@@ -61,7 +64,7 @@
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
-	return &Pool{options: o, queue: queue.New(o.Limit, o.Clock)}
+	return &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, 1)}
 }
 
 // Endpoint returns the endpoint.
@@ -113,8 +116,14 @@
 
 // open makes a connection, unless one came back while another was being made.
 func (p *Pool) open(ctx context.Context, deadline time.Time, settings map[string]string) (*Held, error) {
-	p.dialling.Lock()
-	defer p.dialling.Unlock()
+	select {
+	case p.dialling <- struct{}{}:
+	case <-ctx.Done():
+		return nil, verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up")
+	case <-p.options.Clock.After(deadline.Sub(p.options.Clock.Now()) - dialLeast):
+		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "no connection to the endpoint in time")
+	}
+	defer func() { <-p.dialling }()
 	if h := p.take(settings); h != nil {
 		return h, nil
 	}
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -225,3 +225,15 @@
 func (failing) Over(context.Context, config.Endpoint, net.Conn) (Conn, error) {
 	return &conn{broken: make(chan struct{})}, nil
 }
+
+// TestDialWaitIsBounded refuses in time what waits for the connection that another is making.
+func TestDialWaitIsBounded(t *testing.T) {
+	p := newPool(&dialer{delay: 500 * time.Millisecond}, 3)
+	go func() { _, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil) }()
+	time.Sleep(50 * time.Millisecond)
+	started := time.Now()
+	_, err := p.Acquire(context.Background(), limit.Class{}, started.Add(150*time.Millisecond), nil)
+	if took := time.Since(started); err == nil || took > 150*time.Millisecond {
+		t.Errorf("got %v after %s of 150 ms", err, took)
+	}
+}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -52,7 +52,7 @@
 // primary may serve runs inside a transaction of ours, which the endpoint refuses if it has lost the lead. It is not sent
 // before that has begun: after a refused begin it would run outside of it.
 func (w *work) exchange(ctx context.Context, j job, c group.Choice, held *connection.Held) (*statement.Answer, error) {
-	deadline := w.attemptDeadline(!j.request.Writes)
+	deadline := w.attemptDeadline(!j.request.Writes, c)
 	steps := append(held.Fit(w.session.settings), j.prepare(held)...)
 	own := len(steps)
 	step := statement.Step{Request: j.request}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -113,7 +113,7 @@
 // open begins the transaction on its connection and runs the first statement, which is not sent before that has begun:
 // after a refused begin it would run outside of it.
 func (t *transaction) open(ctx context.Context, w *work, j job, c group.Choice) (statement.Answer, error) {
-	deadline := w.attemptDeadline(true)
+	deadline := w.attemptDeadline(true, t.choice)
 	steps := append(t.held.Fit(t.session.settings), j.prepare(t.held)...)
 	opened, err := t.held.Exchange(ctx, deadline, append(steps, t.opening(c))...)
 	if err != nil {
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -39,6 +39,9 @@
 	leadPause = 50 * time.Millisecond
 	// attemptShare is the part of a read's time that one endpoint gets before another is tried.
 	attemptShare = 0.45
+	// silenceFactor is how many times longer than on average a statement takes before it counts as lost; works spread by
+	// a factor of some.
+	silenceFactor = 6
 	// avoidPause is how long an endpoint that broke a connection or can't be reached is tried last.
 	avoidPause = 150 * time.Millisecond
 	// misroutedPause is how long an address at which another endpoint answers is not used; the directory forgets it soon.
@@ -59,8 +62,9 @@
 	query    group.Query
 	started  time.Time
 	deadline time.Time
-	// patience bounds one try of a read.
-	patience time.Duration
+	// patience bounds one try of a read, and promptness is the time after which it is not in time for its caller any more.
+	patience   time.Duration
+	promptness time.Duration
 	// usual is the pace that the route gives, and pace what the tries so far have made of it.
 	usual pace
 	pace  pace
@@ -84,7 +88,7 @@
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.Unconfigured, "database %s is not known yet", route.Database).WithAfter(comeBackAfter)
 	}
-	timeout, _, priority := bounds(catalog, route)
+	timeout, target, priority := bounds(catalog, route)
 	now := d.now()
 	token, _ := s.token.Position(route.Database)
 	allowance, _ := catalog.Allowance(route.Allowance)
@@ -95,7 +99,7 @@
 			Domain: d.options.Domain, Salt: s.salt,
 		},
 		started: now, deadline: now.Add(timeout - answerMargin), usual: newPace(timeout, priority), pace: newPace(timeout, priority),
-		patience: time.Duration(attemptShare * float64(timeout)),
+		patience: time.Duration(attemptShare * float64(timeout)), promptness: target / 2,
 	}, nil
 }
 
@@ -186,12 +190,13 @@
 	return verdict.New(verdict.NotRun, w.last.Reason, "%s; time is up after %d tries", w.last.Message, w.tries).WithAfter(after)
 }
 
-// attemptDeadline is when a try ends: a read may go elsewhere, anything else has the whole time.
-func (w *work) attemptDeadline(reads bool) time.Time {
+// attemptDeadline is when a try ends. A read may go elsewhere: while that can still be in time for the caller, unless the
+// endpoint is known to take long. Anything else has the whole time.
+func (w *work) attemptDeadline(reads bool, c group.Choice) time.Time {
 	if !reads {
 		return w.deadline
 	}
-	limit := w.session.dispatcher.now().Add(w.patience)
+	limit := w.session.dispatcher.now().Add(min(w.patience, max(w.promptness, silenceFactor*c.Takes)))
 	if limit.After(w.deadline) {
 		return w.deadline
 	}
