directory, dispatch, config: one Region, no dead code, shorter run

Cause: the landing's reading of the diff: the region of a failure domain was cut out in three packages, two methods had no caller, counters were a type without state, and a succession's loop held its rules.

Change: config.Region serves all; database.Lost and directory.Poke are gone; the counters are functions; run.take holds the rule on old holds. A full primary gives way only where replicas hold its commits: without that, a promotion nobody needs could lose some.

Ruled out: joining this path's status page with the older one's; the pages differ in all but their shape.

--- a/config/endpoint.go
+++ b/config/endpoint.go
@@ -1,5 +1,13 @@
 package config
 
+import "strings"
+
+// Region returns the region of a failure domain, which is written region/domain.
+func Region(domain string) string {
+	region, _, _ := strings.Cut(domain, "/")
+	return region
+}
+
 // Endpoint is one member of a database group.
 type Endpoint struct {
 	Name     string `toml:"name" json:"name"`
--- a/database/database.go
+++ b/database/database.go
@@ -150,11 +150,6 @@
 	d.update("", func(v group.View, now time.Time) group.View { return v.WithAvoid(name, now.Add(pause)) })
 }
 
-// Lost notes that the coordinator believes an endpoint that led to be gone.
-func (d *Database) Lost(name string) {
-	d.update("lost", func(v group.View, now time.Time) group.View { return v.WithDenial(name, now, now) })
-}
-
 // configure takes over the group's endpoints and how many connections this instance may have to each.
 func (d *Database) configure(members []config.Endpoint, claim string, limit int) {
 	d.mu.Lock()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -39,7 +39,6 @@
 type Directory struct {
 	options Options
 	catalog atomic.Pointer[config.Catalog]
-	poke    chan struct{}
 	running sync.WaitGroup
 	done    chan struct{}
 
@@ -56,7 +55,7 @@
 
 // New returns a directory that ends with ctx.
 func New(ctx context.Context, o Options) *Directory {
-	d := &Directory{options: o, poke: make(chan struct{}, 1), done: make(chan struct{}), lost: make(map[string]time.Time)}
+	d := &Directory{options: o, done: make(chan struct{}), lost: make(map[string]time.Time)}
 	d.running.Go(func() { d.follow(ctx) })
 	d.running.Go(func() { d.poll(ctx) })
 	go func() {
@@ -83,14 +82,6 @@
 	return d.listed && d.options.Clock.Now().Sub(d.since) >= missingPause
 }
 
-// Poke asks for the endpoints to be read soon, because what is known of them proved wrong.
-func (d *Directory) Poke() {
-	select {
-	case d.poke <- struct{}{}:
-	default:
-	}
-}
-
 // takeConfiguration brings the operator's row into force unless a later one is.
 func (d *Directory) takeConfiguration(row store.Row, from string) {
 	d.mu.Lock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -22,10 +22,8 @@
 	readTimeout = 1500 * time.Millisecond
 	// changePause joins configurations that come in quick succession; they must be in force within seconds.
 	changePause = 200 * time.Millisecond
-	// pollInterval is how often an instance that reads for its failure domain reads the endpoints, and pokePause the least
-	// pause between two reads.
+	// pollInterval is how often an instance that reads for its failure domain reads the endpoints.
 	pollInterval = 1200 * time.Millisecond
-	pokePause    = 300 * time.Millisecond
 	// refreshTimeout bounds a reading that something urgent waits for.
 	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the others look whether something is to be done.
@@ -99,7 +97,7 @@
 	return changes.Version, nil
 }
 
-// poll reads the endpoints' table, often if this instance does so for its failure domain, and when asked to.
+// poll reads the endpoints' table if this instance does so for its failure domain, or knows none.
 func (d *Directory) poll(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
@@ -130,13 +128,8 @@
 	case <-ctx.Done():
 		return false
 	case <-d.options.Clock.After(spread(interval)):
-	case <-d.poke:
-		if clock.Wait(ctx, d.options.Clock, pokePause) != nil {
-			return false
-		}
-		d.report(endpointReads, d.readEndpoints(ctx))
+		return true
 	}
-	return true
 }
 
 func (d *Directory) known() bool {
--- a/dispatch/counters.go
+++ b/dispatch/counters.go
@@ -10,13 +10,8 @@
 	"siskincove/verdict"
 )
 
-// counters are the dispatcher's metrics.
-type counters struct{}
-
-func newCounters() *counters { return &counters{} }
-
-// answered counts a request and its latency by what became of it.
-func (*counters) answered(kind statement.Kind, failure *verdict.Error, took time.Duration) {
+// countAnswer counts a request and its latency by what became of it.
+func countAnswer(kind statement.Kind, failure *verdict.Error, took time.Duration) {
 	outcome := "served"
 	if failure != nil {
 		outcome = string(failure.Reason)
@@ -24,7 +19,7 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`siskincove_request_seconds{kind=%q,outcome=%q}`, kind.String(), outcome)).Update(took.Seconds())
 }
 
-// attempted counts what an endpoint made of a statement.
-func (*counters) attempted(reason string) {
+// countAttempt counts what an endpoint made of a statement.
+func countAttempt(reason string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`siskincove_attempts_total{outcome=%q}`, reason)).Inc()
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,7 +14,6 @@
 type Dispatcher struct {
 	options  Options
 	ctx      context.Context
-	counters *counters
 	sessions atomic.Uint64
 	// running counts what goes on after the answer, such as rollbacks.
 	running sync.WaitGroup
@@ -23,7 +22,7 @@
 
 // New returns a dispatcher that ends with ctx.
 func New(ctx context.Context, o Options) *Dispatcher {
-	d := &Dispatcher{options: o, ctx: ctx, counters: newCounters(), done: make(chan struct{})}
+	d := &Dispatcher{options: o, ctx: ctx, done: make(chan struct{})}
 	go func() {
 		defer close(d.done)
 		<-ctx.Done()
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -73,7 +73,7 @@
 	started := s.dispatcher.now()
 	a := s.run(ctx, r)
 	a.State = s.state
-	s.dispatcher.counters.answered(r.Kind, a.Failure, s.dispatcher.now().Sub(started))
+	countAnswer(r.Kind, a.Failure, s.dispatcher.now().Sub(started))
 	return a
 }
 
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -125,7 +125,7 @@
 // served takes in what a success tells: the endpoint's log, its load, and its lead if it proved that.
 func (w *work) served(r statement.Request, c group.Choice, a statement.Answer, sent time.Time) {
 	d := w.session.dispatcher
-	d.counters.attempted("served")
+	countAttempt("served")
 	w.database.Served(c.Endpoint.Name, a.Position, d.now().Sub(sent))
 	if c.Lead {
 		w.database.Led(c.Endpoint.Name, a.Position, sent)
@@ -139,7 +139,7 @@
 func (w *work) failed(r statement.Request, c group.Choice, err error, a statement.Answer, sent time.Time) {
 	failure := verdict.From(err)
 	d := w.session.dispatcher
-	d.counters.attempted(string(failure.Reason))
+	countAttempt(string(failure.Reason))
 	w.learn(c, failure, a, sent)
 	if failure.Reason == verdict.Overload {
 		return
--- a/group/choose.go
+++ b/group/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,14 +147,9 @@
 	switch {
 	case a == b:
 		return 0
-	case region(a) == region(b):
+	case config.Region(a) == config.Region(b):
 		return costRegion
 	default:
 		return costFar
 	}
 }
-
-func region(domain string) string {
-	name, _, _ := strings.Cut(domain, "/")
-	return name
-}
--- a/member/driver.go
+++ b/member/driver.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"siskincove/clock"
+	"siskincove/config"
 	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
@@ -288,7 +289,7 @@
 			d.options.Drop(c.Instance.Address)
 		}
 		if c.Instance.State.Live() != c.Before.Live() {
-			regions[Region(c.Instance.Domain)] = true
+			regions[config.Region(c.Instance.Domain)] = true
 		}
 	}
 	for region := range regions {
--- a/member/placed.go
+++ b/member/placed.go
@@ -103,7 +103,7 @@
 // Concerns reports whether a change of the instances in a region can move an endpoint or database with this failure
 // domain: it is in the region, or its own region has no instances.
 func (d *Driver) Concerns(region, domain string) bool {
-	if region == "" || Region(domain) == region {
+	if region == "" || config.Region(domain) == region {
 		return true
 	}
 	d.mu.Lock()
--- a/member/placement.go
+++ b/member/placement.go
@@ -3,9 +3,10 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"siskincove/config"
 )
 
 // Rank orders instances by rendezvous hashing for a key, highest first; all who know the same instances agree.
@@ -37,7 +38,7 @@
 		c := candidate{instance: i, hash: xxhash.Sum64String(i.ID)}
 		p.all = append(p.all, c)
 		p.domains[i.Domain] = append(p.domains[i.Domain], c)
-		p.regions[Region(i.Domain)] = append(p.regions[Region(i.Domain)], c)
+		p.regions[config.Region(i.Domain)] = append(p.regions[config.Region(i.Domain)], c)
 	}
 	return p
 }
@@ -47,7 +48,7 @@
 	if found := p.domains[domain]; len(found) > 0 && domain != "" {
 		return found
 	}
-	if found := p.regions[Region(domain)]; len(found) > 0 && domain != "" {
+	if found := p.regions[config.Region(domain)]; len(found) > 0 && domain != "" {
 		return found
 	}
 	return p.all
@@ -97,7 +98,7 @@
 	}
 	ranked := make([][]Instance, 0, len(regions))
 	for _, domain := range regions {
-		ranked = append(ranked, p.topOf(p.regions[Region(domain)], key, n))
+		ranked = append(ranked, p.topOf(p.regions[config.Region(domain)], key, n))
 	}
 	var out []Instance
 	for place := range n {
@@ -115,13 +116,15 @@
 	seen := make(map[string]bool)
 	var out []string
 	for _, domain := range domains {
-		region := Region(domain)
+		region := config.Region(domain)
 		if !seen[region] && len(p.regions[region]) > 0 {
 			seen[region] = true
 			out = append(out, domain)
 		}
 	}
-	score := func(domain string) uint64 { return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(Region(domain))) }
+	score := func(domain string) uint64 {
+		return mix(xxhash.Sum64String(key) ^ xxhash.Sum64String(config.Region(domain)))
+	}
 	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
 	return out
 }
@@ -136,10 +139,4 @@
 }
 
 // Inhabited reports whether an instance is in the region of a failure domain.
-func (p *Placement) Inhabited(domain string) bool { return len(p.regions[Region(domain)]) > 0 }
-
-// Region returns the region of a failure domain.
-func Region(domain string) string {
-	region, _, _ := strings.Cut(domain, "/")
-	return region
-}
+func (p *Placement) Inhabited(domain string) bool { return len(p.regions[config.Region(domain)]) > 0 }
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	"siskincove/config"
 	"siskincove/platform"
 )
 
@@ -152,7 +153,7 @@
 	}
 	found := near(func(i Instance) bool { return i.Domain == domain })
 	if len(found) == 0 {
-		found = near(func(i Instance) bool { return Region(i.Domain) == Region(domain) })
+		found = near(func(i Instance) bool { return config.Region(i.Domain) == config.Region(domain) })
 	}
 	if len(found) == 0 {
 		found = all
@@ -210,7 +211,7 @@
 					t.Errorf("%s twice", i.ID)
 				}
 				seen[i.ID] = true
-				got = append(got, Region(i.Domain))
+				got = append(got, config.Region(i.Domain))
 			}
 			if name == "none" {
 				if len(got) != 3 {
--- a/route/choose.go
+++ b/route/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -116,18 +115,13 @@
 	switch {
 	case a == b:
 		return costDomain
-	case region(a) == region(b):
+	case config.Region(a) == config.Region(b):
 		return costRegion
 	default:
 		return costFar
 	}
 }
 
-func region(domain string) string {
-	name, _, _ := strings.Cut(domain, "/")
-	return name
-}
-
 func why(r Request, e config.Endpoint, s Seen, now time.Time) string {
 	domain := r.Domain
 	switch {
@@ -137,7 +131,7 @@
 		return "replica, lately not fresh enough"
 	case domain == e.Domain:
 		return "replica in the same failure domain"
-	case region(domain) == region(e.Domain):
+	case config.Region(domain) == config.Region(e.Domain):
 		return "replica in the same region"
 	default:
 		return "replica in another region"
--- a/succession/run.go
+++ b/succession/run.go
@@ -68,25 +68,33 @@
 		case <-limit:
 			e = Timeout{}
 		}
-		next, actions := r.succession.Take(e)
-		r.succession = next
-		if before < Promoting && next.Phase() == Promoting {
-			limit = o.Clock.After(promoteLimit)
-			r.running.Go(func() { r.watchTarget(ctx, next.Target(), events) })
-		}
-		if before < Promoting && next.Phase() == Promoting && o.Clock.Now().Sub(r.started) > orderAge {
-			r.succession, actions = next.Take(Timeout{})
-			next = r.succession
-		}
-		if next.Phase() >= Done {
+		actions := r.take(e)
+		if r.succession.Phase() >= Done {
 			r.resume(outer, actions)
 			break
 		}
+		if before < Promoting && r.succession.Phase() == Promoting {
+			limit = o.Clock.After(promoteLimit)
+			target := r.succession.Target()
+			r.running.Go(func() { r.watchTarget(ctx, target, events) })
+		}
 		r.give(ctx, actions, events)
 	}
 	r.conclude(o.Clock.Now().Sub(r.started))
 }
 
+// take hands an event to the succession and returns the orders that follow. Holds that are too old when the first order
+// would be given may have been released as forgotten, so there is none.
+func (r *run) take(e Event) []Action {
+	before := r.succession.Phase()
+	next, actions := r.succession.Take(e)
+	if before < Promoting && next.Phase() == Promoting && r.coordinator.options.Clock.Now().Sub(r.started) > orderAge {
+		next, actions = next.Take(Timeout{})
+	}
+	r.succession = next
+	return actions
+}
+
 func (r *run) conclude(took time.Duration) {
 	o := r.coordinator.options
 	plan := r.succession.Plan()
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -178,7 +178,7 @@
 		switch {
 		case lead.Leaving && successors(s.Sights, lead.Endpoint) > 0:
 			return Departing
-		case w.isPressed(t, now):
+		case s.Acknowledge > 0 && w.isPressed(t, now):
 			return Pressed
 		case w.mark != (endpoint.Position{}) && now.Sub(w.marked) >= t.Isolated:
 			return Isolated
