standin: keep what an instance prints in its log file

Ruled out: a change of the PostgreSQL path's behaviour; the same tests pass with the lines in the file.

--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -18,7 +18,7 @@
 	stopLimit  = 15 * time.Second
 )
 
-// Process is a started program; its standard error goes to a file.
+// Process is a started program; its output and standard error go to a file.
 type Process struct {
 	command *exec.Cmd
 	lines   chan string
@@ -28,7 +28,7 @@
 	err     error
 }
 
-// start runs a program with its standard error in the file at logPath.
+// start runs a program with its output and standard error in the file at logPath.
 func start(logPath, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
@@ -49,6 +49,8 @@
 
 func (p *Process) read(scanner *bufio.Scanner) {
 	for scanner.Scan() {
+		// A line that can't be kept is missed by the tests that look for it.
+		_, _ = p.log.WriteString(scanner.Text() + "\n")
 		select {
 		case p.lines <- scanner.Text():
 		default:
