--- a/cmd/siskincoved/hosted.go
+++ b/cmd/siskincoved/hosted.go
@@ -5,10 +5,6 @@
 	"fmt"
 	"net"
 	"os"
-	"syscall"
-	"time"
-
-	"github.com/apex/log"
 
 	"siskincove/caller"
 	"siskincove/clock"
@@ -32,60 +28,24 @@
 func runHosted(ctx context.Context, r hostedRun) int {
 	s := r.settings
 	service := clock.Boot{}
+	kept := rows.New(s.Store.Address)
+	orders := order.New(s.Promotion.Address, s.Instance.ID)
 	i, err := hosted.New(ctx, hosted.Options{
 		Settings: s, Clock: service, Logger: r.logger,
-		Rows: rows.New(s.Store.Address), Decoder: sheet.Decoder{}, Dialer: line.Dialer{Clock: service},
-		Promoter: order.New(s.Promotion.Address, s.Instance.ID),
+		Rows: kept, Decoder: sheet.Decoder{}, Dialer: line.Dialer{Clock: service}, Promoter: orders,
 		Protocol: func(conn net.Conn) caller.Codec { return line.NewCaller(conn) },
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
-	r.wait(ctx)
-	if i.Leave(s.Drain.Limit.Std()) > 0 {
+	reload := reloader{file: r.file, current: s, clock: clock.System{}, logger: r.logger, signals: r.signals, take: func(next settings.Settings) {
+		kept.Redirect(next.Store.Address)
+		orders.Redirect(next.Promotion.Address)
+		i.Reload(next)
+	}}
+	if i.Leave(reload.wait(ctx).Drain.Limit.Std()) > 0 {
 		return exitFailure
 	}
 	return 0
 }
-
-// settingsInterval is how often the settings file is looked at, since it may change without a signal.
-const settingsInterval = 5 * time.Second
-
-// wait returns once a signal asks the instance to leave. Until then it checks the settings file whenever that changes:
-// what is not valid is told at once, and not at the next start. Only a start takes the changes over.
-func (r hostedRun) wait(ctx context.Context) {
-	known := modified(r.file)
-	ticks := clock.System{}.Every(ctx, settingsInterval)
-	for {
-		select {
-		case signal := <-r.signals:
-			if signal != syscall.SIGHUP {
-				return
-			}
-		case <-ticks:
-			if modified(r.file).Equal(known) {
-				continue
-			}
-		}
-		known = modified(r.file)
-		r.reload()
-	}
-}
-
-// modified returns when a file was changed last, the zero time if it can't be told.
-func modified(file string) time.Time {
-	info, err := os.Stat(file)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-func (r hostedRun) reload() {
-	if _, _, problems := settings.Load(r.file); len(problems) > 0 {
-		r.logger.Log(event.SettingsFailed, log.Fields{"file": r.file, "error": problems.Error()})
-		return
-	}
-	r.logger.Log(event.SettingsReloaded, log.Fields{"file": r.file})
-}
--- a/cmd/siskincoved/main.go
+++ b/cmd/siskincoved/main.go
@@ -8,7 +8,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/apex/log"
 
 	"siskincove/clock"
 	"siskincove/document"
@@ -49,14 +48,13 @@
 func run(o options, s settings.Settings, file document.Document) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	level, _ := log.ParseLevel(s.Log.Level)
 	writer := event.NewWriter(ctx, clock.System{}, os.Stdout)
 	defer writer.Flush()
-	logger := event.NewLogger(writer, level, clock.System{})
+	logger := event.NewLogger(writer, level(s.Log), clock.System{})
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if s.Callers.Protocol == settings.ProtocolPlatform {
 		return runHosted(ctx, hostedRun{file: o.Settings, settings: s, logger: logger, signals: signals})
 	}
-	return runPostgres(ctx, postgresRun{settings: s, file: file, logger: logger, signals: signals})
+	return runPostgres(ctx, postgresRun{name: o.Settings, settings: s, file: file, logger: logger, signals: signals})
 }
--- a/cmd/siskincoved/postgres.go
+++ b/cmd/siskincoved/postgres.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,10 +12,7 @@
 	"siskincove/document"
 	"siskincove/event"
 	"siskincove/instance"
-	"siskincove/platform/aws"
-	"siskincove/platform/dynamo"
-	"siskincove/platform/http"
-	"siskincove/platform/s3"
+	"siskincove/platform/rows"
 	"siskincove/settings"
 )
 
@@ -26,6 +22,7 @@
 
 // postgresRun is what an instance for the PostgreSQL protocol is run with.
 type postgresRun struct {
+	name     string
 	settings settings.Settings
 	file     document.Document
 	logger   *event.Logger
@@ -36,16 +33,15 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	i, err := instance.New(ctx, r.settings, clock.System{}, r.logger, services(r.settings.Platform))
+	kept := rows.New(r.settings.Store.Address)
+	i, err := instance.New(ctx, r.settings, clock.System{}, r.logger, kept)
 	if err != nil {
 		return report(err, r.file)
 	}
-	for s := range r.signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-	}
-	return leave(i, r.settings, r.signals)
+	reload := reloader{file: r.name, current: r.settings, clock: clock.System{}, logger: r.logger, signals: r.signals, take: func(next settings.Settings) {
+		kept.Redirect(next.Store.Address)
+	}}
+	return leave(i, reload.wait(ctx), r.signals)
 }
 
 // leave drains the instance until that is done, its limit has passed or a second signal comes.
@@ -79,13 +75,3 @@
 	fmt.Fprintln(os.Stderr, err)
 	return exitFailure
 }
-
-func services(p settings.Platform) instance.Platform {
-	client := aws.HTTPClient()
-	o := aws.Options{URL: p.URL, Region: p.Region, Key: p.Key, Secret: p.Secret}
-	return instance.Platform{
-		Table:   dynamo.New(aws.Table(o, client), p.Table),
-		Objects: s3.New(aws.Objects(o, client), p.Bucket),
-		Roster:  http.New(client, p.RosterURL()),
-	}
-}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,11 +10,10 @@
 )
 
 type options struct {
-	Group    groupCommand    `cmd:"" help:"Runs a database group."`
-	Instance instanceCommand `cmd:"" help:"Tells a running platform stand-in what its list says of an instance."`
-	Relay    relayCommand    `cmd:"" help:"Relays bytes to an address, as a baseline."`
-	Link     linkCommand     `cmd:"" help:"Proxies connections between instances, with delays and cuts."`
-	Platform platformCommand `cmd:"" help:"Runs the platform: table, object store and list of instances."`
+	Group groupCommand `cmd:"" help:"Runs a database group."`
+	Relay relayCommand `cmd:"" help:"Relays bytes to an address, as a baseline."`
+	Link  linkCommand  `cmd:"" help:"Proxies connections between instances, with delays and cuts."`
+	Store storeCommand `cmd:"" help:"Runs the platform's store of rows and objects."`
 }
 
 func main() {
--- a/commands/current.go
+++ b/commands/current.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskincove/config"
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 // inForce is the head and the set that are in force, empty before the first publication.
@@ -15,15 +15,15 @@
 	set  config.Set
 }
 
-func readInForce(ctx context.Context, f *PlatformFlags) (inForce, error) {
-	head, err := config.ReadHead(ctx, f.table())
-	if errors.Is(err, platform.ErrAbsent) {
+func readInForce(ctx context.Context, f *StoreFlags) (inForce, error) {
+	head, err := config.ReadHead(ctx, f.client())
+	if errors.Is(err, store.ErrAbsent) {
 		return inForce{}, nil
 	}
 	if err != nil {
 		return inForce{}, errors.Wrap(err, "reading the head")
 	}
-	data, err := config.ReadObjects(ctx, f.objects(), head.Hash)
+	data, err := config.ReadObjects(ctx, f.client(), head.Hash)
 	if err != nil {
 		return inForce{}, errors.Wrap(err, "reading the objects")
 	}
--- a/commands/history.go
+++ b/commands/history.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskincove/config"
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 func init() {
@@ -15,16 +15,16 @@
 }
 
 type historyCommand struct {
-	PlatformFlags `embed:"" prefix:"platform-"`
-	Most          int `help:"How many revisions to list." default:"20"`
+	StoreFlags `embed:""`
+	Most       int `help:"How many revisions to list." default:"20"`
 }
 
 // Run prints the heads.
 func (c *historyCommand) Run(out *Output) error {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	heads, err := config.History(ctx, c.table(), c.Most)
-	if err != nil && !errors.Is(err, platform.ErrAbsent) {
+	heads, err := config.History(ctx, c.client(), c.Most)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return err
 	}
 	return out.print(heads, func(w io.Writer) {
--- a/commands/plan.go
+++ b/commands/plan.go
@@ -12,8 +12,8 @@
 }
 
 type planCommand struct {
-	PlatformFlags `embed:"" prefix:"platform-"`
-	Path          string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
+	StoreFlags `embed:""`
+	Path       string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
 }
 
 type planReport struct {
@@ -23,13 +23,13 @@
 
 // Run prints the difference to what is in force.
 func (c *planCommand) Run(out *Output) error {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	source, problems := loadChecked(c.Path)
 	if err := problems.Err(); err != nil {
 		return &ExitError{Code: ExitInvalid, Cause: err}
 	}
-	current, err := readInForce(ctx, &c.PlatformFlags)
+	current, err := readInForce(ctx, &c.StoreFlags)
 	if err != nil {
 		return err
 	}
--- a/commands/publish.go
+++ b/commands/publish.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"siskincove/config"
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 func init() {
@@ -18,21 +18,21 @@
 }
 
 type publishCommand struct {
-	PlatformFlags `embed:"" prefix:"platform-"`
-	Path          string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
-	Base          int64  `help:"Revision that the plan was made against; publishing fails if another is in force." default:"-1"`
-	Note          string `help:"Why the set is published, for the history."`
+	StoreFlags `embed:""`
+	Path       string `arg:"" help:"File or directory of object files, in TOML." type:"path" predictor:"path"`
+	Base       int64  `help:"Revision that the plan was made against; publishing fails if another is in force." default:"-1"`
+	Note       string `help:"Why the set is published, for the history."`
 }
 
 // Run publishes the set; 4 means that another operator came first.
 func (c *publishCommand) Run(out *Output) error {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	source, problems := loadChecked(c.Path)
 	if err := problems.Err(); err != nil {
 		return &ExitError{Code: ExitInvalid, Cause: err}
 	}
-	current, err := readInForce(ctx, &c.PlatformFlags)
+	current, err := readInForce(ctx, &c.StoreFlags)
 	if err != nil {
 		return err
 	}
@@ -43,10 +43,10 @@
 	if c.Base >= 0 {
 		base = uint64(c.Base)
 	}
-	head, err := config.Publish(ctx, c.table(), c.objects(), config.Publication{
+	head, err := config.Publish(ctx, c.client(), c.client(), config.Publication{
 		Set: source.Set, Publisher: publisher(), Note: c.Note, Time: time.Now().UTC().Format(time.RFC3339), Operation: rand.Text(), Base: base,
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return &ExitError{Code: ExitConflict, Cause: err}
 	}
 	if err != nil && !errors.Is(err, config.ErrUnrecorded) {
--- a/commands/show.go
+++ b/commands/show.go
@@ -14,7 +14,7 @@
 }
 
 type showCommand struct {
-	PlatformFlags `embed:"" prefix:"platform-"`
+	StoreFlags `embed:""`
 }
 
 type showReport struct {
@@ -24,9 +24,9 @@
 
 // Run prints the set as TOML or JSON.
 func (c *showCommand) Run(out *Output) error {
-	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	current, err := readInForce(ctx, &c.PlatformFlags)
+	current, err := readInForce(ctx, &c.StoreFlags)
 	if err != nil {
 		return err
 	}
--- a/config/head.go
+++ b/config/head.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 // Head is the row that names the set in force.
@@ -18,34 +18,39 @@
 	Note      string `json:"note,omitempty"`
 	// Time is when it was published, in RFC 3339; it is shown to operators and compared with nothing.
 	Time string `json:"time"`
+	// Operation is unique to the publication.
+	Operation string `json:"operation"`
 }
 
-const headKey = "config/head"
+const (
+	// headTable holds the head, and historyTable a row for each revision.
+	headTable    = "revisions"
+	historyTable = "history"
+	headKey      = "head"
+)
 
-func historyKey(revision uint64) string { return fmt.Sprintf("config/history/%d", revision) }
+// historyKey orders revisions by number.
+func historyKey(revision uint64) string { return fmt.Sprintf("%020d", revision) }
 
-func objectKey(hash string) string { return "config/" + hash }
+func objectKey(hash string) string { return "revision-" + hash }
 
-// ReadHead returns the head in force; ErrAbsent before the first publication.
-func ReadHead(ctx context.Context, table platform.Table) (Head, error) {
-	row, err := table.Get(ctx, headKey)
+// ReadHead returns the head in force; store.ErrAbsent before the first publication.
+func ReadHead(ctx context.Context, rows store.Rows) (Head, error) {
+	row, err := store.Get(ctx, rows, store.Key{Table: headTable, Key: headKey})
 	if err != nil {
 		return Head{}, err
 	}
 	return decodeHead(row)
 }
 
-func decodeHead(row platform.Row) (Head, error) {
+func decodeHead(row store.Row) (Head, error) {
 	var h Head
-	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return h, errors.Wrap(err, "head row")
-	}
-	h.Revision = row.Revision
-	return h, nil
+	err := json.Unmarshal(row.Value, &h)
+	return h, errors.Wrapf(err, "row %s of %s", row.Key.Key, row.Key.Table)
 }
 
 // ReadObjects returns the encoded set that a head names, verified against its hash.
-func ReadObjects(ctx context.Context, objects platform.Objects, hash string) ([]byte, error) {
+func ReadObjects(ctx context.Context, objects store.Objects, hash string) ([]byte, error) {
 	data, err := objects.Get(ctx, objectKey(hash))
 	if err != nil {
 		return nil, err
--- a/config/publish.go
+++ b/config/publish.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 // Publication is a request to put a set in force.
@@ -21,37 +22,48 @@
 	Base uint64
 }
 
-// Publish stores the set and moves the head by a conditional write; platform.ErrConflict means that another operator
+// Publish stores the set and moves the head by a conditional transaction; store.ErrConflict means that another operator
 // came first and nothing changed.
-func Publish(ctx context.Context, table platform.Table, objects platform.Objects, p Publication) (Head, error) {
+func Publish(ctx context.Context, rows store.Rows, objects store.Objects, p Publication) (Head, error) {
 	data, err := p.Set.Encode()
 	if err != nil {
 		return Head{}, err
 	}
 	hash := Hash(data)
-	if err := store(ctx, objects, hash, data); err != nil {
+	if err := keep(ctx, objects, hash, data); err != nil {
 		return Head{}, err
 	}
-	head := Head{Revision: p.Base + 1, Hash: hash, Publisher: p.Publisher, Note: p.Note, Time: p.Time}
+	head := Head{Revision: p.Base + 1, Hash: hash, Publisher: p.Publisher, Note: p.Note, Time: p.Time, Operation: p.Operation}
 	value, err := json.Marshal(head)
 	if err != nil {
 		return Head{}, errors.Wrap(err, "encoding head")
 	}
-	row, err := platform.Update(ctx, table, headKey, p.Operation, func(before platform.Row) ([]byte, error) {
-		if before.Revision != p.Base {
-			return nil, errors.Wrapf(platform.ErrConflict, "revision %d is in force, the plan was made against %d", before.Revision, p.Base)
-		}
-		return value, nil
+	_, err = store.Update(ctx, rows, store.Key{Table: headTable, Key: headKey}, func(before store.Row) ([]byte, error) {
+		return value, unchanged(before, p.Base)
 	})
 	if err != nil {
 		return Head{}, err
 	}
-	head.Revision = row.Revision
-	return head, record(ctx, table, head, value)
+	return head, record(ctx, rows, head, value)
 }
 
-// store puts the bytes and, when the answer is lost, reads them back.
-func store(ctx context.Context, objects platform.Objects, hash string, data []byte) error {
+// unchanged reports store.ErrConflict unless the head's row still holds the revision that the plan was made against.
+func unchanged(before store.Row, base uint64) error {
+	current := Head{}
+	if before.Version > 0 {
+		var err error
+		if current, err = decodeHead(before); err != nil {
+			return err
+		}
+	}
+	if current.Revision != base {
+		return errors.Wrapf(store.ErrConflict, "revision %d is in force, the plan was made against %d", current.Revision, base)
+	}
+	return nil
+}
+
+// keep stores the bytes and, when the answer is lost, reads them back.
+func keep(ctx context.Context, objects store.Objects, hash string, data []byte) error {
 	err := objects.Put(ctx, objectKey(hash), data)
 	if err == nil {
 		return nil
@@ -63,42 +75,41 @@
 }
 
 // record keeps the head in the history; a publisher that dies before this leaves a gap, which history shows.
-func record(ctx context.Context, table platform.Table, head Head, value []byte) error {
-	row := platform.Row{Key: historyKey(head.Revision), Revision: 1, Value: value, Operation: head.Hash}
-	err := table.Put(ctx, row, 0)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		return nil
-	}
-	if _, readErr := table.Get(ctx, row.Key); readErr == nil {
-		return nil
+func record(ctx context.Context, rows store.Rows, head Head, value []byte) error {
+	key := store.Key{Table: historyTable, Key: historyKey(head.Revision)}
+	_, err := store.Update(ctx, rows, key, func(store.Row) ([]byte, error) { return value, nil })
+	if err != nil {
+		return errors.Wrapf(ErrUnrecorded, "revision %d is in force: %v", head.Revision, err)
 	}
-	return errors.Wrapf(ErrUnrecorded, "revision %d is in force: %v", head.Revision, err)
+	return nil
 }
 
 // ErrUnrecorded means that a revision is in force but its line in the history could not be written.
 var ErrUnrecorded = errors.New("history was not written")
 
 // History returns up to most heads, newest first; revisions whose line was not written are left out.
-func History(ctx context.Context, table platform.Table, most int) ([]Head, error) {
-	head, err := ReadHead(ctx, table)
+func History(ctx context.Context, rows store.Rows, most int) ([]Head, error) {
+	head, err := ReadHead(ctx, rows)
 	if err != nil {
 		return nil, err
 	}
+	first := uint64(1)
+	if head.Revision > uint64(most) {
+		first = head.Revision - uint64(most) + 1
+	}
+	page, err := store.Scan(ctx, rows, historyTable, "", historyKey(first))
+	if err != nil {
+		return []Head{head}, errors.Wrap(err, "reading history")
+	}
 	out := []Head{head}
-	for revision := head.Revision - 1; revision > 0 && len(out) < most; revision-- {
-		row, err := table.Get(ctx, historyKey(revision))
-		if errors.Is(err, platform.ErrAbsent) {
-			continue
-		}
-		if err != nil {
-			return out, errors.Wrap(err, "reading history")
-		}
+	for _, row := range slices.Backward(page.Rows) {
 		old, err := decodeHead(row)
 		if err != nil {
 			return out, err
 		}
-		old.Revision = revision
-		out = append(out, old)
+		if old.Revision < head.Revision && len(out) < most {
+			out = append(out, old)
+		}
 	}
 	return out, nil
 }
--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -10,29 +10,41 @@
 	"github.com/google/go-cmp/cmp"
 
 	"siskincove/config"
-	"siskincove/platform"
-	standin "siskincove/standin/platform"
+	"siskincove/platform/rows"
+	"siskincove/standin/hosting"
+	"siskincove/store"
 )
 
-// losing is a table that loses the answers to the puts that it is told to, after or before their effect.
+// losing is a store that loses the answer to the commit that it is told to, after or before its effect.
 type losing struct {
-	platform.Table
-	lose   int
-	before bool
-	puts   int
+	store.Rows
+	lose    int
+	before  bool
+	commits int
 }
 
 var errLost = errors.New("answer lost")
 
-func (l *losing) Put(ctx context.Context, row platform.Row, expected uint64) error {
-	l.puts++
-	if l.puts != l.lose {
-		return l.Table.Put(ctx, row, expected)
+func (l *losing) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+	l.commits++
+	if l.commits != l.lose {
+		return l.Rows.Commit(ctx, t)
 	}
 	if !l.before {
-		_ = l.Table.Put(ctx, row, expected)
+		_, _ = l.Rows.Commit(ctx, t)
 	}
-	return errLost
+	return 0, errLost
+}
+
+// begin starts a store and returns its client.
+func begin(t *testing.T) *rows.Client {
+	t.Helper()
+	s, err := hosting.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return rows.New(s.Address())
 }
 
 func set(name string) config.Set {
@@ -61,19 +73,19 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
-			memory := standin.NewMemory()
+			kept := begin(t)
 			if test.other {
-				if _, err := config.Publish(ctx, memory, memory.Objects(), publication("other", "op-other", 0)); err != nil {
+				if _, err := config.Publish(ctx, kept, kept, publication("other", "op-other", 0)); err != nil {
 					t.Fatal(err)
 				}
 			}
-			table := &losing{Table: memory, lose: test.lose, before: test.before}
-			_, err := config.Publish(ctx, table, memory.Objects(), publication("mine", "op-mine", 0))
-			if errors.Is(err, platform.ErrConflict) != test.conflict || (err != nil) != (test.conflict || test.unknown) {
+			losingRows := &losing{Rows: kept, lose: test.lose, before: test.before}
+			_, err := config.Publish(ctx, losingRows, kept, publication("mine", "op-mine", 0))
+			if errors.Is(err, store.ErrConflict) != test.conflict || (err != nil) != (test.conflict || test.unknown) {
 				t.Errorf("error %v", err)
 			}
-			head, err := config.ReadHead(ctx, memory)
-			if err != nil && !errors.Is(err, platform.ErrAbsent) {
+			head, err := config.ReadHead(ctx, kept)
+			if err != nil && !errors.Is(err, store.ErrAbsent) {
 				t.Fatal(err)
 			}
 			if diff := cmp.Diff(test.want, head.Revision); diff != "" {
@@ -86,23 +98,23 @@
 // TestPublishRace lets operators race from the same base: one wins each time, and nothing that was accepted is lost.
 func TestPublishRace(t *testing.T) {
 	ctx := context.Background()
-	memory := standin.NewMemory()
+	kept := begin(t)
 	const operators, rounds = 8, 20
 	accepted := make(chan uint64, operators*rounds)
 	var wait sync.WaitGroup
 	for n := range operators {
 		wait.Go(func() {
 			for r := range rounds {
-				head, err := config.ReadHead(ctx, memory)
-				if err != nil && !errors.Is(err, platform.ErrAbsent) {
+				head, err := config.ReadHead(ctx, kept)
+				if err != nil && !errors.Is(err, store.ErrAbsent) {
 					t.Error(err)
 					return
 				}
 				operation := fmt.Sprintf("op-%d-%d", n, r)
-				got, err := config.Publish(ctx, memory, memory.Objects(), publication(operation, operation, head.Revision))
+				got, err := config.Publish(ctx, kept, kept, publication(operation, operation, head.Revision))
 				if err == nil {
 					accepted <- got.Revision
-				} else if !errors.Is(err, platform.ErrConflict) {
+				} else if !errors.Is(err, store.ErrConflict) {
 					t.Error(err)
 				}
 			}
@@ -117,7 +129,7 @@
 		}
 		seen[revision] = true
 	}
-	heads, err := config.History(ctx, memory, operators*rounds+1)
+	heads, err := config.History(ctx, kept, operators*rounds+1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/database/database.go
+++ b/database/database.go
@@ -71,7 +71,7 @@
 	out := make([]config.Endpoint, 0, len(d.members))
 	for _, e := range d.members {
 		since, leaving := d.leaving[e.Name]
-		if !leaving || now.Sub(since) < d.options.Drain-noticeDelay {
+		if !leaving || now.Sub(since) < d.options.Drain()-noticeDelay {
 			out = append(out, e)
 		}
 	}
--- a/database/registry.go
+++ b/database/registry.go
@@ -19,8 +19,8 @@
 	Logger *event.Logger
 	// Detour, if set, leads to an endpoint by way of another instance.
 	Detour connection.Detour
-	// Drain is how long after its notice a leaving endpoint may get new work.
-	Drain time.Duration
+	// Drain returns how long after its notice a leaving endpoint may get new work.
+	Drain func() time.Duration
 }
 
 // noticeDelay is how much later than the store this instance may learn that an endpoint leaves: a reading of the table, a
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -30,14 +30,14 @@
 	exit 1
 }
 
-spawn platform "$work/bin/standin" platform --lag 1s
-platform=$(await platform control)
+spawn store "$work/bin/standin" store
+store=$(await store control)
 spawn group "$work/bin/standin" group --vendor postgres --slots 5 --connections 80 --cost 12ms \
 	--domain fi-south/a,se-east/a,de-north/a --domains 1500us --regions 8ms
 await group control >"$work/control"
 set -- $(await group endpoint)
 
-export SISKINCOVE_PLATFORM_URL="http://$platform" SISKINCOVE_PLATFORM_KEY=demo SISKINCOVE_PLATFORM_SECRET=demo-secret
+export SISKINCOVE_STORE="$store"
 sed -e "s/ADDRESS0/$1/; s/ADDRESS1/$2/; s/ADDRESS2/$3/" demo/objects.toml >"$work/objects.toml"
 verifier=$(echo demo-password | "$work/bin/siskincove" verifier)
 sed -i -e "s|VERIFIER|$verifier|" "$work/objects.toml"
@@ -55,15 +55,12 @@
 callers = "127.0.0.1:$port"
 peers = "127.0.0.1:$((port + 1))"
 health = "127.0.0.1:$((port + 2))"
-[platform]
-url = "http://$platform"
-key = "demo"
-secret = "demo-secret"
+[store]
+address = "$store"
 [token]
 keys = ["a key for the demonstration"]
 SETTINGS
 	spawn "i$n" "$work/bin/siskincoved" "$work/i$n.toml"
-	"$work/bin/standin" instance --platform "$platform" --id "i$n" --address "127.0.0.1:$((port + 1))" --domain "$domain"
 	callers="$callers,127.0.0.1:$port" health="$health,127.0.0.1:$((port + 2))"
 	n=$((n + 1))
 done
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -26,8 +26,8 @@
 	Decoder Decoder
 	Clock   clock.Service
 	Logger  *event.Logger
-	// Regions gives the region of each failure domain.
-	Regions map[string]string
+	// Regions returns the region of each failure domain.
+	Regions func() map[string]string
 	// Polls reports whether this instance reads the endpoints' table for its failure domain.
 	Polls func() bool
 	// Apply is called, by one goroutine at a time, with each catalog that comes into force and with which endpoint of a
@@ -156,7 +156,7 @@
 		return
 	}
 	set := d.declared.Set
-	endpoints, claims := d.sheet.endpoints(d.options.Regions)
+	endpoints, claims := d.sheet.endpoints(d.options.Regions())
 	set.Endpoints = endpoints
 	catalog := config.NewCatalog(set).WithIdle(d.declared.Idle)
 	d.catalog.Store(catalog)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -142,23 +142,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	table := d.options.Decoder.EndpointTable()
-	var rows []store.Row
-	from, version := "", uint64(0)
-	for {
-		page, err := d.options.Rows.Range(ctx, table, "", from, "")
-		if err != nil {
-			return err
-		}
-		if version == 0 {
-			version = page.Version
-		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			break
-		}
-		from = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
+	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
+	if err != nil {
+		return err
 	}
-	d.takeEndpoints(rows, version, fromStore)
+	d.takeEndpoints(page.Rows, page.Version, fromStore)
 	return nil
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -11,7 +11,7 @@
 	CertificateLoaded = define(105, log.InfoLevel, "certificate", "certificate taken over", "A new certificate was found in its file and is shown from now on.")
 	CertificateFailed = define(106, log.ErrorLevel, "certificate", "certificate not taken over", "A certificate, key or authority file is missing, wrong or expired; the last good one is kept. Mend the file.")
 	LinesLeftOut      = define(110, log.WarnLevel, "daemon", "log lines left out", "More lines were written than the bound allows, or the output did not take them; the field count tells how many are missing.")
-	SettingsReloaded  = define(108, log.InfoLevel, "daemon", "settings read again", "The settings file changed and is valid; the next start takes it over.")
+	SettingsReloaded  = define(108, log.InfoLevel, "daemon", "settings read again", "The settings file was read and is valid: the keys under taken are in force, those under waiting take a start.")
 	SettingsFailed    = define(109, log.ErrorLevel, "daemon", "settings not valid", "The changed settings file can't be read or has errors; the instance goes on, but its next start would fail. Mend the file.")
 	DependencyLost    = define(111, log.WarnLevel, "daemon", "dependency lost", "The field name tells what does not answer any more; error tells why.")
 	DependencyBack    = define(112, log.InfoLevel, "daemon", "dependency regained", "The field name tells what answers again; after tells for how long it did not.")
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -131,7 +131,7 @@
 func (s *Site) options(instances int) cluster.Options {
 	d, v := s.deployment, s.variant
 	o := cluster.Options{
-		Binaries: s.directory, Directory: s.directory, Domains: d.domains(instances), RosterLag: time.Second,
+		Binaries: s.directory, Directory: s.directory, Domains: d.domains(instances),
 		Link: true, Between: d.Within, Regions: d.Between, Settings: v.Settings,
 	}
 	for i, name := range d.Databases {
--- a/failover/coordinator.go
+++ b/failover/coordinator.go
@@ -12,8 +12,8 @@
 	"siskincove/config"
 	"siskincove/endpoint"
 	"siskincove/event"
-	"siskincove/platform"
 	"siskincove/pool"
+	"siskincove/store"
 )
 
 const (
@@ -40,14 +40,14 @@
 
 // Options are what a coordinator needs to know and to use.
 type Options struct {
-	// ID names this instance in operations on the platform's table.
+	// ID names this instance in rows of the store.
 	ID       string
 	Interval time.Duration
 	Timing   Timing
 	Clock    clock.Service
 	Logger   *event.Logger
 	Owners   Owners
-	Table    platform.Table
+	Rows     store.Rows
 	Ranking  Ranking
 }
 
@@ -159,7 +159,7 @@
 	operation := fmt.Sprintf("%s/%s/%d/%d", c.options.ID, c.database, now.UnixNano(), c.operations)
 	ctx, cancel := context.WithTimeout(ctx, reservePause)
 	defer cancel()
-	reservation, err := Reserve(ctx, c.options.Table, c.database, operation, highest)
+	reservation, err := Reserve(ctx, c.options.Rows, c.database, operation, highest)
 	if err != nil {
 		c.options.Logger.Log(event.TermMissing, log.Fields{"database": c.database, "error": err.Error()})
 		return
--- a/failover/reservation.go
+++ b/failover/reservation.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 
 	"github.com/cockroachdb/errors"
 
 	"siskincove/endpoint"
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 // reserveCount is how many terms are reserved at a time.
@@ -35,18 +34,20 @@
 	return ok
 }
 
-// termsRow is the value of a database's row: the first term that nobody has reserved.
+// termsTable holds a row for each database.
+const termsTable = "terms"
+
+// termsRow is the value of a database's row: the first term that nobody has reserved, and who stored that.
 type termsRow struct {
-	Next uint64 `json:"next"`
+	Next      uint64 `json:"next"`
+	Operation string `json:"operation"`
 }
 
-func termsKey(database string) string { return fmt.Sprintf("terms/%s", database) }
-
-// Reserve takes the next terms above floor from the platform's table. When the answer is lost and can't be settled the
+// Reserve takes the next terms above floor from the store; operation must be unique to the call. When the answer is lost and can't be settled the
 // terms are left unused.
-func Reserve(ctx context.Context, table platform.Table, database, operation string, floor endpoint.FencedTerm) (Reservation, error) {
+func Reserve(ctx context.Context, rows store.Rows, database, operation string, floor endpoint.FencedTerm) (Reservation, error) {
 	var taken Reservation
-	_, err := platform.Update(ctx, table, termsKey(database), operation, func(before platform.Row) ([]byte, error) {
+	_, err := store.Update(ctx, rows, store.Key{Table: termsTable, Key: database}, func(before store.Row) ([]byte, error) {
 		row := termsRow{}
 		if len(before.Value) > 0 {
 			if err := json.Unmarshal(before.Value, &row); err != nil {
@@ -55,7 +56,7 @@
 		}
 		first := max(endpoint.FencedTerm(row.Next), floor+1)
 		taken = Reservation{next: first, end: first + reserveCount}
-		return json.Marshal(termsRow{Next: uint64(taken.end)})
+		return json.Marshal(termsRow{Next: uint64(taken.end), Operation: operation})
 	})
 	if err != nil {
 		return Reservation{}, errors.Wrapf(err, "reserving terms of %s", database)
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"siskincove/config"
+	"siskincove/document"
 	"siskincove/standin/hosting"
 )
 
@@ -303,3 +305,23 @@
 		}
 	}
 }
+
+// TestReload puts regions and the time of leaving endpoints in force while the instance serves.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	i := w.instances[0]
+	next := i.options.Settings
+	next.Regions = map[string]string{"a": "south", "b": "south", "c": "south"}
+	next.Drain.Endpoint = document.Duration(time.Minute)
+	i.Reload(next)
+	for _, e := range i.directory.Catalog().Set.Endpoints {
+		if config.Region(e.Domain) != "south" {
+			t.Errorf("%s is in %s", e.Name, e.Domain)
+		}
+	}
+	if diff := cmp.Diff(time.Minute, i.endpointDrain()); diff != "" {
+		t.Error(diff)
+	}
+	w.must(w.dial(0, "main"), "q1", "WRITE x one")
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -17,6 +18,7 @@
 	"siskincove/event"
 	"siskincove/member"
 	"siskincove/peer"
+	"siskincove/settings"
 	"siskincove/succession"
 )
 
@@ -33,13 +35,14 @@
 // Instance is one running instance.
 type Instance struct {
 	options      Options
+	settings     atomic.Pointer[settings.Settings]
 	ctx          context.Context
 	cancel       context.CancelFunc
 	wired        chan struct{}
 	tidied       chan struct{}
 	node         *peer.Node
 	members      *member.Driver
-	roster       *roster
+	roster       *member.Roster
 	directory    *directory.Directory
 	databases    *database.Registry
 	dispatcher   *dispatch.Dispatcher
@@ -58,6 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, wired: make(chan struct{}), tidied: make(chan struct{})}
+	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.wired)
 	go i.tidy()
@@ -74,9 +78,9 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
-	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: s.Drain.Endpoint.Std(), Detour: i.detour})
+	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: i.endpointDrain, Detour: i.detour})
 	i.directory = directory.New(i.ctx, directory.Options{
-		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: s.Regions, Polls: i.polls, Apply: i.apply,
+		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, Polls: i.polls, Apply: i.apply,
 	})
 	i.startMembers()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
@@ -94,10 +98,10 @@
 	self := member.Instance{
 		ID: s.Instance.ID, Address: s.Listen.Peers, Domain: s.Instance.Domain, Incarnation: uint64(time.Now().UnixNano()),
 	}
-	i.roster = &roster{rows: o.Rows, self: self}
+	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
-		RosterInterval: rosterInterval, Period: heartbeatPeriod, Seeds: s.Listen.Seeds,
+		RosterInterval: rosterInterval, Period: heartbeatPeriod, Seeds: i.seeds,
 		Extend: i.extend, Absorb: i.absorb, Changed: i.changed, Drop: i.node.Drop,
 	})
 }
--- a/instance/differential_test.go
+++ b/instance/differential_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -15,12 +14,11 @@
 	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/event"
+	"siskincove/platform/rows"
 	"siskincove/settings"
 	"siskincove/standin/group"
-	standin "siskincove/standin/platform"
+	"siskincove/standin/hosting"
 	"siskincove/verifier"
-
-	"siskincove/platform"
 )
 
 const (
@@ -73,10 +71,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	memory := standin.NewMemory()
-	server := httptest.NewServer(standin.NewServer(memory, clock.System{}, 0).Handler())
+	server, err := hosting.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := rows.New(server.Address())
 	set := declared(t, g.Addresses())
-	if _, err := config.Publish(ctx, memory, memory.Objects(), config.Publication{Set: set, Operation: "first"}); err != nil {
+	if _, err := config.Publish(ctx, kept, kept, config.Publication{Set: set, Operation: "first"}); err != nil {
 		t.Fatal(err)
 	}
 	s := &system{group: g}
@@ -86,8 +87,7 @@
 		o.Instance = settings.Instance{ID: fmt.Sprintf("i%d", n), Domain: "r/a"}
 		o.Listen = settings.Listen{Callers: freeAddress(t), Peers: freeAddress(t), Health: freeAddress(t)}
 		o.Token = settings.Token{Keys: []string{"a key for the differential test"}}
-		memory.SetInstance(platform.Instance{ID: o.Instance.ID, Address: o.Listen.Peers, Domain: "r/a"})
-		i, err := New(ctx, o, clock.System{}, event.Discard(), Platform{Table: memory, Objects: memory.Objects(), Roster: memory})
+		i, err := New(ctx, o, clock.System{}, event.Discard(), kept)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -19,17 +19,16 @@
 	"siskincove/failover"
 	"siskincove/member"
 	"siskincove/peer"
-	"siskincove/platform"
 	"siskincove/pool"
 	"siskincove/revision"
 	"siskincove/settings"
+	"siskincove/store"
 )
 
-// Platform is the platform's services as an instance uses them.
-type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Roster  platform.Roster
+// Store is the platform's store as an instance uses it.
+type Store interface {
+	store.Rows
+	store.Objects
 }
 
 // Instance is one running instance.
@@ -41,6 +40,7 @@
 	wired        chan struct{}
 	node         *peer.Node
 	members      *member.Driver
+	roster       *member.Roster
 	owner        *pool.Owner
 	follower     *revision.Follower
 	coordinators *coordinator.Set[*failover.Coordinator]
@@ -81,7 +81,7 @@
 }
 
 // New starts an instance; it ends with ctx, or gracefully by Leave.
-func New(ctx context.Context, s settings.Settings, service clock.Service, logger *event.Logger, p Platform) (*Instance, error) {
+func New(ctx context.Context, s settings.Settings, service clock.Service, logger *event.Logger, kept Store) (*Instance, error) {
 	l, err := listen(s.Listen)
 	if err != nil {
 		return nil, err
@@ -101,7 +101,7 @@
 		Listener: l.peers, Self: address, Handler: i, Logger: logger,
 		Connector: peer.Connector{Proxy: s.Listen.Proxy, Domain: s.Instance.Domain, TLS: secured.mutual()},
 	})
-	i.start(ctx, l, address, p)
+	i.start(ctx, l, address, kept)
 	close(i.wired)
 	logger.Log(event.Started, log.Fields{
 		"instance": s.Instance.ID, "domain": s.Instance.Domain, "callers": l.callers.Addr().String(), "peers": address,
@@ -109,17 +109,18 @@
 	return i, nil
 }
 
-func (i *Instance) start(ctx context.Context, l listeners, address string, p Platform) {
+func (i *Instance) start(ctx context.Context, l listeners, address string, kept Store) {
 	s := i.settings
 	self := member.Instance{
 		ID: s.Instance.ID, Address: address, Domain: s.Instance.Domain, Incarnation: uint64(i.clock.Now().UnixNano()),
 	}
 	late := &lateParts{instance: i}
 	i.follower = revision.New(ctx, revision.Options{
-		Clock: i.clock, Logger: i.logger, Table: p.Table, Objects: p.Objects, Dialer: i.node, Polls: late.polls, Apply: late.apply,
+		Clock: i.clock, Logger: i.logger, Rows: kept, Objects: kept, Dialer: i.node, Polls: late.polls, Apply: late.apply,
 	})
+	i.roster = member.NewRoster(kept, self, i.logger)
 	i.members = member.New(ctx, member.Options{
-		Self: self, Clock: i.clock, Logger: i.logger, Dialer: i.node, Roster: p.Roster,
+		Self: self, Clock: i.clock, Logger: i.logger, Dialer: i.node, Roster: i.roster,
 		Revisions: i.follower, Changed: late.changed, Drop: i.node.Drop,
 	})
 	client := pool.NewClient(i.node, i.members)
@@ -134,7 +135,7 @@
 			return failover.New(ctx, failover.Options{
 				ID: s.Instance.ID, Interval: s.Failover.Interval.Std(), Clock: i.clock, Logger: i.logger,
 				Timing: failover.Timing{Silence: s.Failover.Silence.Std(), Stagger: s.Failover.Stagger.Std()},
-				Owners: client, Table: p.Table, Ranking: i.coordinators,
+				Owners: client, Rows: kept, Ranking: i.coordinators,
 			}, d.Name, members)
 		},
 	})
@@ -209,6 +210,7 @@
 	_ = clock.Wait(ctx, i.clock, noticeTime)
 	i.coordinators.Leave()
 	i.members.Leave(ctx)
+	i.unlist(ctx)
 	left := i.entry.Drain(ctx)
 	err := i.owner.Leave(ctx)
 	i.cancel()
@@ -221,6 +223,18 @@
 	return 0, nil
 }
 
+// farewellTime is what removing the instance's row from the store may take.
+const farewellTime = 300 * time.Millisecond
+
+// unlist removes the instance's row from the list.
+func (i *Instance) unlist(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, farewellTime)
+	defer cancel()
+	if err := i.roster.Leave(ctx); err != nil {
+		i.logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
+	}
+}
+
 // wait returns when every part has ended.
 func (i *Instance) wait() {
 	<-i.entry.Done()
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,14 +13,14 @@
 
 // layers orders the packages: each may import those of lower layers only. The pure packages stand lowest.
 var layers = [][]string{
-	{"verdict", "clock", "share", "document", "endpoint", "message", "platform", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
-	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/aws", "platform/dynamo", "platform/http", "platform/s3", "platform/rows"},
+	{"verdict", "clock", "share", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
+	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
 	{"config", "peer", "certificate", "queue"},
 	{"settings", "connection", "group", "directory"},
 	{"route", "member", "pool", "revision", "database", "platform/line", "platform/sheet"},
 	{"failover", "entry", "dispatch", "succession", "coordinator"},
 	{"instance", "caller", "platform/order"},
-	{"standin/link", "standin/platform", "load", "hosted"},
+	{"standin/link", "load", "hosted"},
 	{"standin/group"},
 	{"standin/cluster"},
 	{"experiment", "commands", "proof"},
--- a/member/driver.go
+++ b/member/driver.go
@@ -12,7 +12,6 @@
 	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
-	"siskincove/platform"
 )
 
 const (
@@ -39,20 +38,26 @@
 	Heard(revision uint64, address string)
 }
 
+// Listing is the list of instances; it may lag behind reality.
+type Listing interface {
+	// List returns the instances that are listed, and lists this one if it is not.
+	List(ctx context.Context) ([]Instance, error)
+}
+
 // Options are what a driver needs to know and to use.
 type Options struct {
 	Self      Instance
 	Clock     clock.Service
 	Logger    *event.Logger
 	Dialer    peer.Dialer
-	Roster    platform.Roster
+	Roster    Listing
 	Revisions Revisions
 	// RosterInterval is how often the list is read once it names this instance, 0 for the default.
 	RosterInterval time.Duration
 	// Period is the time between two rounds of heartbeats without doubt, 0 for the default.
 	Period time.Duration
-	// Seeds are addresses, maybe stale, at which other instances may be met before the list is read.
-	Seeds []string
+	// Seeds, if set, returns addresses, maybe stale, at which other instances may be met before the list is read.
+	Seeds func() []string
 	// Changed is called after the set of live instances in a region has changed, with "" for all regions.
 	Changed func(region string)
 	// Extend, if set, adds to each heartbeat what others should know.
--- a/member/greet.go
+++ b/member/greet.go
@@ -24,11 +24,11 @@
 	d.mu.Lock()
 	listed := d.listed
 	d.mu.Unlock()
-	if listed {
+	if listed || d.options.Seeds == nil {
 		return
 	}
 	var wait sync.WaitGroup
-	for _, address := range d.options.Seeds {
+	for _, address := range d.options.Seeds() {
 		if address != d.options.Self.Address {
 			wait.Go(func() { d.meet(ctx, address) })
 		}
--- a/member/listing.go
+++ b/member/listing.go
@@ -1,58 +1,65 @@
-package hosted
+package member
 
 import (
 	"context"
 	"encoding/json"
 	"sync/atomic"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
-	"siskincove/member"
-	"siskincove/platform"
+	"siskincove/event"
 	"siskincove/store"
 )
 
 // rosterTable holds a row for each instance, so that they find each other.
 const rosterTable = "instances"
 
-// roster is the list of instances in the store.
-type roster struct {
+// Roster is the list of instances in the store. Each registers itself and removes its row when it leaves.
+type Roster struct {
 	rows       store.Rows
-	self       member.Instance
+	self       Instance
+	logger     *event.Logger
 	registered atomic.Bool
 }
 
+// NewRoster returns the list as the instance self uses it.
+func NewRoster(rows store.Rows, self Instance, logger *event.Logger) *Roster {
+	return &Roster{rows: rows, self: self, logger: logger}
+}
+
 // listed is the value of an instance's row.
 type listed struct {
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
 }
 
-func (r *roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
+func (r *Roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
 
-// List registers this instance, once, and returns all that are registered.
-func (r *roster) List(ctx context.Context) ([]platform.Instance, error) {
+// List registers this instance, once, and returns all that are registered; a row that can't be read is left out.
+func (r *Roster) List(ctx context.Context) ([]Instance, error) {
 	if !r.registered.Load() {
 		if err := r.register(ctx); err != nil {
 			return nil, err
 		}
 	}
-	page, err := r.rows.Range(ctx, rosterTable, "", "", "")
+	page, err := store.Scan(ctx, r.rows, rosterTable, "", "")
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the list of instances")
 	}
-	out := make([]platform.Instance, 0, len(page.Rows))
+	out := make([]Instance, 0, len(page.Rows))
 	for _, row := range page.Rows {
 		var l listed
 		if err := json.Unmarshal(row.Value, &l); err != nil {
-			return nil, errors.Wrapf(err, "row of instance %s", row.Key.Key)
+			r.logger.Log(event.RosterFailed, log.Fields{"instance": row.Key.Key, "error": err.Error()})
+			continue
 		}
-		out = append(out, platform.Instance{ID: row.Key.Key, Address: l.Address, Domain: l.Domain})
+		out = append(out, Instance{ID: row.Key.Key, Address: l.Address, Domain: l.Domain})
 	}
 	return out, nil
 }
 
-func (r *roster) register(ctx context.Context) error {
+func (r *Roster) register(ctx context.Context) error {
 	value, err := json.Marshal(listed{Address: r.self.Address, Domain: r.self.Domain})
 	if err != nil {
 		return errors.Wrap(err, "encoding this instance")
@@ -64,8 +71,8 @@
 	return nil
 }
 
-// leave removes this instance's row.
-func (r *roster) leave(ctx context.Context) error {
+// Leave removes this instance's row.
+func (r *Roster) Leave(ctx context.Context) error {
 	_, err := r.rows.Commit(ctx, store.Transaction{Deletes: []store.Key{r.key()}})
 	return errors.Wrap(err, "removing this instance")
 }
--- /dev/null
+++ b/member/listing_test.go
@@ -0,0 +1,51 @@
+package member_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"siskincove/event"
+	"siskincove/member"
+	"siskincove/platform/rows"
+	"siskincove/standin/hosting"
+)
+
+// TestRoster shows that an instance lists itself once, finds the others, passes over a row that can't be read and is off
+// the list after it left.
+func TestRoster(t *testing.T) {
+	s, err := hosting.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	first := member.Instance{ID: "i0", Address: "127.0.0.1:1", Domain: "r/a"}
+	second := member.Instance{ID: "i1", Address: "127.0.0.1:2", Domain: "r/b"}
+	own := member.NewRoster(rows.New(s.Address()), first, event.Discard())
+	other := member.NewRoster(rows.New(s.Address()), second, event.Discard())
+	s.WriteRaw("instances", "broken", []byte("{"))
+	list := func(r *member.Roster, want ...member.Instance) {
+		t.Helper()
+		got, err := r.List(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+	list(own, first)
+	list(other, first, second)
+	list(own, first, second)
+	if diff := cmp.Diff(2, s.Calls("/rows-tx")); diff != "" {
+		t.Errorf("registrations: %s", diff)
+	}
+	if err := other.Leave(ctx); err != nil {
+		t.Fatal(err)
+	}
+	list(own, first)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"siskincove/platform"
 )
 
 const (
@@ -108,7 +106,7 @@
 }
 
 // Roster takes in the platform's list: it proposes instances and never decides that one lives or is dead.
-func (t *Table) Roster(list []platform.Instance, now time.Time) {
+func (t *Table) Roster(list []Instance, now time.Time) {
 	t.listed = make(map[string]bool, len(list))
 	for _, listed := range list {
 		t.listed[listed.ID] = true
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -12,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"siskincove/config"
-	"siskincove/platform"
 )
 
 var epoch = time.Unix(1_000_000, 0)
@@ -35,7 +34,7 @@
 
 // TestTable gives what happens and which instances then count as live.
 func TestTable(t *testing.T) {
-	listed := []platform.Instance{{ID: "b", Address: "127.0.0.1:2b", Domain: "r/a"}, {ID: "self", Address: "127.0.0.1:1"}}
+	listed := []Instance{{ID: "b", Address: "127.0.0.1:2b", Domain: "r/a"}, {ID: "self", Address: "127.0.0.1:1"}}
 	miss := func(n int) func(*Table) {
 		return func(t *Table) {
 			for range n {
@@ -46,7 +45,7 @@
 	answer := func(incarnation uint64) func(*Table) {
 		return func(t *Table) { t.Answered(other("b", incarnation), false, epoch) }
 	}
-	roster := func(list []platform.Instance) func(*Table) { return func(t *Table) { t.Roster(list, epoch) } }
+	roster := func(list []Instance) func(*Table) { return func(t *Table) { t.Roster(list, epoch) } }
 	tests := map[string]struct {
 		steps []func(*Table)
 		want  []string
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -85,7 +85,7 @@
 	if _, err := c.Publish(text); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.PlatformFault("loseputs", "3"); err != nil {
+	if err := c.StoreFault("losecommits", "3"); err != nil {
 		t.Fatal(err)
 	}
 	var mu sync.Mutex
@@ -99,7 +99,7 @@
 			switch {
 			case err == nil:
 				accepted++
-			case strings.Contains(out, "revision conflict") || strings.Contains(out, "in force"):
+			case strings.Contains(out, "version conflict") || strings.Contains(out, "in force"):
 				refused++
 			default:
 				t.Errorf("an operator does not know: %v", err)
@@ -124,7 +124,7 @@
 	publish(t, c, cluster.Objects{Age: 2 * time.Minute})
 	waitRevision(t, c, 2)
 	watch := watchRevisions(c)
-	if err := c.PlatformFault("down", "true"); err != nil {
+	if err := c.StoreFault("down", "true"); err != nil {
 		t.Fatal(err)
 	}
 	for n := range c.Instances {
@@ -148,7 +148,7 @@
 	c := begin(t, nil, cluster.Objects{})
 	publish(t, c, cluster.Objects{Age: 2 * time.Minute})
 	waitRevision(t, c, 2)
-	if err := c.PlatformFault("down", "true"); err != nil {
+	if err := c.StoreFault("down", "true"); err != nil {
 		t.Fatal(err)
 	}
 	for _, i := range c.Instances {
@@ -165,7 +165,7 @@
 			t.Errorf("%s is ready without a revision", i.ID)
 		}
 	}
-	if err := c.PlatformFault("down", "false"); err != nil {
+	if err := c.StoreFault("down", "false"); err != nil {
 		t.Fatal(err)
 	}
 	waitRevision(t, c, 2)
--- a/proof/failover_test.go
+++ b/proof/failover_test.go
@@ -192,13 +192,13 @@
 	killed := groupFault("killed")
 	return harm{
 		do: func(c *cluster.Cluster, primary int) error {
-			if err := c.PlatformFault("down", "true"); err != nil {
+			if err := c.StoreFault("down", "true"); err != nil {
 				return err
 			}
 			return killed.do(c, primary)
 		},
 		undo: func(c *cluster.Cluster, primary int) error {
-			if err := c.PlatformFault("down", "false"); err != nil {
+			if err := c.StoreFault("down", "false"); err != nil {
 				return err
 			}
 			return killed.undo(c, primary)
--- a/proof/network_test.go
+++ b/proof/network_test.go
@@ -127,16 +127,16 @@
 	}
 }
 
-// TestPlatformFaults loads the system while the platform is down or slow, and its list gone.
-func TestPlatformFaults(t *testing.T) {
+// TestStoreFaults loads the system while the platform is down or slow, and its list gone.
+func TestStoreFaults(t *testing.T) {
 	tests := map[string][2]string{
-		"down": {"down", "true"}, "slow": {"slow", "2s"}, "list unavailable": {"rosterdown", "true"},
+		"down": {"down", "true"}, "slow": {"slow", "2s"}, "list unavailable": {"without", "instances"},
 	}
 	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := begin(t, nil, cluster.Objects{})
 			report := underLoad(t, c, load.Kelloviisari, 23, func() {
-				if err := c.PlatformFault(fault[0], fault[1]); err != nil {
+				if err := c.StoreFault(fault[0], fault[1]); err != nil {
 					t.Error(err)
 				}
 			})
--- a/revision/follower.go
+++ b/revision/follower.go
@@ -15,7 +15,7 @@
 	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
-	"siskincove/platform"
+	"siskincove/store"
 )
 
 const (
@@ -34,8 +34,8 @@
 type Options struct {
 	Clock   clock.Service
 	Logger  *event.Logger
-	Table   platform.Table
-	Objects platform.Objects
+	Rows    store.Rows
+	Objects store.Objects
 	Dialer  peer.Dialer
 	// Polls reports whether this instance is one that polls the platform for its failure domain.
 	Polls func() bool
@@ -150,8 +150,8 @@
 func (f *Follower) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	head, err := config.ReadHead(ctx, f.options.Table)
-	if errors.Is(err, platform.ErrAbsent) {
+	head, err := config.ReadHead(ctx, f.options.Rows)
+	if errors.Is(err, store.ErrAbsent) {
 		return
 	}
 	if err != nil {
--- a/revision/follower_test.go
+++ b/revision/follower_test.go
@@ -14,30 +14,42 @@
 	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
-	"siskincove/platform"
-	standin "siskincove/standin/platform"
+	"siskincove/platform/rows"
+	"siskincove/standin/hosting"
+	"siskincove/store"
 )
 
 var errDown = errors.New("down")
 
-// source is a platform that can be down, or answer with an older head than before.
+// source is a store that can be down, or answer with an older head than before.
 type source struct {
-	*standin.Memory
+	*rows.Client
 	mu   sync.Mutex
 	down bool
-	old  *platform.Row
+	old  *store.Page
 }
 
-func (s *source) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s *source) Range(ctx context.Context, table, part, from, to string) (store.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Row{}, errDown
+		return store.Page{}, errDown
 	}
 	if s.old != nil {
 		return *s.old, nil
 	}
-	return s.Memory.Get(ctx, key)
+	return s.Client.Range(ctx, table, part, from, to)
+}
+
+// begun starts a store and returns its client.
+func begun(t *testing.T) *rows.Client {
+	t.Helper()
+	s, err := hosting.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return rows.New(s.Address())
 }
 
 func (s *source) set(edit func(*source)) {
@@ -86,7 +98,7 @@
 	b := &bench{t: t, clock: clock.NewManual(time.Unix(1_000_000, 0)), source: s}
 	ctx, cancel := context.WithCancel(context.Background())
 	b.follower = New(ctx, Options{
-		Clock: b.clock, Logger: event.Discard(), Table: s, Objects: s.Objects(), Dialer: p, Polls: func() bool { return true },
+		Clock: b.clock, Logger: event.Discard(), Rows: s, Objects: s, Dialer: p, Polls: func() bool { return true },
 		Apply: func(c *config.Catalog, _ bool) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -120,7 +132,7 @@
 func (b *bench) publish(name string, base uint64) {
 	b.t.Helper()
 	set := config.Set{Services: []config.Service{{Name: name}}}
-	_, err := config.Publish(context.Background(), b.source.Memory, b.source.Objects(), config.Publication{Set: set, Operation: name, Base: base})
+	_, err := config.Publish(context.Background(), b.source.Client, b.source.Client, config.Publication{Set: set, Operation: name, Base: base})
 	if err != nil {
 		b.t.Fatal(err)
 	}
@@ -150,7 +162,7 @@
 		"table goes back": {
 			run: func(b *bench) {
 				b.publish("first", 0)
-				old, _ := b.source.Memory.Get(context.Background(), "config/head")
+				old, _ := b.source.Client.Range(context.Background(), "revisions", "", "head", "")
 				b.publish("second", 1)
 				b.pass(2 * time.Second)
 				b.source.set(func(s *source) { s.old = &old })
@@ -212,7 +224,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := begin(t, &source{Memory: standin.NewMemory()}, all)
+			b := begin(t, &source{Client: begun(t)}, all)
 			test.run(b)
 			b.expect(test.want...)
 		})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,7 +16,6 @@
 	Regions   map[string]string `toml:"regions"`
 	Store     Store             `toml:"store"`
 	Promotion Promotion         `toml:"promotion"`
-	Platform  Platform          `toml:"platform"`
 	Token     Token             `toml:"token"`
 	Log       Log               `toml:"log"`
 	Drain     Drain             `toml:"drain"`
@@ -28,7 +27,6 @@
 func Default() Settings {
 	return Settings{
 		Callers:  defaultCallers(),
-		Platform: defaultPlatform(),
 		Log:      defaultLog(),
 		Drain:    defaultDrain(),
 		Failover: defaultFailover(),
@@ -56,13 +54,12 @@
 
 // checkProtocol checks the sections that only one protocol uses.
 func (s Settings) checkProtocol(c *checker) {
+	s.Store.check(c)
 	if s.Callers.Protocol == ProtocolPlatform {
-		s.Store.check(c)
 		s.Promotion.check(c)
 		c.require("listen.metrics", s.Listen.Metrics)
 		return
 	}
-	s.Platform.check(c)
 	s.Token.check(c)
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -14,10 +14,8 @@
 callers = "127.0.0.1:1"
 peers = "127.0.0.1:2"
 health = "127.0.0.1:3"
-[platform]
-url = "http://127.0.0.1:4"
-key = "k"
-secret = "s"
+[store]
+address = "127.0.0.1:4"
 [token]
 keys = ["sixteen characters"]
 [failover]
@@ -31,16 +29,16 @@
 	}{
 		"valid":               {},
 		"unknown key":         {old: `id = "i0"`, new: "id = \"i0\"\nname = \"x\"", want: ":3: instance.name: unknown key"},
-		"unknown section":     {old: "[token]", new: "[tokens]", want: ":12: tokens: unknown key"},
+		"unknown section":     {old: "[token]", new: "[tokens]", want: ":10: tokens: unknown key"},
 		"missing key":         {old: `id = "i0"`, new: "", want: ":1: instance.id: missing"},
 		"missing address":     {old: `peers = "127.0.0.1:2"`, new: "", want: ":4: listen.peers: missing; write an IP:port"},
 		"host name":           {old: "127.0.0.1:2", new: "localhost:2", want: ":6: listen.peers: not an IP:port"},
-		"number without unit": {old: `"600ms"`, new: "600", want: ":15"},
-		"wrong unit":          {old: `"600ms"`, new: `"600 millis"`, want: ":15"},
-		"too short":           {old: `"600ms"`, new: `"100ms"`, want: ":15: failover.silence: must be at least twice failover.interval"},
-		"short key":           {old: "sixteen characters", new: "short", want: ":13: token.keys: a key is shorter than 16 characters"},
+		"number without unit": {old: `"600ms"`, new: "600", want: ":13"},
+		"wrong unit":          {old: `"600ms"`, new: `"600 millis"`, want: ":13"},
+		"too short":           {old: `"600ms"`, new: `"100ms"`, want: ":13: failover.silence: must be at least twice failover.interval"},
+		"short key":           {old: "sixteen characters", new: "short", want: ":11: token.keys: a key is shorter than 16 characters"},
 		"wrong domain":        {old: `"r/a"`, new: `"r"`, want: ":3: instance.domain: not of the form region/domain"},
-		"wrong level":         {old: "[failover]", new: "[log]\nlevel = \"loud\"\n[failover]", want: ":15: log.level: not one of debug, info, warn, error"},
+		"wrong level":         {old: "[failover]", new: "[log]\nlevel = \"loud\"\n[failover]", want: ":13: log.level: not one of debug, info, warn, error"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -15,8 +15,8 @@
 // Cluster is the started processes.
 type Cluster struct {
 	options   Options
-	platform  string
-	platformP *Process
+	store     string
+	storeP    *Process
 	linkP     *Process
 	proxy     string
 	linkAt    string
@@ -32,7 +32,7 @@
 	return errors.Wrapf(err, "building: %s", out)
 }
 
-// Start starts the platform, the groups and the instances; nothing is published yet.
+// Start starts the store, the groups and the instances; nothing is published yet.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
 	c := &Cluster{options: o}
 	if err := c.start(ctx); err != nil {
@@ -43,7 +43,7 @@
 }
 
 func (c *Cluster) start(ctx context.Context) error {
-	if err := c.startPlatform(ctx); err != nil {
+	if err := c.startStore(ctx); err != nil {
 		return err
 	}
 	for _, g := range c.options.Groups {
@@ -106,23 +106,20 @@
 	return post(c.linkAt, "/cut", url.Values{"from": {from}, "to": {to}, "value": {strconv.FormatBool(on)}})
 }
 
-func (c *Cluster) startPlatform(ctx context.Context) error {
-	log := filepath.Join(c.options.Directory, "platform.log")
-	p, err := start(log, filepath.Join(c.options.Binaries, "standin"), "platform", "--lag", c.options.RosterLag.String())
+func (c *Cluster) startStore(ctx context.Context) error {
+	log := filepath.Join(c.options.Directory, "store.log")
+	p, err := start(log, filepath.Join(c.options.Binaries, "standin"), "store")
 	if err != nil {
 		return err
 	}
-	c.platformP = p
-	c.platform, err = p.expect(ctx, "control")
+	c.storeP = p
+	c.store, err = p.expect(ctx, "control")
 	return err
 }
 
-// PlatformURL returns the base address of the platform's protocols.
-func (c *Cluster) PlatformURL() string { return "http://" + c.platform }
-
-// PlatformFault sets a fault of the platform, as its control interface names it.
-func (c *Cluster) PlatformFault(name, value string) error {
-	return post(c.platform, "/control/fault", url.Values{"name": {name}, "value": {value}})
+// StoreFault sets a fault of the store, as its control interface names it.
+func (c *Cluster) StoreFault(name, value string) error {
+	return post(c.store, "/control/fault", url.Values{"name": {name}, "value": {value}})
 }
 
 // Publish writes objects to a file and publishes them by the operators' tool; it returns what the tool printed.
@@ -134,11 +131,10 @@
 	return c.Tool("publish", file)
 }
 
-// Tool runs a command of the operators' tool against the platform.
+// Tool runs a command of the operators' tool against the store.
 func (c *Cluster) Tool(args ...string) (string, error) {
 	command := exec.Command(filepath.Join(c.options.Binaries, "siskincove"), args...)
-	command.Env = append(os.Environ(),
-		"SISKINCOVE_PLATFORM_URL="+c.PlatformURL(), "SISKINCOVE_PLATFORM_KEY=standin", "SISKINCOVE_PLATFORM_SECRET=standin-secret")
+	command.Env = append(os.Environ(), "SISKINCOVE_STORE="+c.store)
 	out, err := command.CombinedOutput()
 	return string(out), errors.Wrapf(err, "%s: %s", args[0], out)
 }
@@ -154,7 +150,7 @@
 	for _, g := range c.Groups {
 		g.Process.Kill()
 	}
-	for _, p := range []*Process{c.linkP, c.platformP} {
+	for _, p := range []*Process{c.linkP, c.storeP} {
 		if p != nil {
 			p.Kill()
 		}
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/url"
 	"os"
 	"path/filepath"
 	"time"
@@ -37,10 +36,8 @@
 health = %q
 proxy = %q
 
-[platform]
-url = %q
-key = "standin"
-secret = "standin-secret"
+[store]
+address = %q
 
 [token]
 keys = ["a key for tests and experiments"]
@@ -70,7 +67,7 @@
 	if level == "" {
 		level = "info"
 	}
-	text := fmt.Sprintf(settingsText, r.ID, r.Domain, r.Callers, r.Peers, r.Health, c.proxy, c.PlatformURL(), level, c.options.Settings)
+	text := fmt.Sprintf(settingsText, r.ID, r.Domain, r.Callers, r.Peers, r.Health, c.proxy, c.store, level, c.options.Settings)
 	return errors.Wrap(os.WriteFile(r.file, []byte(text), 0o600), "settings")
 }
 
@@ -100,7 +97,7 @@
 	return nil, errors.New("no free addresses")
 }
 
-// StartInstance starts the n-th instance, also again after it was ended, and lists it at the platform.
+// StartInstance starts the n-th instance, also again after it was ended.
 func (c *Cluster) StartInstance(n int) error {
 	r := c.Instances[n]
 	p, err := start(r.log, filepath.Join(c.options.Binaries, "siskincoved"), r.file)
@@ -108,15 +105,7 @@
 		return err
 	}
 	r.Process = p
-	return c.List(n, "live")
-}
-
-// List tells the platform's list of instances that an instance is live, leaving or gone.
-func (c *Cluster) List(n int, state string) error {
-	r := c.Instances[n]
-	return post(c.platform, "/control/instance", url.Values{
-		"id": {r.ID}, "address": {r.Peers}, "domain": {r.Domain}, "state": {state},
-	})
+	return nil
 }
 
 // SettingsFile returns the instance's settings file, for tests that change it before a restart.
--- a/standin/cluster/options.go
+++ b/standin/cluster/options.go
@@ -11,8 +11,6 @@
 	// Domains are the failure domains of the instances, as region/domain; their number is the number of instances.
 	Domains []string
 	Groups  []Group
-	// RosterLag is how far the platform's list of instances lags.
-	RosterLag time.Duration
 	// Level is the instances' log level, info when empty.
 	Level string
 	// Link routes connections between instances through a proxy that adds Between and Regions, one way, and can cut.
--- /dev/null
+++ b/standin/hosting/serve.go
@@ -0,0 +1,191 @@
+package hosting
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// guarded applies the faults to a call.
+func (s *Store) guarded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f, answers := s.await(r)
+		if !answers {
+			return
+		}
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		absent := f.Without != "" && r.URL.Query().Get("table") == f.Without
+		if f.Down || absent || slices.Contains(f.Refuse, host) {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-time.After(f.Slow):
+		case <-r.Context().Done():
+			return
+		}
+		s.mu.Lock()
+		s.calls[r.URL.Path]++
+		s.mu.Unlock()
+		next(w, r)
+	}
+}
+
+// await returns the faults once the store is not silent, and false if the caller has gone by then.
+func (s *Store) await(r *http.Request) (StoreFaults, bool) {
+	for {
+		s.mu.Lock()
+		f, changed := s.faults, s.changed
+		s.mu.Unlock()
+		if !f.Silent {
+			return f, true
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return f, false
+		}
+	}
+}
+
+type transactBody struct {
+	Expected []Row `json:"expected"`
+	Puts     []Row `json:"puts"`
+	Deletes  []Row `json:"deletes"`
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var body transactBody
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		http.Error(w, "body", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	for _, e := range body.Expected {
+		if s.rows[e.id()].Version != e.Version {
+			s.mu.Unlock()
+			http.Error(w, "{}", http.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.version++
+	for _, p := range body.Puts {
+		s.put(p)
+	}
+	for _, d := range body.Deletes {
+		d.Tombstone = true
+		s.put(d)
+	}
+	version, lose := s.version, s.faults.LoseCommits > 0
+	if lose {
+		s.faults.LoseCommits--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, nil, version, false)
+}
+
+func reply(w http.ResponseWriter, rows []Row, version uint64, more bool) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version, "has-more": more})
+}
+
+// pageMaximum is how many rows one answer holds at most, as the platform's pages say.
+const pageMaximum = 500
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	var out []Row
+	for _, row := range s.rows {
+		inside := row.Key >= q.Get("from") && (q.Get("target") == "" || row.Key < q.Get("target"))
+		if row.Table == q.Get("table") && row.Part == q.Get("part") && inside {
+			out = append(out, row)
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit > pageMaximum {
+		limit = pageMaximum
+	}
+	more := len(out) > limit
+	if more {
+		out = out[:limit]
+	}
+	reply(w, out, version, more)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		rows, version, gone, changed := s.since(q.Get("table"), after)
+		if gone {
+			http.Error(w, "gone", http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			reply(w, rows, version, false)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			reply(w, nil, version, false)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(table string, after uint64) ([]Row, uint64, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.oldest {
+		return nil, 0, true, nil
+	}
+	var out []Row
+	for _, row := range s.history {
+		if row.Table == table && row.Version > after {
+			out = append(out, row)
+		}
+	}
+	return out, s.version, false, s.changed
+}
+
+func (s *Store) putObject(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := s.objects[r.PathValue("id")]; exists && r.Header.Get("If-None-Match") == "*" {
+		http.Error(w, "exists", http.StatusPreconditionFailed)
+		return
+	}
+	s.objects[r.PathValue("id")] = data
+}
+
+func (s *Store) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	data, ok := s.objects[r.PathValue("id")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -1,14 +1,10 @@
 package hosting
 
 import (
-	"cmp"
 	"encoding/json"
-	"io"
 	"maps"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +26,10 @@
 type StoreFaults struct {
 	// Down answers every call with 503.
 	Down bool
+	// Slow delays every answer.
+	Slow time.Duration
+	// Without answers calls about this table with 503.
+	Without string
 	// Silent answers no call until it is cleared.
 	Silent bool
 	// LoseCommits carries out this many of the next transactions and gives no answer.
@@ -38,6 +38,9 @@
 	Refuse []string
 }
 
+// headerTimeout bounds how long a connection may be open without a call.
+const headerTimeout = 5 * time.Second
+
 // Store is the platform's store of rows and objects.
 type Store struct {
 	listener net.Listener
@@ -56,8 +59,11 @@
 }
 
 // NewStore starts a store on a loopback port.
-func NewStore() (*Store, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewStore() (*Store, error) { return ListenStore("127.0.0.1:0") }
+
+// ListenStore starts a store on an IP:port.
+func ListenStore(address string) (*Store, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -66,12 +72,13 @@
 		calls: make(map[string]int),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", s.transact)
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
-	mux.HandleFunc("PUT /blob-put/{id...}", s.putObject)
-	mux.HandleFunc("GET /blob-get/{id...}", s.getObject)
-	s.server = &http.Server{Handler: s.guard(mux)}
+	mux.HandleFunc("POST /control/fault", s.serveFault)
+	mux.HandleFunc("POST /rows-tx", s.guarded(s.transact))
+	mux.HandleFunc("GET /rows-get", s.guarded(s.get))
+	mux.HandleFunc("GET /rows-feed", s.guarded(s.feed))
+	mux.HandleFunc("PUT /blob-put/{id...}", s.guarded(s.putObject))
+	mux.HandleFunc("GET /blob-get/{id...}", s.guarded(s.getObject))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
@@ -138,160 +145,6 @@
 	s.changed = make(chan struct{})
 }
 
-// guard applies the faults to every call.
-func (s *Store) guard(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		for {
-			s.mu.Lock()
-			f, changed := s.faults, s.changed
-			s.mu.Unlock()
-			host, _, _ := net.SplitHostPort(r.RemoteAddr)
-			if f.Down || slices.Contains(f.Refuse, host) {
-				http.Error(w, "down", http.StatusServiceUnavailable)
-				return
-			}
-			if !f.Silent {
-				break
-			}
-			select {
-			case <-changed:
-			case <-r.Context().Done():
-				return
-			}
-		}
-		s.mu.Lock()
-		s.calls[r.URL.Path]++
-		s.mu.Unlock()
-		next.ServeHTTP(w, r)
-	})
-}
-
-type transactBody struct {
-	Expected []Row `json:"expected"`
-	Puts     []Row `json:"puts"`
-	Deletes  []Row `json:"deletes"`
-}
-
-func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
-	var body transactBody
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
-		http.Error(w, "body", http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	for _, e := range body.Expected {
-		if s.rows[e.id()].Version != e.Version {
-			s.mu.Unlock()
-			http.Error(w, "{}", http.StatusPreconditionFailed)
-			return
-		}
-	}
-	s.version++
-	for _, p := range body.Puts {
-		s.put(p)
-	}
-	for _, d := range body.Deletes {
-		d.Tombstone = true
-		s.put(d)
-	}
-	version, lose := s.version, s.faults.LoseCommits > 0
-	if lose {
-		s.faults.LoseCommits--
-	}
-	s.mu.Unlock()
-	if lose {
-		panic(http.ErrAbortHandler)
-	}
-	reply(w, nil, version)
-}
-
-func reply(w http.ResponseWriter, rows []Row, version uint64) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "ver": version, "has-more": false})
-}
-
-func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	s.mu.Lock()
-	var out []Row
-	for _, row := range s.rows {
-		inside := row.Key >= q.Get("from") && (q.Get("target") == "" || row.Key < q.Get("target"))
-		if row.Table == q.Get("table") && row.Part == q.Get("part") && inside {
-			out = append(out, row)
-		}
-	}
-	version := s.version
-	s.mu.Unlock()
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
-	reply(w, out, version)
-}
-
-func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
-	limit := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		rows, version, gone, changed := s.since(q.Get("table"), after)
-		if gone {
-			http.Error(w, "gone", http.StatusGone)
-			return
-		}
-		if len(rows) > 0 {
-			reply(w, rows, version)
-			return
-		}
-		select {
-		case <-changed:
-		case <-limit:
-			reply(w, nil, version)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (s *Store) since(table string, after uint64) ([]Row, uint64, bool, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if after < s.oldest {
-		return nil, 0, true, nil
-	}
-	var out []Row
-	for _, row := range s.history {
-		if row.Table == table && row.Version > after {
-			out = append(out, row)
-		}
-	}
-	return out, s.version, false, s.changed
-}
-
-func (s *Store) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, exists := s.objects[r.PathValue("id")]; exists && r.Header.Get("If-None-Match") == "*" {
-		http.Error(w, "exists", http.StatusPreconditionFailed)
-		return
-	}
-	s.objects[r.PathValue("id")] = data
-}
-
-func (s *Store) getObject(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	data, ok := s.objects[r.PathValue("id")]
-	s.mu.Unlock()
-	if !ok {
-		http.NotFound(w, r)
-		return
-	}
-	_, _ = w.Write(data)
-}
-
 // Rows returns the values of a table's rows by key.
 func (s *Store) Rows(table string) map[string][]byte {
 	s.mu.Lock()
