succession, connection, peer: let connections to far endpoints be made whole

Cause: on links of 60 ms one way (site islands) a coordinator's question had 250 ms for a connection of three round trips and its answer, so it gave up each connection before it stood and began another: every endpoint looked silent, and no primary was ever replaced. Heartbeats gave up their connections in the same way, and a pool made one connection at a time, at most three a second. Ruled out: longer time-outs alone, which delay the noticing of endpoints that are really silent; the endpoint's slots, free. Change: the probe's and the peers' connections go on being made while questions that can't wait for them end; an exchange's time grows by round trips; several connections at once where the way, not the endpoint's work, takes the time.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -14,6 +14,8 @@
 	// Exchange sends the steps in one write and returns their answers in order. With an error it returns the answers that
 	// came whole before it, and the connection can't be used again; a step without an answer may have run.
 	Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error)
+	// RoundTrip is how long the way to the endpoint and back took when the connection was made.
+	RoundTrip() time.Duration
 	// Broken is closed once the connection can't be used again.
 	Broken() <-chan struct{}
 	// Close ends the connection, which rolls back its transaction.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -23,9 +23,18 @@
 // lost power for some seconds more, and a burst returns sooner than that.
 const idleLimit = 2 * time.Second
 
+// idleTrips is how many round trips connections that are not needed are kept at least: making one anew takes three.
+const idleTrips = 40
+
 const (
 	// dialTimeout bounds a new connection: some round trips between regions and the endpoint's work for it.
 	dialTimeout = 400 * time.Millisecond
+	// dialTrips is what a new connection takes of round trips, and one more.
+	dialTrips = 4
+	// dialMaximum is how many connections are made at once to an endpoint that is far away, where it is the way that takes
+	// the time; lanePace is the round trip for which one more is worth it, about the work that an endpoint has with one.
+	dialMaximum = 4
+	lanePace    = 25 * time.Millisecond
 	// dialLeast is the least time before a deadline that is worth making a connection in: it takes 12 to 27 ms of the
 	// endpoint's work and then the statement's.
 	dialLeast = 40 * time.Millisecond
@@ -50,8 +59,8 @@
 	options Options
 	queue   *queue.Queue
 
-	// dialling is full while a connection is made: a new one costs the endpoint a slot for a while, and many at once would
-	// take all of them.
+	// dialling is full while as many connections are made as may be at once: a new one costs the endpoint a slot for a
+	// while, and many at once would take all of them.
 	dialling chan struct{}
 
 	mu      sync.Mutex
@@ -59,12 +68,32 @@
 	circuit limit.Circuit
 	// cutUntil is until when the direct way counts as cut.
 	cutUntil time.Time
-	closed   bool
+	// roundTrip is that of the last connection made, 0 if it is not known.
+	roundTrip time.Duration
+	// lanes is how many connections may be made at once; the rest of dialling's room is taken up.
+	lanes  int
+	closed bool
 }
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
-	return &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, 1)}
+	p := &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, dialMaximum), lanes: 1}
+	for range dialMaximum - p.lanes {
+		p.dialling <- struct{}{}
+	}
+	return p
+}
+
+// learn takes in how far away the endpoint is; p.mu is held.
+func (p *Pool) learn(roundTrip time.Duration) {
+	if roundTrip == 0 {
+		return
+	}
+	p.roundTrip = roundTrip
+	for p.lanes < min(1+int(roundTrip/lanePace), dialMaximum) {
+		<-p.dialling
+		p.lanes++
+	}
 }
 
 // Endpoint returns the endpoint.
@@ -135,7 +164,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
-	for len(p.idle) > 1 && now.Sub(p.idle[0].idleSince) > idleLimit {
+	for len(p.idle) > 1 && now.Sub(p.idle[0].idleSince) > max(idleLimit, idleTrips*p.roundTrip) {
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
 	}
@@ -190,6 +219,7 @@
 		return nil, err
 	}
 	p.circuit = p.circuit.WithSuccess()
+	p.learn(conn.RoundTrip())
 	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": p.options.Endpoint.Name})
 	return &Held{Conn: conn}, nil
 }
@@ -198,13 +228,14 @@
 func (p *Pool) connect(ctx context.Context, deadline time.Time) (Conn, error) {
 	p.mu.Lock()
 	cut := p.options.Detour != nil && p.options.Clock.Now().Before(p.cutUntil)
+	timeout := dialTimeout + dialTrips*p.roundTrip
 	p.mu.Unlock()
 	if cut {
 		if conn, err := p.around(ctx, deadline); err == nil {
 			return conn, nil
 		}
 	}
-	bounded, cancel := context.WithTimeout(ctx, min(dialTimeout, deadline.Sub(p.options.Clock.Now())))
+	bounded, cancel := context.WithTimeout(ctx, min(timeout, deadline.Sub(p.options.Clock.Now())))
 	defer cancel()
 	conn, err := p.options.Dialer.Dial(bounded, p.options.Endpoint)
 	if err == nil || cut || p.options.Detour == nil || !isCut(err) {
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -20,12 +20,16 @@
 )
 
 // conn is a connection that does nothing.
-type conn struct{ broken chan struct{} }
+type conn struct {
+	roundTrip time.Duration
+	broken    chan struct{}
+}
 
 func (c *conn) Exchange(context.Context, time.Time, ...statement.Step) ([]statement.Answer, error) {
 	return nil, nil
 }
-func (c *conn) Broken() <-chan struct{} { return c.broken }
+func (c *conn) RoundTrip() time.Duration { return c.roundTrip }
+func (c *conn) Broken() <-chan struct{}  { return c.broken }
 
 func (c *conn) Close() {
 	select {
@@ -37,11 +41,13 @@
 
 // dialer counts the connections that it makes, and those made at the same time.
 type dialer struct {
-	mu     sync.Mutex
-	made   int
-	now    int
-	most   int
-	delay  time.Duration
+	mu    sync.Mutex
+	made  int
+	now   int
+	most  int
+	delay time.Duration
+	// away is the round trip of the connections made.
+	away   time.Duration
 	refuse bool
 }
 
@@ -58,7 +64,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "refused")
 	}
 	d.made++
-	return &conn{broken: make(chan struct{})}, nil
+	return &conn{roundTrip: d.away, broken: make(chan struct{})}, nil
 }
 
 // Over makes a connection over any link.
@@ -237,3 +243,32 @@
 		t.Errorf("got %v after %s of 150 ms", err, took)
 	}
 }
+
+// TestDialsAtDistance answers the pattern of a start before far endpoints: where the way takes the time of a new
+// connection, and not the endpoint's work, several are made at once.
+func TestDialsAtDistance(t *testing.T) {
+	tests := map[string]struct {
+		away time.Duration
+		want int
+	}{
+		"same region": {away: 3 * time.Millisecond, want: 1},
+		"next region": {away: 30 * time.Millisecond, want: 2},
+		"far":         {away: 300 * time.Millisecond, want: dialMaximum},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := &dialer{delay: 30 * time.Millisecond, away: test.away}
+			p := newPool(d, 12)
+			p.must(t, nil)
+			var wait sync.WaitGroup
+			for range 8 {
+				wait.Go(func() { p.must(t, nil) })
+			}
+			wait.Wait()
+			if diff := cmp.Diff(test.want, d.most); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -51,6 +51,8 @@
 	broken    chan struct{}
 }
 
+func (c *scripted) RoundTrip() time.Duration { return 0 }
+
 func (c *scripted) Broken() <-chan struct{} { return c.broken }
 
 func (c *scripted) Close() {
--- a/peer/node.go
+++ b/peer/node.go
@@ -97,7 +97,7 @@
 		kept.bind(ctx)
 		return kept, nil
 	}
-	session, err := o.dial(ctx, n.options.Connector, address)
+	session, err := n.connect(ctx, o, address)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +109,28 @@
 	return newRemote(ctx, conn, o), nil
 }
 
+// connect returns the session to an address. The connection is made to its end also when ctx ends first, so that the next
+// stream finds it there: making one takes several round trips.
+func (n *Node) connect(ctx context.Context, o *outbound, address string) (*yamux.Session, error) {
+	if session := o.current(); session != nil {
+		return session, nil
+	}
+	a := o.join(func(a *attempt) {
+		n.running.Go(func() {
+			defer o.end(a)
+			bounded, cancel := context.WithTimeout(n.ctx, dialTimeout+handshakeTimeout)
+			defer cancel()
+			a.session, a.err = o.dial(bounded, n.options.Connector, address)
+		})
+	})
+	select {
+	case <-a.done:
+		return a.session, a.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "connection to %s", address)
+	}
+}
+
 func (n *Node) openLocal(ctx context.Context) (Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	near, far := Pipe(ctx)
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -13,10 +13,9 @@
 
 // outbound is a connection that this node dials, shared by all streams to that address.
 type outbound struct {
-	// dialling is held while a connection is made, so that one is made at a time.
-	dialling sync.Mutex
-
-	mu      sync.Mutex
+	mu sync.Mutex
+	// attempt is the connection that is being made, nil for none.
+	attempt *attempt
 	session *yamux.Session
 	idle    []*remote
 	closed  bool
@@ -31,13 +30,34 @@
 	return o.session
 }
 
-// dial returns the session to the address, which it makes if there is none.
-func (o *outbound) dial(ctx context.Context, connector Connector, address string) (*yamux.Session, error) {
-	if session := o.current(); session != nil {
-		return session, nil
+// attempt is a connection that is being made; its result is there once done is closed.
+type attempt struct {
+	done    chan struct{}
+	session *yamux.Session
+	err     error
+}
+
+// join returns the attempt that is under way, or begins one that ends with a context.
+func (o *outbound) join(begin func(*attempt)) *attempt {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.attempt == nil {
+		o.attempt = &attempt{done: make(chan struct{})}
+		begin(o.attempt)
 	}
-	o.dialling.Lock()
-	defer o.dialling.Unlock()
+	return o.attempt
+}
+
+// end hands an attempt's result to those who wait for it.
+func (o *outbound) end(a *attempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempt = nil
+	close(a.done)
+}
+
+// dial makes a session to the address.
+func (o *outbound) dial(ctx context.Context, connector Connector, address string) (*yamux.Session, error) {
 	if session := o.current(); session != nil {
 		return session, nil
 	}
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -101,7 +101,7 @@
 func Start(ctx context.Context, o Options, d config.Database, members []config.Endpoint) *Coordinator {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Coordinator{
-		options: o, name: d.Name, probe: newProbe(o.Dialer, o.Clock), cancel: cancel, done: make(chan struct{}),
+		options: o, name: d.Name, probe: newProbe(ctx, o.Dialer, o.Clock), cancel: cancel, done: make(chan struct{}),
 		members: members, acknowledge: d.Acknowledge,
 	}
 	go c.run(ctx)
