loan: lend connections where an endpoint takes fewer than there are instances

Ruled out: fewer idle connections (the minimum is one in use, not one idle); raw detours, since a tunnel takes a connection of its own. Change: where an instance's share is below two, a few instances in the endpoint's failure domain hold its connections and lend them for one exchange or transaction after the other. Settings and prepared statements follow the borrower; what is waited for keeps its class and deadline; a holder that leaves sends its borrowers elsewhere; an exchange of which nothing was sent is told apart, so that a write is tried again. database.Divide says who holds, and leaves room for coordinators.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -5,7 +5,10 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincove/config"
+	"siskincove/limit"
 	"siskincove/statement"
 )
 
@@ -22,6 +25,15 @@
 	Close()
 }
 
+// ErrUnsent marks the error of an exchange of which nothing was sent.
+var ErrUnsent = errors.New("nothing was sent")
+
+// Classed is a connection whose exchanges wait for their turn at another instance.
+type Classed interface {
+	// Wait names the class in which the exchanges that follow wait.
+	Wait(class limit.Class)
+}
+
 // Dialer opens connections to endpoints.
 type Dialer interface {
 	// Dial connects to an endpoint and makes sure that it is the one meant; errors are verdict errors for not run.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -50,6 +50,8 @@
 	Logger   *event.Logger
 	// Limit is how many connections may be open.
 	Limit int
+	// Borrows tells that the dialer borrows connections which other instances hold.
+	Borrows bool
 	// Detour, if set, is used while the endpoint can't be reached directly.
 	Detour Detour
 }
@@ -99,6 +101,9 @@
 // Endpoint returns the endpoint.
 func (p *Pool) Endpoint() config.Endpoint { return p.options.Endpoint }
 
+// Borrows reports whether the connections are held by other instances.
+func (p *Pool) Borrows() bool { return p.options.Borrows }
+
 // Used returns how many connections are in the hands of sessions.
 func (p *Pool) Used() int { return p.queue.Used() }
 
@@ -132,13 +137,16 @@
 	if err := p.queue.Admit(ctx, class, deadline); err != nil {
 		return nil, err
 	}
-	if h := p.take(settings); h != nil {
-		return h, nil
+	h := p.take(settings)
+	if h == nil {
+		var err error
+		if h, err = p.open(ctx, deadline, settings); err != nil {
+			p.queue.Release(0)
+			return nil, err
+		}
 	}
-	h, err := p.open(ctx, deadline, settings)
-	if err != nil {
-		p.queue.Release(0)
-		return nil, err
+	if c, ok := h.Conn.(Classed); ok {
+		c.Wait(class)
 	}
 	return h, nil
 }
--- a/database/database.go
+++ b/database/database.go
@@ -150,13 +150,13 @@
 	d.update("", func(v group.View, now time.Time) group.View { return v.WithAvoid(name, now.Add(pause)) })
 }
 
-// configure takes over the group's endpoints and how many connections this instance may have to each.
-func (d *Database) configure(members []config.Endpoint, claim string, limit int) {
+// configure takes over the group's endpoints and how the connections to each are divided.
+func (d *Database) configure(members []config.Endpoint, claim string, share Share) {
 	d.mu.Lock()
 	current := make(map[string]bool, len(members))
 	for _, e := range members {
 		current[e.Name] = true
-		d.place(e, limit)
+		d.place(e, share)
 		d.note(e)
 	}
 	for name, p := range d.pools {
@@ -172,18 +172,35 @@
 }
 
 // place makes or resizes an endpoint's pool; an endpoint that was started anew shares nothing with the one before.
-func (d *Database) place(e config.Endpoint, limit int) {
+func (d *Database) place(e config.Endpoint, share Share) {
+	o := connection.Options{
+		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: share.Limit,
+		Detour: d.options.Detour,
+	}
+	if d.options.Lending != nil && share.Holders > 0 && !d.options.Lending.Holds(e, share.Holders) {
+		o.Borrows, o.Dialer, o.Limit = true, d.options.Lending.Dialer(), borrowedMaximum
+	}
 	if p, ok := d.pools[e.Name]; ok {
-		if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address {
-			p.Resize(limit)
+		if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address && p.Borrows() == o.Borrows {
+			p.Resize(o.Limit)
 			return
 		}
-		d.drop(e.Name, p)
+		d.replacePool(e, p)
 	}
-	d.pools[e.Name] = connection.New(connection.Options{
-		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: limit,
-		Detour: d.options.Detour,
+	d.options.Logger.Log(event.PoolPlaced, log.Fields{
+		"endpoint": e.Name, "limit": o.Limit, "borrows": o.Borrows, "holders": share.Holders,
 	})
+	d.pools[e.Name] = connection.New(o)
+}
+
+// replacePool closes an endpoint's pool. What was learned of the endpoint goes too, unless it is the same as before and
+// only the way to it changes.
+func (d *Database) replacePool(e config.Endpoint, p *connection.Pool) {
+	if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address {
+		p.Close()
+		return
+	}
+	d.drop(e.Name, p)
 }
 
 // note keeps since when an endpoint leaves.
--- a/database/registry.go
+++ b/database/registry.go
@@ -17,22 +17,42 @@
 	Dialer connection.Dialer
 	Clock  clock.Service
 	Logger *event.Logger
+	// Lending tells who has connections where not every instance can; nil if all have.
+	Lending Lending
 	// Detour, if set, leads to an endpoint by way of another instance.
 	Detour connection.Detour
 	// Drain returns how long after its notice a leaving endpoint may get new work.
 	Drain func() time.Duration
 }
 
+// Lending tells which instances hold an endpoint's connections where there are too few for every instance.
+type Lending interface {
+	// Holds reports whether this instance is one of a number of holders.
+	Holds(e config.Endpoint, holders int) bool
+	// Dialer returns what borrows from the holders.
+	Dialer() connection.Dialer
+}
+
 // noticeDelay is how much later than the store this instance may learn that an endpoint leaves: a reading of the table, a
 // heartbeat that relays it, and a slow call.
 const noticeDelay = 2500 * time.Millisecond
 
 const (
 	// connectionShare is the part of an endpoint's connections that instances divide among them; the rest is left for
-	// coordinators and for instances that do not know of each other yet.
-	connectionShare = 0.85
-	// connectionMinimum is what an instance uses whatever its share.
-	connectionMinimum = 1
+	// coordinators and for instances that do not know of each other yet. connectionReserve is the least rest: one for each
+	// of a database's coordinators, and one.
+	connectionShare   = 0.85
+	connectionReserve = 4
+	// ownLeast is the least share with which an instance has connections of its own: one is for a transaction, one for what
+	// goes on beside it.
+	ownLeast = 2
+	// holderConnections is about how many connections each holder has where instances have none of their own: more than
+	// an endpoint has slots, so that none of these is ever free for want of a connection.
+	holderConnections = 8
+	// holdersLeast is how many holders there are if the endpoint takes so many connections: one may be away.
+	holdersLeast = 2
+	// borrowedMaximum is how many connections an instance borrows at most; they wait for each other at the holder.
+	borrowedMaximum = 24
 	// connectionsUnknown is what an instance uses until it knows how many there are.
 	connectionsUnknown = 2
 )
@@ -88,14 +108,27 @@
 	r.mu.Unlock()
 	for _, d := range r.All() {
 		declared, _ := catalog.Database(d.name)
-		d.configure(catalog.Members(d.name), claims[d.name], share(declared.Connections, instances))
+		d.configure(catalog.Members(d.name), claims[d.name], Divide(declared.Connections, instances))
 	}
 }
 
-// share returns how many connections one of a number of instances may have to an endpoint.
-func share(connections, instances int) int {
+// Share is how the connections that an endpoint takes are divided.
+type Share struct {
+	// Holders is how many instances hold connections and lend them to the others, 0 if every instance has its own.
+	Holders int
+	// Limit is how many connections an instance that holds some has.
+	Limit int
+}
+
+// Divide divides an endpoint's connections among a number of instances, 0 while that is not known.
+func Divide(connections, instances int) Share {
 	if instances == 0 {
-		return connectionsUnknown
+		return Share{Limit: connectionsUnknown}
+	}
+	total := max(min(int(connectionShare*float64(connections)), connections-connectionReserve), 1)
+	if own := total / instances; own >= ownLeast || instances <= holdersLeast {
+		return Share{Limit: max(own, 1)}
 	}
-	return max(int(connectionShare*float64(connections))/instances, connectionMinimum)
+	holders := max(total/holderConnections, min(holdersLeast, total))
+	return Share{Holders: holders, Limit: total / holders}
 }
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/connection"
 	"siskincove/endpoint"
@@ -100,6 +101,10 @@
 // knows what became of a write.
 func (w *work) unanswered(j job, c group.Choice, pool *connection.Pool, err error, sent time.Time) (statement.Answer, bool) {
 	pool.Discard()
+	if errors.Is(err, connection.ErrUnsent) {
+		w.failed(j.request, c, verdict.New(verdict.NotRun, verdict.Broken, "connection was lost before the statement").WithCause(err), statement.Answer{}, sent)
+		return statement.Answer{}, false
+	}
 	failure := verdict.New(verdict.MayHaveRun, verdict.Broken, "endpoint did not answer").WithCause(err)
 	w.failed(j.request, c, failure, statement.Answer{}, sent)
 	if j.request.Writes {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -65,6 +65,8 @@
 	EndpointSilent    = define(406, log.WarnLevel, "pool", "endpoint silent", "The endpoint stopped answering status questions.")
 	CommitUnconfirmed = define(407, log.WarnLevel, "pool", "commit not confirmed", "A commit was not confirmed by a majority in time; the caller was told that it may have run.")
 	EndpointDraining  = define(408, log.InfoLevel, "pool", "endpoint leaving", "The endpoint is declared leaving and gets no new work.")
+	PoolPlaced        = define(411, log.InfoLevel, "connection", "connections placed", "This instance has at most limit connections to the endpoint; where borrows is set, those that wait for one of the holders' are counted.")
+	HolderUnreachable = define(412, log.WarnLevel, "connection", "holder not reached", "An instance that lends connections to the endpoint did not answer; another one is asked, and after all the endpoint itself.")
 	DetourTaken       = define(410, log.InfoLevel, "connection", "detour taken", "The endpoint can't be reached directly; a connection was made by way of another instance.")
 	PoolRefused       = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason says why.")
 )
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -103,6 +103,10 @@
 		i.relay(ctx, detour, stream)
 		return false
 	}
+	if asked := first.GetLoan(); asked != nil {
+		i.lender.Serve(ctx, asked, stream)
+		return false
+	}
 	inquiry := first.GetInquiry()
 	if inquiry == nil {
 		return false
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -325,3 +325,40 @@
 	}
 	w.must(w.dial(0, "main"), "q1", "WRITE x one")
 }
+
+// TestFewConnections answers the pattern of more instances than an endpoint takes connections: callers of every instance
+// are served, and no endpoint refuses or resets a connection for being one too many.
+func TestFewConnections(t *testing.T) {
+	t.Parallel()
+	const instances, connections = 7, 9
+	w := newWorldOf(t, instances, connections)
+	for _, i := range w.instances {
+		w.eventually("all instances known", func() bool { return i.census() == instances })
+	}
+	before := w.group.Refused()
+	var wait sync.WaitGroup
+	for n := range instances {
+		for _, route := range []string{"main", "history", "own"} {
+			c := w.dial(n, route)
+			wait.Go(func() {
+				for q := range 40 {
+					if r, err := c.query(fmt.Sprintf("q%d", q), "READ x"); err != nil || r.code != "" {
+						t.Errorf("%s at %d: %s %v", route, n, r.code, err)
+						return
+					}
+				}
+			})
+		}
+	}
+	wait.Wait()
+	if over := w.group.Refused() - before; over > 0 {
+		t.Errorf("%d connections were one too many", over)
+	}
+	borrowing := 0
+	for _, i := range w.instances {
+		borrowing += i.lender.Loans()
+	}
+	if borrowing == 0 {
+		t.Error("no instance borrows")
+	}
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -16,6 +16,7 @@
 	"siskincove/directory"
 	"siskincove/dispatch"
 	"siskincove/event"
+	"siskincove/loan"
 	"siskincove/member"
 	"siskincove/peer"
 	"siskincove/settings"
@@ -46,6 +47,7 @@
 	directory    *directory.Directory
 	databases    *database.Registry
 	dispatcher   *dispatch.Dispatcher
+	lender       *loan.Lender
 	coordinators *coordinator.Set[*succession.Coordinator]
 	callers      *caller.Server
 	health       *health
@@ -78,7 +80,8 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
-	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: i.endpointDrain, Detour: i.detour})
+	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, Drain: i.endpointDrain, Detour: i.detour, Lending: lending{i}})
+	i.lender = i.newLender()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, Polls: i.polls, Apply: i.apply,
 	})
--- a/hosted/leave.go
+++ b/hosted/leave.go
@@ -55,6 +55,7 @@
 	ctx, cancel := context.WithTimeout(i.ctx, farewellTime)
 	defer cancel()
 	i.members.Leave(ctx)
+	i.lender.Leave()
 	if err := i.roster.Leave(ctx); err != nil {
 		i.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
 	}
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -37,6 +37,12 @@
 
 // newWorld starts a group of three endpoints and a number of instances, and waits until they serve.
 func newWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	return newWorldOf(t, instances, 60)
+}
+
+// newWorldOf does the same with endpoints that take a number of connections.
+func newWorldOf(t *testing.T, instances, connections int) *world {
 	t.Helper()
 	w := &world{t: t}
 	var err error
@@ -50,11 +56,11 @@
 			{"name": "r2", "host": "history", "type": "bounded_staleness", "service": "g", "timeout-ms": 4000, "priority": 2, "max-staleness-ms": 1500},
 			{"name": "r3", "host": "own", "type": "read_your_writes", "service": "g", "timeout-ms": 4000, "priority": 2, "max-staleness-ms": 2500},
 		},
-		"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}},
+		"services": []map[string]any{{"name": "g", "max-connections": connections, "sync-replicas": 1}},
 		"limits":   map[string]any{"tx-idle-ms": 2000},
 	})
 	w.group, err = hosting.NewGroup(w.store, hosting.Options{
-		Name: "g", Zones: []string{"a", "b", "c"}, Sync: 1, Slots: 5, Connections: 60, Work: 2 * time.Millisecond,
+		Name: "g", Zones: []string{"a", "b", "c"}, Sync: 1, Slots: 5, Connections: connections, Work: 2 * time.Millisecond,
 		Lag: 20 * time.Millisecond, Promote: 100 * time.Millisecond,
 	})
 	if err != nil {
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -18,7 +18,7 @@
 	{"config", "peer", "certificate", "queue"},
 	{"settings", "connection", "group", "directory"},
 	{"route", "member", "pool", "revision", "database", "platform/line", "platform/sheet"},
-	{"failover", "entry", "dispatch", "succession", "coordinator"},
+	{"failover", "entry", "dispatch", "succession", "coordinator", "loan"},
 	{"instance", "caller", "platform/order"},
 	{"standin/link", "load", "hosted"},
 	{"standin/group"},
--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -69,6 +69,15 @@
 	runs    []Run
 	// promoted counts the promotions carried out.
 	promoted int
+	// refused counts the connections that were too many.
+	refused int
+}
+
+// Refused returns how many connections endpoints refused since they had too many.
+func (g *Group) Refused() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refused
 }
 
 // NewGroup starts a group whose first endpoint leads, and registers the endpoints in the store.
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -86,6 +86,7 @@
 		_, _ = fmt.Fprintf(s.conn, "ERR MISROUTED %s\r\n", e.id)
 		return false
 	case len(e.conns) >= g.options.Connections:
+		g.refused++
 		_, _ = fmt.Fprintf(s.conn, "ERR TOOMANY %s\r\n", e.id)
 		return false
 	}
