succession: count replicas that left until their commits are elsewhere

A leaving endpoint, demoted, was the only one that received from the new primary; 3 s after its entry was gone it still acknowledged. The next succession counted the registered replicas alone, held both, and promoted a log that had stood still for 10 s. Ruled out: holds left behind (released and logged 2 s before), a late order, a contested hold. Change: a database remembers endpoints that left. While they answer they are asked, held and chosen like leaving ones; silent ones stand for a missing log until a registered replica has come as far as the primary stood after that. Conclusion: the hole is in no fault of one site; it needs a departure and a cut.

--- a/database/database.go
+++ b/database/database.go
@@ -25,6 +25,8 @@
 	pools   map[string]*connection.Pool
 	// leaving is since when an endpoint is known to leave.
 	leaving map[string]time.Time
+	// departures are the endpoints that left and may have taken commits with them.
+	departures []Departure
 	// changed is closed, and replaced, when another endpoint leads or none does.
 	changed chan struct{}
 }
@@ -161,6 +163,7 @@
 	}
 	for name, p := range d.pools {
 		if !current[name] {
+			d.depart(p.Endpoint())
 			d.drop(name, p)
 		}
 	}
@@ -200,6 +203,9 @@
 		p.Close()
 		return
 	}
+	if p.Endpoint().Incarnation != e.Incarnation {
+		d.depart(p.Endpoint())
+	}
 	d.drop(e.Name, p)
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -94,6 +94,7 @@
 	SuccessionStopped = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
 	HoldReleased      = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held without need receives again.")
 	FenceReserved     = define(528, log.InfoLevel, "succession", "fencing token reserved", "A fencing token that no other instance has was taken from the store, ahead of need.")
+	DepartureSettled  = define(530, log.InfoLevel, "succession", "departure settled", "Endpoints that left have no commit that no registered replica has.")
 	FenceMissing      = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store does not give one; another coordinator has to act.")
 )
 
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -152,7 +153,6 @@
 // round asks the endpoints if there is reason to, and acts on what they say.
 func (c *Coordinator) round(ctx context.Context, db *database.Database, rank int) {
 	members, _ := c.group()
-	c.probe.keep(members)
 	lead, led := db.View().Lead()
 	now := c.options.Clock.Now()
 	interval := surveyInterval
@@ -163,11 +163,12 @@
 	if rank > 0 {
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofFresh+c.options.Timing.Silent
 	}
-	if fresh && !c.doubt && !c.watch.looksClosely() && !leaving(members, lead.Endpoint) && now.Sub(c.surveyed) < interval {
+	departures := db.Departures()
+	if fresh && !c.doubt && !c.watch.looksClosely() && len(departures) == 0 && !leaving(members, lead.Endpoint) && now.Sub(c.surveyed) < interval {
 		return
 	}
 	c.surveyed = now
-	c.judge(ctx, db, rank, members)
+	c.judge(ctx, db, rank, seen{members: members, departures: departures})
 	c.reserve(ctx)
 }
 
@@ -181,9 +182,11 @@
 }
 
 // judge asks every endpoint and draws the conclusion.
-func (c *Coordinator) judge(ctx context.Context, db *database.Database, rank int, members []config.Endpoint) {
+func (c *Coordinator) judge(ctx context.Context, db *database.Database, rank int, g seen) {
+	members := g.members
+	c.probe.keep(g.all())
 	asked := c.options.Clock.Now()
-	sights := c.look(ctx, members)
+	sights := c.look(ctx, g)
 	lead, _ := db.View().Lead()
 	_, acknowledge := c.group()
 	survey := Survey{Lead: lead.Endpoint, Sights: sights, Acknowledge: acknowledge}
@@ -207,24 +210,37 @@
 			}
 		}
 	}
+	if len(j.Settled) > 0 {
+		c.options.Logger.Log(event.DepartureSettled, log.Fields{"database": c.name, "endpoints": strings.Join(j.Settled, ",")})
+		db.Settle(func(e config.Endpoint) bool { return slices.Contains(j.Settled, g.label(e)) })
+	}
 	if j.Replace {
-		c.replace(ctx, db, members, j)
+		c.replace(ctx, db, g.alive(sights), j)
 	}
 }
 
 // look asks all endpoints at once.
-func (c *Coordinator) look(ctx context.Context, members []config.Endpoint) []Sight {
-	sights := make([]Sight, len(members))
+func (c *Coordinator) look(ctx context.Context, g seen) []Sight {
+	all := g.all()
+	sights := make([]Sight, len(all))
 	var wait sync.WaitGroup
-	for i, e := range members {
-		wait.Go(func() { sights[i] = c.probe.ask(ctx, e, statement.Own(statement.Status), askTimeout) })
+	for i, e := range all {
+		wait.Go(func() {
+			if g.restarted(i) {
+				// Another incarnation answers under this name: the one that left has ended.
+				sights[i] = Sight{Endpoint: g.label(e), Departed: true}
+				return
+			}
+			sights[i] = c.probe.ask(ctx, e, statement.Own(statement.Status), askTimeout)
+			sights[i].Departed = i >= len(g.members)
+		})
 	}
 	wait.Wait()
 	return sights
 }
 
-// replace runs a succession to its end.
-func (c *Coordinator) replace(ctx context.Context, db *database.Database, members []config.Endpoint, j Judgement) {
+// replace runs a succession over the endpoints that count to its end.
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, counted []config.Endpoint, j Judgement) {
 	if c.fence == 0 {
 		c.reserve(ctx)
 	}
@@ -232,13 +248,14 @@
 		return
 	}
 	known, acknowledge := c.group()
-	if !slices.Equal(known, members) {
+	registered := slices.DeleteFunc(slices.Clone(counted), func(e config.Endpoint) bool { return !slices.Contains(known, e) })
+	if !slices.Equal(known, registered) {
 		// An endpoint joined or left since the look: the next look takes it in.
 		return
 	}
 	plan := Plan{Term: holdTerm(j.Term, c.fence), Fence: c.fence, Lost: j.Lost, Answers: j.Lead != "", Acknowledge: acknowledge, Floor: j.Floor, Contested: j.Contested}
 	c.fence = 0
-	for _, e := range members {
+	for _, e := range counted {
 		if e.Name != plan.Lost {
 			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name, Leaving: e.Leaving})
 		}
@@ -247,7 +264,7 @@
 		"database": c.name, "why": string(j.Reason), "since": c.options.Clock.Now().Sub(j.Since).String(), "lost": plan.Lost,
 		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
 	})
-	r := &run{coordinator: c, database: db, members: members, succession: New(plan)}
+	r := &run{coordinator: c, database: db, members: counted, succession: New(plan)}
 	r.conduct(ctx)
 	c.watch, c.doubt = c.watch.again(), true
 	c.surveyed = time.Time{}
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"slices"
 	"time"
 
 	"siskincove/endpoint"
@@ -16,6 +17,8 @@
 	// Standing is what the endpoint said of itself, nil when it said nothing.
 	Standing *endpoint.Standing
 	Leaving  bool
+	// Departed tells that the endpoint is not registered any more.
+	Departed bool
 }
 
 // Survey is what is known of a group after a look at all its endpoints.
@@ -87,6 +90,8 @@
 	floor Floor
 	// holds are the holds seen, and since when.
 	holds []seenHold
+	// departures are the endpoints that left and may have taken commits with them.
+	departures []departure
 }
 
 // Judgement is what a look leads to.
@@ -106,6 +111,8 @@
 	Contested bool
 	// Release are replicas whose holds were forgotten.
 	Release []string
+	// Settled are departed endpoints whose commits are in another replica.
+	Settled []string
 	// Term is the newest term that any endpoint knows or is held under.
 	Term endpoint.FencedTerm
 }
@@ -118,6 +125,7 @@
 		j.Lead, j.Position = lead.Endpoint, lead.Standing.Log
 	}
 	w = w.withMark(lead, s.Sights, now).withFloor(lead, s.Sights).withPress(s, lead, t, now)
+	w, j.Settled = w.withDepartures(lead, s.Sights)
 	reason := w.evidence(s, lead, t, now)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
@@ -268,7 +276,7 @@
 	missing := 0
 	for _, sight := range s.Sights {
 		switch {
-		case sight.Endpoint == j.Lost:
+		case sight.Endpoint == j.Lost || slices.Contains(j.Settled, sight.Endpoint):
 		case sight.Standing != nil && sight.Standing.Role == endpoint.Replica:
 			reached = reached || j.Floor.reached(sight.Standing.Log)
 		default:
@@ -280,5 +288,5 @@
 
 // again returns the watch after a succession: what was learned stays, evidence has to last anew.
 func (w Watch) again() Watch {
-	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed}
+	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed, departures: w.departures}
 }
