dispatch, loan: look again whether an endpoint leaves once there is a connection to it

Change: after the wait the endpoint is looked at again, also by the holder that lends; if its time has ended the statement goes elsewhere. Test: dispatch TestLeavingWhileWaiting, which fails without the change.

--- a/database/database.go
+++ b/database/database.go
@@ -72,14 +72,26 @@
 func (d *Database) staying(now time.Time) []config.Endpoint {
 	out := make([]config.Endpoint, 0, len(d.members))
 	for _, e := range d.members {
-		since, leaving := d.leaving[e.Name]
-		if !leaving || now.Sub(since) < d.options.Drain()-noticeDelay {
+		if d.mayServe(e.Name, now) {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+// Stays reports whether an endpoint may get new work.
+func (d *Database) Stays(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mayServe(name, d.options.Clock.Now())
+}
+
+// mayServe reports the same; d.mu is held.
+func (d *Database) mayServe(name string, now time.Time) bool {
+	since, leaving := d.leaving[name]
+	return !leaving || now.Sub(since) < d.options.Drain()-noticeDelay
+}
+
 // Pool returns the connections to an endpoint, and false when it is no longer a member.
 func (d *Database) Pool(endpoint string) (*connection.Pool, bool) {
 	d.mu.Lock()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -417,3 +420,55 @@
 		t.Errorf("%+v after %d tries", a.Failure, len(e.sent))
 	}
 }
+
+// slowDialer lets something happen while a connection is made.
+type slowDialer struct {
+	*endpoints
+	meanwhile func()
+}
+
+func (d slowDialer) Dial(ctx context.Context, e config.Endpoint) (connection.Conn, error) {
+	if e.Name == "r" {
+		d.meanwhile()
+	}
+	return d.endpoints.Dial(ctx, e)
+}
+
+// TestLeavingWhileWaiting sends nothing to an endpoint whose time for new work ended during the wait for a connection.
+func TestLeavingWhileWaiting(t *testing.T) {
+	var drain atomic.Int64
+	drain.Store(int64(time.Minute))
+	e := &endpoints{}
+	ctx, cancel := context.WithCancel(context.Background())
+	registry := database.NewRegistry(database.Options{
+		Dialer: slowDialer{endpoints: e, meanwhile: func() { drain.Store(0) }}, Clock: clock.System{}, Logger: event.Discard(),
+		Drain: func() time.Duration { return time.Duration(drain.Load()) },
+	})
+	set := catalog().Set
+	set.Endpoints = slices.Clone(set.Endpoints)
+	set.Endpoints[1].Leaving = true
+	c := config.NewCatalog(set)
+	registry.Configure(c, map[string]string{"db": "p"}, 1)
+	db, _ := registry.Get("db")
+	db.Led("p", endpoint.Position{Term: 1, Offset: 1}, time.Now())
+	d := New(ctx, Options{Domain: "north/a", Catalogs: catalogs{c}, Databases: registry, Clock: clock.System{}, Logger: event.Discard()})
+	defer func() {
+		cancel()
+		<-d.Done()
+	}()
+	s, refused := d.Open(ctx, "history")
+	if refused != nil {
+		t.Fatal(refused)
+	}
+	if got := s.Run(ctx, read("1")); got.Failure != nil {
+		t.Errorf("failure %v", got.Failure)
+	}
+	for _, step := range e.sent {
+		if strings.HasPrefix(step, "r:") {
+			t.Errorf("sent %q", step)
+		}
+	}
+	if drain.Load() != 0 {
+		t.Error("the leaving endpoint was not chosen")
+	}
+}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -94,6 +94,11 @@
 		return nil, nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint has left")
 	}
 	held, err := pool.Acquire(ctx, w.class, w.deadline, w.session.settings)
+	if err == nil && !w.database.Stays(c.Endpoint.Name) {
+		// The time that a leaving endpoint gets new work in ended during the wait.
+		pool.Release(held, true, 0)
+		return nil, nil, verdict.New(verdict.NotRun, verdict.Leaving, "endpoint is leaving")
+	}
 	return held, pool, err
 }
 
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -182,6 +182,11 @@
 	if err != nil {
 		return err
 	}
+	if _, ok := o.lender.options.Pool(o.asked); !ok {
+		// The endpoint may have left, or be about to, since the wait began.
+		pool.Release(held, true, 0)
+		return verdict.New(verdict.NotRun, verdict.Leaving, "%s is not lent any more", o.asked.GetEndpoint())
+	}
 	o.pool, o.held, o.since, o.changed = pool, held, o.lender.options.Clock.Now(), false
 	return nil
 }
