--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -428,7 +428,7 @@
 }
 
 func (d slowDialer) Dial(ctx context.Context, e config.Endpoint) (connection.Conn, error) {
-	if e.Name == "r" {
+	if e.Name == "p" {
 		d.meanwhile()
 	}
 	return d.endpoints.Dial(ctx, e)
@@ -446,25 +446,23 @@
 	})
 	set := catalog().Set
 	set.Endpoints = slices.Clone(set.Endpoints)
-	set.Endpoints[1].Leaving = true
+	set.Endpoints[0].Leaving = true
 	c := config.NewCatalog(set)
 	registry.Configure(c, map[string]string{"db": "p"}, 1)
-	db, _ := registry.Get("db")
-	db.Led("p", endpoint.Position{Term: 1, Offset: 1}, time.Now())
 	d := New(ctx, Options{Domain: "north/a", Catalogs: catalogs{c}, Databases: registry, Clock: clock.System{}, Logger: event.Discard()})
 	defer func() {
 		cancel()
 		<-d.Done()
 	}()
-	s, refused := d.Open(ctx, "history")
+	s, refused := d.Open(ctx, "main")
 	if refused != nil {
 		t.Fatal(refused)
 	}
-	if got := s.Run(ctx, read("1")); got.Failure != nil {
+	if got := s.Run(ctx, write("1")); got.Failure == nil || got.Failure.Verdict != verdict.NotRun {
 		t.Errorf("failure %v", got.Failure)
 	}
 	for _, step := range e.sent {
-		if strings.HasPrefix(step, "r:") {
+		if strings.HasPrefix(step, "p:") {
 			t.Errorf("sent %q", step)
 		}
 	}
