--- /dev/null
+++ b/history/doc.go
@@ -0,0 +1,2 @@
+// Package history checks what callers saw and what endpoints ran against the promises made to callers.
+package history
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -25,23 +25,23 @@
 	w.must(c, "q5", "WRITE y two")
 	got := w.must(c, "q6", "READ y")
 	w.must(c, "q7", "COMMIT")
-	if diff := cmp.Diff([]string{"two"}, got.rows); diff != "" {
+	if diff := cmp.Diff([]string{"two"}, got.Rows); diff != "" {
 		t.Error(diff)
 	}
 	// A session reads its own write at once, also where replicas lag.
 	own := w.dial(1, "own")
 	w.must(own, "q8", "WRITE z three")
-	if diff := cmp.Diff([]string{"three"}, w.must(own, "q9", "READ z").rows); diff != "" {
+	if diff := cmp.Diff([]string{"three"}, w.must(own, "q9", "READ z").Rows); diff != "" {
 		t.Error(diff)
 	}
 	// What was acknowledged longer ago than the allowance is read at replicas too.
 	time.Sleep(50 * time.Millisecond)
 	history := w.dial(1, "history")
-	w.eventually("history", func() bool { return w.must(history, "q10", "READ x").rows[0] == "one" })
-	if r, _ := c.query("q11", "FLY"); r.code != "BAD" || r.state != "I" {
+	w.eventually("history", func() bool { return w.must(history, "q10", "READ x").Rows[0] == "one" })
+	if r, _ := c.Query("q11", "FLY"); r.Code != "BAD" || r.State != "I" {
 		t.Errorf("unknown statement: %+v", r)
 	}
-	if _, err := dial(w.addresses[0], "nobody"); err == nil {
+	if _, err := hosting.Call(w.addresses[0], "nobody"); err == nil {
 		t.Error("unknown database was opened")
 	}
 	checkHistory(t, w.group)
@@ -73,7 +73,7 @@
 func (w *world) write(n int) *writer {
 	out := &writer{codes: make(map[string]string), stop: make(chan struct{})}
 	out.done.Go(func() {
-		var c *client
+		var c *hosting.Caller
 		for i := 0; ; i++ {
 			select {
 			case <-out.stop:
@@ -81,18 +81,18 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 			if c == nil {
-				c, _ = dial(w.addresses[n], "main")
+				c, _ = hosting.Call(w.addresses[n], "main")
 				if c == nil {
 					continue
 				}
 			}
 			id := fmt.Sprintf("w%d-%d", n, i)
-			r, err := c.query(id, "WRITE "+id+" v")
+			r, err := c.Query(id, "WRITE "+id+" v")
 			if err != nil {
-				r.code, c = "UNSURE", nil
+				r.Code, c = "UNSURE", nil
 			}
 			out.mu.Lock()
-			out.codes[id] = r.code
+			out.codes[id] = r.Code
 			out.mu.Unlock()
 		}
 	})
@@ -228,10 +228,10 @@
 	w.must(open, "q3", "COMMIT")
 	// A request that meets the farewell is refused with a promise and then the session ends.
 	w.eventually("sessions end", func() bool {
-		r, err := busy.query("b", "WRITE y two")
-		return err != nil || r.code == "BUSY"
+		r, err := busy.Query("b", "WRITE y two")
+		return err != nil || r.Code == "BUSY"
 	})
-	if r, err := idle.receive(); err != nil || r.code != "BUSY" {
+	if r, err := idle.Receive(); err != nil || r.Code != "BUSY" {
 		t.Errorf("idle session got %+v, %v", r, err)
 	}
 	select {
@@ -265,12 +265,12 @@
 		"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}}, "limits": map[string]any{},
 	})
 	w.eventually("new route", func() bool {
-		_, err := dial(w.addresses[1], "other")
+		_, err := hosting.Call(w.addresses[1], "other")
 		return err == nil
 	})
 	w.eventually("dropped route", func() bool {
-		r, _ := c.query("q1", "READ x")
-		return r.code == "NODB"
+		r, _ := c.Query("q1", "READ x")
+		return r.Code == "NODB"
 	})
 	w.store.Forget()
 	w.store.WriteRaw("op", "config", []byte("{"))
@@ -342,8 +342,8 @@
 			c := w.dial(n, route)
 			wait.Go(func() {
 				for q := range 40 {
-					if r, err := c.query(fmt.Sprintf("q%d", q), "READ x"); err != nil || r.code != "" {
-						t.Errorf("%s at %d: %s %v", route, n, r.code, err)
+					if r, err := c.Query(fmt.Sprintf("q%d", q), "READ x"); err != nil || r.Code != "" {
+						t.Errorf("%s at %d: %s %v", route, n, r.Code, err)
 						return
 					}
 				}
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -1,12 +1,10 @@
 package hosted
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"net"
 	"os"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -138,86 +136,21 @@
 	w.t.Fatalf("not within %s: %s", patience, what)
 }
 
-// client is one caller's session.
-type client struct {
-	conn net.Conn
-	in   *bufio.Reader
-}
-
-// result is the answer to a query.
-type result struct {
-	rows     []string
-	receipt  string
-	code     string
-	state    string
-	position string
-}
-
-func dial(address, database string) (*client, error) {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetDeadline(time.Now().Add(time.Minute))
-	c := &client{conn: conn, in: bufio.NewReader(conn)}
-	if _, err := fmt.Fprintf(conn, "START %s u\r\n", database); err != nil {
-		return nil, err
-	}
-	r, err := c.receive()
-	if err == nil && r.code != "" {
-		err = fmt.Errorf("start refused: %s", r.code)
-	}
-	return c, err
-}
-
-func (w *world) dial(n int, database string) *client {
+func (w *world) dial(n int, database string) *hosting.Caller {
 	w.t.Helper()
-	c, err := dial(w.addresses[n], database)
+	c, err := hosting.Call(w.addresses[n], database)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { _ = c.conn.Close() })
+	w.t.Cleanup(c.Close)
 	return c
 }
 
-// receive reads up to the state; a refusal without one ends with the connection.
-func (c *client) receive() (result, error) {
-	var r result
-	for {
-		text, err := c.in.ReadString('\n')
-		if err != nil {
-			if r.code != "" {
-				return r, nil
-			}
-			return r, err
-		}
-		word, rest, _ := strings.Cut(strings.TrimSuffix(text, "\r\n"), " ")
-		switch word {
-		case "ROW":
-			r.rows = append(r.rows, rest)
-		case "DONE":
-			r.receipt = rest
-		case "ERR":
-			r.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			r.state, r.position, _ = strings.Cut(rest, " ")
-			return r, nil
-		}
-	}
-}
-
-func (c *client) query(id, text string) (result, error) {
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return result{}, err
-	}
-	return c.receive()
-}
-
 // must runs a query that has to succeed.
-func (w *world) must(c *client, id, text string) result {
+func (w *world) must(c *hosting.Caller, id, text string) hosting.Result {
 	w.t.Helper()
-	r, err := c.query(id, text)
-	if err != nil || r.code != "" {
+	r, err := c.Query(id, text)
+	if err != nil || r.Code != "" {
 		w.t.Fatalf("%s: %+v, %v", text, r, err)
 	}
 	return r
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -69,6 +69,9 @@
 func (e *Endpoint) Restart() error {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
+	if e.alive {
+		return nil
+	}
 	if err := e.listen(e.address); err != nil {
 		return err
 	}
@@ -187,9 +190,13 @@
 
 // applied returns the position up to which can be read.
 func (e *Endpoint) applied() Position {
-	visible := e.visible()
-	if len(visible) == 0 {
+	return e.last(e.visible())
+}
+
+// last returns the position of the last of some records.
+func (e *Endpoint) last(records []Record) Position {
+	if len(records) == 0 {
 		return Position{Term: e.term}
 	}
-	return visible[len(visible)-1].Position
+	return records[len(records)-1].Position
 }
--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -13,7 +13,8 @@
 	Number uint64
 }
 
-func (p Position) covers(other Position) bool {
+// Covers reports whether a log that ends here has another position.
+func (p Position) Covers(other Position) bool {
 	return p.Term > other.Term || p.Term == other.Term && p.Number >= other.Number
 }
 
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -169,7 +169,7 @@
 	switch {
 	case mode != "READ" && !s.endpoint.leads():
 		return answer{code: "READONLY"}
-	case !s.endpoint.applied().covers(after):
+	case !s.endpoint.applied().Covers(after):
 		return answer{code: "BEHIND"}
 	}
 	s.state, s.reads = "T", mode == "READ"
@@ -195,7 +195,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
-	case !e.applied().covers(after):
+	case !e.applied().Covers(after):
 		return answer{code: "BEHIND"}
 	case s.lostLead(word, writes):
 		if s.state == "T" {
@@ -214,11 +214,12 @@
 		s.state = "E"
 		return answer{code: "READONLY"}
 	}
+	visible := e.visible()
 	g.runs = append(g.runs, Run{
 		Request: id, Endpoint: e.id, Conn: s.number, Inside: s.state == "T", Settings: fmt.Sprint(sortedPairs(s.settings)), Text: text,
-		Log: e.applied(), Started: time.Now(),
+		Log: e.last(visible), Started: time.Now(),
 	})
-	a := s.effect(id, word, rest, writes)
+	a := s.effect(id, word, rest, writes, visible)
 	if e.lose > 0 {
 		e.lose--
 		a.lost = true
@@ -244,7 +245,8 @@
 	return (writes || plain) && !s.endpoint.leads()
 }
 
-func (s *session) effect(id, word, rest string, writes bool) answer {
+// effect runs a statement that reads what is visible.
+func (s *session) effect(id, word, rest string, writes bool, visible []Record) answer {
 	done := s.endpoint.id + "." + id
 	switch {
 	case word == "COMMIT":
@@ -266,15 +268,14 @@
 		}
 		return s.commit(done, []string{id}, map[string]string{item: value})
 	default:
-		return answer{rows: []string{s.value(rest)}, done: done}
+		return answer{rows: []string{s.value(rest, visible)}, done: done}
 	}
 }
 
-func (s *session) value(item string) string {
+func (s *session) value(item string, visible []Record) string {
 	if value, ok := s.data[item]; ok {
 		return value
 	}
-	visible := s.endpoint.visible()
 	for i := len(visible) - 1; i >= 0; i-- {
 		if value, ok := visible[i].Data[item]; ok {
 			return value
