--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"siskincove/connection"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
@@ -60,7 +63,10 @@
 // commitUnanswered is the answer to a commit without an answer. One that wrote nothing has nothing to keep.
 func (s *Session) commitUnanswered(w *work, r statement.Request, err error) statement.Answer {
 	failure := verdict.New(verdict.MayHaveRun, verdict.Broken, "endpoint did not answer the commit").WithCause(err)
-	if !s.tx.wrote {
+	switch {
+	case errors.Is(err, connection.ErrUnsent):
+		failure = verdict.New(verdict.NotRun, verdict.Aborted, "connection was lost before the commit").WithCause(err)
+	case !s.tx.wrote:
 		failure = verdict.New(verdict.NotRun, verdict.Aborted, "connection was lost; the transaction wrote nothing").WithCause(err)
 	}
 	w.failed(r, s.tx.choice, failure, statement.Answer{}, w.started)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -35,10 +35,16 @@
 	mu      sync.Mutex
 	scripts map[string][]script
 	sent    []string
+	dials   int
+	// after is the position that each step asked for, by its request.
+	after map[string]endpoint.Position
 }
 
 // Dial returns a connection to a scripted endpoint.
 func (e *endpoints) Dial(_ context.Context, target config.Endpoint) (connection.Conn, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dials++
 	return &scripted{endpoints: e, name: target.Name, broken: make(chan struct{})}, nil
 }
 
@@ -71,6 +77,10 @@
 	defer c.endpoints.mu.Unlock()
 	for _, s := range steps {
 		c.endpoints.sent = append(c.endpoints.sent, fmt.Sprintf("%s: %s %s", c.name, s.Kind, s.ID))
+		if c.endpoints.after == nil {
+			c.endpoints.after = make(map[string]endpoint.Position)
+		}
+		c.endpoints.after[s.ID] = s.After
 	}
 	left := c.endpoints.scripts[c.name]
 	if len(left) == 0 {
@@ -253,6 +263,12 @@
 			route: "main", requests: []statement.Request{own(statement.Begin), own(statement.Rollback)},
 			want: []outcome{{State: statement.Open}, {}},
 		},
+		"first statement of a transaction is not sent after a refused begin": {
+			route: "main", scripts: map[string][]script{"p": {fail(statement.Begin, verdict.NotPrimary, statement.Idle)}},
+			requests: []statement.Request{own(statement.Begin), write("1")},
+			want:     []outcome{{State: statement.Open}, {Receipt: "receipt of 1", State: statement.Open}},
+			sent:     []string{"p: begin ", "r: begin ", "r: write 1"},
+		},
 		"transaction lost before its commit keeps nothing": {
 			route: "main", scripts: map[string][]script{"p": {succeed, succeed, cut}},
 			requests: []statement.Request{own(statement.Begin), write("1"), write("2"), read("3"), own(statement.Rollback), read("4")},
@@ -383,6 +399,37 @@
 	}
 }
 
+// TestRollbackRefused leaves a connection whose transaction is still open.
+func TestRollbackRefused(t *testing.T) {
+	s, e := open(t, "main", map[string][]script{"p": {succeed, succeed, fail(statement.Rollback, verdict.Overload, statement.Open)}})
+	s.Run(context.Background(), own(statement.Begin))
+	s.Run(context.Background(), write("1"))
+	s.Close()
+	s.dispatcher.running.Wait()
+	s.Run(context.Background(), write("2"))
+	if diff := cmp.Diff(2, e.dials); diff != "" {
+		t.Errorf("connections: %s", diff)
+	}
+}
+
+// TestToken asks a replica for what the session has written.
+func TestToken(t *testing.T) {
+	written := endpoint.Position{Term: 1, Offset: 7}
+	position := func(steps []statement.Step) ([]statement.Answer, error) {
+		out, err := succeed(steps)
+		for n := range out {
+			out[n].Position = written
+		}
+		return out, err
+	}
+	s, e := open(t, "history", map[string][]script{"p": {position}})
+	s.Run(context.Background(), write("1"))
+	s.Run(context.Background(), read("2"))
+	if diff := cmp.Diff(written, e.after["2"]); diff != "" {
+		t.Errorf("the read after the write asked for %v: %s", e.after["2"], diff)
+	}
+}
+
 // TestChangedSettings clears a connection whose settings a rolled back transaction may have changed.
 func TestChangedSettings(t *testing.T) {
 	s, e := open(t, "main", nil)
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -187,4 +187,3 @@
 		})
 	}
 }
-
