succession, member: settle absences while a primary lives; register once across restarts

Change: an endpoint that does not answer is settled while the primary lives, whether it is still registered or not. An instance that restarts at its place finds its row and is not registered anew; when all restart at once the list is known sooner. Tests: succession TestDepartureSettles, member TestRoster.

--- a/member/listing.go
+++ b/member/listing.go
@@ -36,13 +36,26 @@
 
 func (r *Roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
 
-// List registers this instance, once, and returns all that are registered; a row that can't be read is left out.
+// List returns all that are registered; a row that can't be read is left out. This instance is registered, once, unless the
+// row from before a restart still stands: when all restart at once the store has reads enough for them, but not writes.
 func (r *Roster) List(ctx context.Context) ([]Instance, error) {
-	if !r.registered.Load() {
-		if err := r.register(ctx); err != nil {
-			return nil, err
+	out, err := r.read(ctx)
+	if err != nil || r.registered.Load() {
+		return out, err
+	}
+	for _, i := range out {
+		if i.ID == r.self.ID && i.Address == r.self.Address && i.Domain == r.self.Domain {
+			r.registered.Store(true)
+			return out, nil
 		}
 	}
+	if err := r.register(ctx); err != nil {
+		return nil, err
+	}
+	return r.read(ctx)
+}
+
+func (r *Roster) read(ctx context.Context) ([]Instance, error) {
 	page, err := store.Scan(ctx, r.rows, rosterTable, "", "")
 	if err != nil {
 		return nil, errors.Wrap(err, "reading the list of instances")
--- a/member/listing_test.go
+++ b/member/listing_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestRoster shows that an instance lists itself once, finds the others, passes over a row that can't be read and is off
-// the list after it left.
+// the list after it left; one that restarts at its place is not registered anew.
 func TestRoster(t *testing.T) {
 	s, err := hosting.NewStore()
 	if err != nil {
@@ -44,6 +44,11 @@
 	if diff := cmp.Diff(2, s.Calls("/rows-tx")); diff != "" {
 		t.Errorf("registrations: %s", diff)
 	}
+	again := member.NewRoster(rows.New(s.Address()), first, event.Discard())
+	list(again, first, second)
+	if diff := cmp.Diff(2, s.Calls("/rows-tx")); diff != "" {
+		t.Errorf("registrations after a restart: %s", diff)
+	}
 	if err := other.Leave(ctx); err != nil {
 		t.Fatal(err)
 	}
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -64,7 +64,7 @@
 		"succession/plan.go", "return uint64(log.Term) >= uint64(f.Term) || f.Known && log.Covers(f.Start)", "return true", "./succession", "Floor",
 	},
 	"departed endpoints forgotten": {
-		"succession/departure.go", "		case !known:\n", "		case true:\n			settled = append(settled, s.Endpoint)\n			continue\n		case !known:\n", "./succession", "Departure",
+		"succession/departure.go", "		if a.settled && sight.Departed {", "		if sight.Departed {", "./succession", "Departure",
 	},
 	"fencing tokens reserved without a condition": {
 		"succession/reservation.go", "[]store.Expectation{{Key: key, Version: version}},", "[]store.Expectation{{Key: key, Version: version}}[:0],", "./succession", "Reserve",
--- a/succession/departure.go
+++ b/succession/departure.go
@@ -2,46 +2,60 @@
 
 import "siskincove/endpoint"
 
-// departure is an endpoint that left and does not answer any more. Until another replica has come as far as the primary
-// was after that, it may have taken acknowledged commits with it that only the primary has.
-type departure struct {
+// absence is an endpoint that does not answer. Until another replica has come as far as the primary was after that, it may
+// have acknowledged commits that only the primary has; when it leaves, it takes them with it.
+type absence struct {
 	endpoint string
 	// mark is where the primary's log stood after the endpoint had fallen silent, if marked.
 	mark   endpoint.Position
 	marked bool
+	// settled tells that a registered replica has come as far.
+	settled bool
 }
 
-// withDepartures keeps the departures that are seen, and returns those whose commits are in another replica by now.
-func (w Watch) withDepartures(lead *Sight, sights []Sight) (Watch, []string) {
-	var open []departure
+// withAbsences keeps the absences that are seen, and returns the departed endpoints whose commits are in another replica.
+func (w Watch) withAbsences(s Survey, lead *Sight) (Watch, []string) {
+	var absences []absence
 	var settled []string
-	for _, s := range sights {
-		if !s.Departed || s.Standing != nil {
+	for _, sight := range s.Sights {
+		if sight.Answered || sight.Standing != nil || lead == nil && sight.Endpoint == s.Lead {
 			continue
 		}
-		d, known := w.departed(s.Endpoint)
+		a, known := w.absent(sight.Endpoint)
 		switch {
 		case !known:
-			d = departure{endpoint: s.Endpoint}
-		case lead != nil && !d.marked:
-			d.mark, d.marked = lead.Standing.Log, true
-		case d.marked && kept(d.mark, sights):
-			settled = append(settled, s.Endpoint)
-			continue
+			a = absence{endpoint: sight.Endpoint}
+		case lead != nil && !a.marked:
+			a.mark, a.marked = lead.Standing.Log, true
+		case a.marked && kept(a.mark, s.Sights):
+			a.settled = true
+		}
+		absences = append(absences, a)
+		if a.settled && sight.Departed {
+			settled = append(settled, sight.Endpoint)
 		}
-		open = append(open, d)
 	}
-	w.departures = open
+	w.absences = absences
 	return w, settled
 }
 
-func (w Watch) departed(name string) (departure, bool) {
-	for _, d := range w.departures {
-		if d.endpoint == name {
-			return d, true
+func (w Watch) absent(name string) (absence, bool) {
+	for _, a := range w.absences {
+		if a.endpoint == name {
+			return a, true
 		}
 	}
-	return departure{}, false
+	return absence{}, false
+}
+
+// unsettled reports whether the commits of an endpoint that does not answer may be in no other replica.
+func (w Watch) unsettled() bool {
+	for _, a := range w.absences {
+		if !a.settled {
+			return true
+		}
+	}
+	return false
 }
 
 // kept reports whether a registered replica has come as far as a position.
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -159,6 +159,14 @@
 			looks: [][]Sight{{primary("p", 7), a(7), gone}, {primary("p", 9), a(9), gone}, {primary("p", 9), a(9), gone}, {crashed, a(9)}, {crashed, a(9)}},
 			want:  true, settled: 3,
 		},
+		// The pattern of two losses in a row: a former primary that never came back must not block the second failover.
+		"silent for long before it left": {
+			looks: [][]Sight{
+				{primary("p", 7), a(7), {Endpoint: "c"}}, {primary("p", 9), a(9), {Endpoint: "c"}}, {primary("p", 9), a(9), {Endpoint: "c"}},
+				{crashed, a(9), {Endpoint: "c"}}, {crashed, a(9), gone}, {crashed, a(9)},
+			},
+			want: true, settled: 5,
+		},
 		"others have not": {
 			looks: [][]Sight{{primary("p", 7), a(5), gone}, {primary("p", 9), a(5), gone}, {primary("p", 9), a(5), gone}, {crashed, a(5), gone}, {crashed, a(5), gone}},
 		},
--- a/succession/press.go
+++ b/succession/press.go
@@ -54,6 +54,6 @@
 	return !w.pressed.IsZero() && now.Sub(w.pressed) >= t.Pressed && now.Sub(w.changed) >= t.Pause
 }
 
-// looksClosely reports whether the evidence of a primary without free slots, or an endpoint that left, needs more looks
-// soon.
-func (w Watch) looksClosely() bool { return !w.pressed.IsZero() || len(w.departures) > 0 }
+// looksClosely reports whether the evidence of a primary without free slots, or an endpoint that does not answer, needs
+// more looks soon.
+func (w Watch) looksClosely() bool { return !w.pressed.IsZero() || w.unsettled() }
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -90,8 +90,8 @@
 	floor Floor
 	// holds are the holds seen, and since when.
 	holds []seenHold
-	// departures are the endpoints that left and may have taken commits with them.
-	departures []departure
+	// absences are the endpoints that do not answer.
+	absences []absence
 }
 
 // Judgement is what a look leads to.
@@ -125,7 +125,7 @@
 		j.Lead, j.Position = lead.Endpoint, lead.Standing.Log
 	}
 	w = w.withMark(lead, s.Sights, now).withFloor(lead, s.Sights).withPress(s, lead, t, now)
-	w, j.Settled = w.withDepartures(lead, s.Sights)
+	w, j.Settled = w.withAbsences(s, lead)
 	reason := w.evidence(s, lead, t, now)
 	if reason != w.reason {
 		w.reason, w.since = reason, now
@@ -288,5 +288,5 @@
 
 // again returns the watch after a succession: what was learned stays, evidence has to last anew.
 func (w Watch) again() Watch {
-	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed, departures: w.departures}
+	return Watch{floor: w.floor, holds: w.holds, term: w.term, changed: w.changed, absences: w.absences}
 }
