--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -19,7 +19,7 @@
 	{"settings", "connection", "group", "directory"},
 	{"route", "member", "pool", "revision", "database", "platform/line", "platform/sheet"},
 	{"failover", "entry", "dispatch", "succession", "coordinator", "loan"},
-	{"instance", "caller", "platform/order"},
+	{"instance", "caller", "platform/order", "simulation"},
 	{"standin/link", "load", "hosted"},
 	{"standin/group"},
 	{"standin/cluster"},
