--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -19,6 +19,7 @@
 	Force    forceCommand    `cmd:"" help:"Time until a published configuration is in force everywhere."`
 	Overload overloadCommand `cmd:"" help:"What is still done when more is offered than the endpoints can do."`
 	Commits  commitsCommand  `cmd:"" help:"Acknowledged writes a second to one database."`
+	Model    modelCommand    `cmd:"" help:"Goodput, waiting and refusals against load, of the deciding code in virtual time and of a baseline."`
 	Slopes   slopesCommand   `cmd:"" help:"What one more caller, database and instance costs an instance."`
 }
 
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -162,8 +162,12 @@
 		// The pattern of two losses in a row: a former primary that never came back must not block the second failover.
 		"silent for long before it left": {
 			looks: [][]Sight{
-				{primary("p", 7), a(7), {Endpoint: "c"}}, {primary("p", 9), a(9), {Endpoint: "c"}}, {primary("p", 9), a(9), {Endpoint: "c"}},
-				{crashed, a(9), {Endpoint: "c"}}, {crashed, a(9), gone}, {crashed, a(9)},
+				{primary("p", 7), a(7), {Endpoint: "c"}},
+				{primary("p", 9), a(9), {Endpoint: "c"}},
+				{primary("p", 9), a(9), {Endpoint: "c"}},
+				{crashed, a(9), {Endpoint: "c"}},
+				{crashed, a(9), gone},
+				{crashed, a(9)},
 			},
 			want: true, settled: 5,
 		},
