--- a/connection/conn.go
+++ b/connection/conn.go
@@ -30,8 +30,8 @@
 
 // Classed is a connection whose exchanges wait for their turn at another instance.
 type Classed interface {
-	// Wait names the class in which the exchanges that follow wait.
-	Wait(class limit.Class)
+	// SetClass names the class in which the exchanges that follow wait.
+	SetClass(class limit.Class)
 }
 
 // Dialer opens connections to endpoints.
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -146,7 +146,7 @@
 		}
 	}
 	if c, ok := h.Conn.(Classed); ok {
-		c.Wait(class)
+		c.SetClass(class)
 	}
 	return h, nil
 }
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -15,7 +15,7 @@
 var layers = [][]string{
 	{"verdict", "clock", "share", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
-	{"config", "peer", "certificate", "queue", "history"},
+	{"config", "peer", "certificate", "queue", "standin/history"},
 	{"settings", "connection", "group", "directory"},
 	{"route", "member", "pool", "revision", "database", "platform/line", "platform/sheet"},
 	{"failover", "entry", "dispatch", "succession", "coordinator", "loan"},
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -55,8 +55,8 @@
 // Close ends the connection, at which the holder rolls back its transaction.
 func (c *Conn) Close() { c.fail(errClosed) }
 
-// Wait lets the exchanges that follow wait for a connection of the holder's in a class.
-func (c *Conn) Wait(class limit.Class) { c.class = class }
+// SetClass lets the exchanges that follow wait for a connection of the holder's in a class.
+func (c *Conn) SetClass(class limit.Class) { c.class = class }
 
 func (c *Conn) fail(err error) {
 	c.mu.Lock()
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -140,7 +140,7 @@
 		t.Fatal(err)
 	}
 	conn := c.(*Conn)
-	conn.Wait(limit.Class{Name: "1", Weight: 1})
+	conn.SetClass(limit.Class{Name: "1", Weight: 1})
 	t.Cleanup(conn.Close)
 	return conn
 }
--- a/member/driver.go
+++ b/member/driver.go
@@ -38,12 +38,6 @@
 	Heard(revision uint64, address string)
 }
 
-// Listing is the list of instances; it may lag behind reality.
-type Listing interface {
-	// List returns the instances that are listed, and lists this one if it is not.
-	List(ctx context.Context) ([]Instance, error)
-}
-
 // Options are what a driver needs to know and to use.
 type Options struct {
 	Self      Instance
--- a/member/roster.go
+++ b/member/roster.go
@@ -2,38 +2,96 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync/atomic"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/event"
+	"siskincove/store"
 )
 
-func (d *Driver) readRoster(ctx context.Context) {
-	for {
-		pause := rosterUnlisted
-		if d.readRosterOnce(ctx) {
-			pause = d.options.RosterInterval
+// rosterTable holds a row for each instance, so that they find each other.
+const rosterTable = "instances"
+
+// Listing is the list of instances; it may lag behind reality.
+type Listing interface {
+	// List returns the instances that are listed, and lists this one if it is not.
+	List(ctx context.Context) ([]Instance, error)
+}
+
+// Roster is the list of instances in the store. Each registers itself and removes its row when it leaves.
+type Roster struct {
+	rows       store.Rows
+	self       Instance
+	logger     *event.Logger
+	registered atomic.Bool
+}
+
+// NewRoster returns the list as the instance self uses it.
+func NewRoster(rows store.Rows, self Instance, logger *event.Logger) *Roster {
+	return &Roster{rows: rows, self: self, logger: logger}
+}
+
+// listed is the value of an instance's row.
+type listed struct {
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+}
+
+func (r *Roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
+
+// List returns all that are registered; a row that can't be read is left out. This instance is registered, once, unless the
+// row from before a restart still stands: when all restart at once the store has reads enough for them, but not writes.
+func (r *Roster) List(ctx context.Context) ([]Instance, error) {
+	out, err := r.read(ctx)
+	if err != nil || r.registered.Load() {
+		return out, err
+	}
+	for _, i := range out {
+		if i.ID == r.self.ID && i.Address == r.self.Address && i.Domain == r.self.Domain {
+			r.registered.Store(true)
+			return out, nil
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-d.options.Clock.After(pause):
+	}
+	if err := r.register(ctx); err != nil {
+		return nil, err
+	}
+	return r.read(ctx)
+}
+
+func (r *Roster) read(ctx context.Context) ([]Instance, error) {
+	page, err := store.Scan(ctx, r.rows, rosterTable, "", "")
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the list of instances")
+	}
+	out := make([]Instance, 0, len(page.Rows))
+	for _, row := range page.Rows {
+		var l listed
+		if err := json.Unmarshal(row.Value, &l); err != nil {
+			r.logger.Log(event.RosterFailed, log.Fields{"instance": row.Key.Key, "error": err.Error()})
+			continue
 		}
+		out = append(out, Instance{ID: row.Key.Key, Address: l.Address, Domain: l.Domain})
 	}
+	return out, nil
 }
 
-// readRosterOnce reads the list and reports whether this instance has been listed by now.
-func (d *Driver) readRosterOnce(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
-	defer cancel()
-	list, err := d.options.Roster.List(ctx)
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (r *Roster) register(ctx context.Context) error {
+	value, err := json.Marshal(listed{Address: r.self.Address, Domain: r.self.Domain})
 	if err != nil {
-		d.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
-		return d.listed
+		return errors.Wrap(err, "encoding this instance")
+	}
+	if _, err := r.rows.Commit(ctx, store.Transaction{Puts: []store.Row{{Key: r.key(), Value: value}}}); err != nil {
+		return errors.Wrap(err, "registering this instance")
 	}
-	d.table.Roster(list, d.options.Clock.Now())
-	d.listed = d.listed || d.table.Listed(d.options.Self.ID)
-	return d.listed
+	r.registered.Store(true)
+	return nil
+}
+
+// Leave removes this instance's row.
+func (r *Roster) Leave(ctx context.Context) error {
+	_, err := r.rows.Commit(ctx, store.Transaction{Deletes: []store.Key{r.key()}})
+	return errors.Wrap(err, "removing this instance")
 }
--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -14,7 +14,7 @@
 
 	"pgregory.net/rapid"
 
-	"siskincove/history"
+	"siskincove/standin/history"
 	"siskincove/standin/cluster"
 	"siskincove/standin/hosting"
 )
