--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -14,8 +14,8 @@
 
 	"pgregory.net/rapid"
 
-	"siskincove/standin/history"
 	"siskincove/standin/cluster"
+	"siskincove/standin/history"
 	"siskincove/standin/hosting"
 )
 
