--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -152,6 +152,8 @@
 	tests := map[string]struct {
 		looks [][]Sight
 		want  bool
+		// alone tells that commits are acknowledged without a replica.
+		alone bool
 		// settled is after how many looks the departure no longer counts, 0 for never.
 		settled int
 	}{
@@ -177,6 +179,10 @@
 		"primary crashes at once": {
 			looks: [][]Sight{{primary("p", 7), a(7), gone}, {crashed, a(7), gone}, {crashed, a(7), gone}},
 		},
+		"primary crashes at once, no replica was promised anything": {
+			looks: [][]Sight{{primary("p", 7), a(7), gone}, {crashed, a(7), gone}, {crashed, a(7), gone}},
+			want:  true, alone: true,
+		},
 		"it still answers": {
 			looks: [][]Sight{{primary("p", 9), a(5), alive}, {crashed, a(5), alive}, {crashed, a(5), alive}},
 			want:  true,
@@ -188,7 +194,11 @@
 			var j Judgement
 			settled := 0
 			for n, sights := range test.looks {
-				w, j = w.Take(Survey{Lead: "p", Sights: sights, Acknowledge: 1}, 0, timing, epoch.Add(time.Duration(n)*time.Second))
+				acknowledge := 1
+				if test.alone {
+					acknowledge = 0
+				}
+				w, j = w.Take(Survey{Lead: "p", Sights: sights, Acknowledge: acknowledge}, 0, timing, epoch.Add(time.Duration(n)*time.Second))
 				if len(j.Settled) > 0 {
 					settled = n + 1
 				}
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -277,6 +277,8 @@
 	for _, sight := range s.Sights {
 		switch {
 		case sight.Endpoint == j.Lost || slices.Contains(j.Settled, sight.Endpoint):
+		case sight.Departed && sight.Standing == nil && s.Acknowledge == 0:
+			// No replica's log was promised to hold anything.
 		case sight.Standing != nil && sight.Standing.Role == endpoint.Replica:
 			reached = reached || j.Floor.reached(sight.Standing.Log)
 		default:
