--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -61,7 +61,7 @@
 }
 
 func (i *Instance) newLender() *loan.Lender {
-	return loan.NewLender(loan.Options{Clock: i.options.Clock, Pool: i.lent, Idle: i.idle})
+	return loan.NewLender(loan.Options{Clock: i.options.Clock, Logger: i.options.Logger, Pool: i.lent, Idle: i.idle})
 }
 
 // lent returns the pool that a borrower asks for, and false unless this instance holds its connections.
--- a/loan/lender.go
+++ b/loan/lender.go
@@ -7,13 +7,15 @@
 
 	"siskincove/clock"
 	"siskincove/connection"
+	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
 )
 
 // Options are what a lender needs to know and to use.
 type Options struct {
-	Clock clock.Service
+	Clock  clock.Service
+	Logger *event.Logger
 	// Pool returns the connections that are asked for, and false if this instance does not hold them.
 	Pool func(asked *wire.Loan) (*connection.Pool, bool)
 	// Idle returns how long a transaction may stay idle, 0 for no bound.
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"siskincove/connection"
+	"siskincove/event"
 	"siskincove/limit"
 	"siskincove/peer"
 	"siskincove/peer/wire"
@@ -151,6 +154,9 @@
 	if o.held == nil {
 		class := limit.Class{Name: asked.GetClass(), Weight: int(asked.GetWeight())}
 		if err := o.acquire(ctx, class, deadline); err != nil {
+			o.lender.options.Logger.Log(event.LoanRefused, log.Fields{
+				"endpoint": o.asked.GetEndpoint(), "request": requestOf(steps), "error": err.Error(), "remaining": remaining.String(),
+			})
 			return refusals(err, len(steps)), false
 		}
 	}
@@ -191,6 +197,16 @@
 	return nil
 }
 
+// requestOf returns the id of the caller's statement among steps, empty when they are all our own.
+func requestOf(steps []statement.Step) string {
+	for _, s := range steps {
+		if s.ID != "" {
+			return s.ID
+		}
+	}
+	return ""
+}
+
 // refusals answers every step with a failure that had no effect.
 func refusals(err error, steps int) []statement.Answer {
 	out := make([]statement.Answer, steps)
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -111,7 +111,7 @@
 	d := &desk{backend: &backend{}, ctx: ctx, holds: true}
 	d.pool = connection.New(connection.Options{Dialer: d.backend, Clock: clock.System{}, Logger: event.Discard(), Limit: connections})
 	d.lender = NewLender(Options{
-		Clock: clock.System{}, Idle: func() time.Duration { return time.Minute },
+		Clock: clock.System{}, Logger: event.Discard(), Idle: func() time.Duration { return time.Minute },
 		Pool: func(*wire.Loan) (*connection.Pool, bool) { return d.pool, d.holds },
 	})
 	return d
