succession: read the next fencing token by store.Get

Ruled out: store.Update here too, since its values have to be unique to a call and a token's are not. Change: the lookup only; behaviour, checks and texts stay. Tests: succession, hosted and layout pass; TestReserve still fails when the condition is taken out (TestMutations).

--- a/succession/reservation.go
+++ b/succession/reservation.go
@@ -16,16 +16,12 @@
 // the token that it may have taken is never used.
 func Reserve(ctx context.Context, rows store.Rows, database string) (uint64, error) {
 	key := store.Key{Table: fenceTable, Key: database}
-	page, err := rows.Range(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
-	if err != nil {
+	row, err := store.Get(ctx, rows, key)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
 		return 0, errors.Wrap(err, "reading the next fencing token")
 	}
-	next, version := uint64(1), uint64(0)
-	for _, row := range page.Rows {
-		if row.Key.Key != key.Key {
-			continue
-		}
-		version = row.Version
+	next, version := uint64(1), row.Version
+	if err == nil {
 		if next, err = strconv.ParseUint(string(row.Value), 10, 64); err != nil {
 			return 0, errors.Wrap(err, "stored fencing token")
 		}
