pool: stop the library's background reader before taking over a connection

Cause: pgconn starts a reader in the background when a write takes more than 15 ms. Stop only takes effect after its next read returns. We took the connection over by Hijack without SyncConn, so that reader got the answer to the first statement and ours ran into its deadline. 6 CPU-bound test binaries stall a write for that long now and then.

Change: SyncConn before Hijack. Its ping is a comment, which the stand-in now answers as an empty query, as PostgreSQL does.

The platform's path opens its connections itself and has no such reader.

--- a/pool/connection.go
+++ b/pool/connection.go
@@ -100,6 +100,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// A write that stalled during the start leaves a reader in the background, which would take the first answer.
+	if err := plain.SyncConn(ctx); err != nil {
+		_ = plain.Close(ctx)
+		return nil, errors.Wrap(err, "connection")
+	}
 	hijacked, err := plain.Hijack()
 	if err != nil {
 		return nil, errors.Wrap(err, "connection")
--- a/standin/group/statement.go
+++ b/standin/group/statement.go
@@ -176,8 +176,13 @@
 			start = i + 1
 		}
 	}
-	if strings.TrimSpace(sql[start:]) != "" {
+	if rest := strings.TrimSpace(sql[start:]); rest != "" && !isComment(rest) {
 		out = append(out, sql[start:])
 	}
 	return out
 }
+
+// isComment reports whether the text is one line of comment, as in the ping of pgconn.
+func isComment(text string) bool {
+	return strings.HasPrefix(text, "--") && !strings.Contains(text, "\n")
+}
