connection: narrow the window of statements at an endpoint that is full

At the full load 29% of arrivals found no place, at twice the load 6 to 11%. The rest waited at the endpoint, and those that it did not get to in time were given up while their work went on: in the model 8,100 arrivals were carried out at twice the load for 3,600 answers.

A refusal for want of a place, or a statement that ran out of its time there, halves it; it grows back in 6 s. What finds no room waits in the instance's queue, by class and deadline. A transaction that awaits its caller's next statement does not count, so callers who think keep nobody waiting. Event 414 tells each narrowing.

--- a/connection/held.go
+++ b/connection/held.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -13,15 +14,42 @@
 // Held is a connection in the hands of one session, with what is known of its state.
 type Held struct {
 	Conn
+	pool     *Pool
 	settings map[string]string
 	prepared map[string]bool
 	// uncertain is set when the settings may differ from what is known, as after the rollback of a transaction that
 	// changed them.
 	uncertain bool
+	// resting tells that a transaction on the connection awaits its next statement.
+	resting bool
 	// idleSince is when the connection came back to its pool.
 	idleSince time.Time
 }
 
+// Exchange sends the steps and returns their answers as Conn does; the pool learns from them what the endpoint has places
+// for.
+func (h *Held) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
+	h.setResting(false)
+	answers, err := h.Conn.Exchange(ctx, deadline, steps...)
+	h.pool.observe(answers, err, deadline)
+	return answers, err
+}
+
+// Rest notes that a transaction on the connection awaits its next statement: until then another connection may be used.
+func (h *Held) Rest() { h.setResting(true) }
+
+func (h *Held) setResting(resting bool) {
+	if h.resting == resting {
+		return
+	}
+	h.resting = resting
+	if resting {
+		h.pool.rest(1)
+		return
+	}
+	h.pool.rest(-1)
+}
+
 // Fit returns the steps that make the connection's settings those of a session.
 func (h *Held) Fit(settings map[string]string) []statement.Step {
 	var steps []statement.Step
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -73,13 +73,17 @@
 	// roundTrip is that of the last connection made, 0 if it is not known.
 	roundTrip time.Duration
 	// lanes is how many connections may be made at once; the rest of dialling's room is taken up.
-	lanes  int
-	closed bool
+	lanes int
+	// window is how many of the connections may be in use at once, as the endpoint's places allow.
+	window limit.Window
+	// resting counts connections in transactions that await their next statement, which take no place of the endpoint.
+	resting int
+	closed  bool
 }
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
-	p := &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, dialMaximum), lanes: 1}
+	p := &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, dialMaximum), lanes: 1, window: limit.NewWindow(o.Limit)}
 	for range dialMaximum - p.lanes {
 		p.dialling <- struct{}{}
 	}
@@ -108,7 +112,12 @@
 func (p *Pool) Used() int { return p.queue.Used() }
 
 // Resize changes how many connections may be open.
-func (p *Pool) Resize(limit int) { p.queue.Resize(limit) }
+func (p *Pool) Resize(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window = p.window.WithLimit(limit)
+	p.admit()
+}
 
 // Close closes the idle connections; those in use are closed as they come back.
 func (p *Pool) Close() {
@@ -229,7 +238,7 @@
 	p.circuit = p.circuit.WithSuccess()
 	p.learn(conn.RoundTrip())
 	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": p.options.Endpoint.Name})
-	return &Held{Conn: conn}, nil
+	return &Held{Conn: conn, pool: p}, nil
 }
 
 // connect makes a connection directly, or by way of another instance while the direct way is cut.
@@ -286,6 +295,7 @@
 // Release takes a connection back after it was held for a time; one that broke, or whose transaction did not end, is
 // closed.
 func (p *Pool) Release(h *Held, reuse bool, took time.Duration) {
+	h.setResting(false)
 	p.mu.Lock()
 	if !reuse || h.broken() || p.closed {
 		h.Close()
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -102,6 +102,7 @@
 	if a.Failure == nil {
 		w.served(j.request, c, a, t.since)
 		t.wrote = j.request.Writes
+		held.Rest()
 		return a, true
 	}
 	w.failed(j.request, c, a.Failure, a, t.since)
@@ -164,6 +165,7 @@
 		if a.Failure == nil {
 			w.served(j.request, s.tx.choice, a, sent)
 			s.tx.wrote = s.tx.wrote || j.request.Writes
+			s.tx.held.Rest()
 			return w.conclude(j.request, a)
 		}
 		w.failed(j.request, s.tx.choice, a.Failure, a, sent)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -68,6 +68,7 @@
 	PoolPlaced        = define(411, log.InfoLevel, "connection", "connections placed", "This instance has at most limit connections to the endpoint; where borrows is set, those that wait for one of the holders' are counted.")
 	HolderUnreachable = define(412, log.WarnLevel, "connection", "holder not reached", "An instance that lends connections to the endpoint did not answer; another one is asked, and after all the endpoint itself.")
 	LoanRefused       = define(413, log.InfoLevel, "connection", "loan refused", "A borrower's statement found no connection of this holder in time, or this instance holds none; the borrower tells its caller.")
+	EndpointFull      = define(414, log.InfoLevel, "connection", "endpoint full", "The endpoint had no place for a statement, or did not get to it in time; window is how many statements of this instance may be under way there now.")
 	DetourTaken       = define(410, log.InfoLevel, "connection", "detour taken", "The endpoint can't be reached directly; a connection was made by way of another instance.")
 	PoolRefused       = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason says why.")
 )
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -49,8 +49,11 @@
 // Service returns the mean time that a request holds its slot.
 func (a *Admission) Service() time.Duration { return a.service }
 
-// Resize changes the number of slots; what runs is not disturbed.
-func (a *Admission) Resize(slots int) { a.slots = max(slots, 1) }
+// Resize changes the number of slots and decides on those that wait; what runs is not disturbed.
+func (a *Admission) Resize(slots int, now time.Time) []Outcome {
+	a.slots = max(slots, 1)
+	return a.next(now)
+}
 
 // Arrive decides on a request that must have finished by deadline.
 func (a *Admission) Arrive(ticket Ticket, class Class, deadline, now time.Time) Outcome {
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -174,6 +174,8 @@
 	}
 	if answers[len(answers)-1].State == statement.Idle {
 		o.release(true)
+	} else {
+		o.held.Rest()
 	}
 	return answers, false
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,11 +42,11 @@
 	return q.admission.Waiting()
 }
 
-// Resize changes the number of slots; what holds one is not disturbed.
+// Resize changes the number of slots and wakes those whose wait is decided by it; what holds one is not disturbed.
 func (q *Queue) Resize(slots int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.admission.Resize(slots)
+	q.deliver(q.admission.Resize(slots, q.clock.Now()))
 }
 
 // Admit waits for a slot; a refusal, a verdict error, comes as soon as it is certain that the deadline can't be met.
