dispatch: refuse at once when no primary was seen for longer than a failover

Ruled out: a shorter wait.

Change: once no proof of a lead, here or from a peer, is younger than 4.5 s, a statement that no endpoint takes is refused at once, to come back after 0.5 to 1.5 s. It asks the endpoints that may answer first, so the return is noticed by the first that comes.

--- a/database/database.go
+++ b/database/database.go
@@ -29,10 +29,15 @@
 	departures []Departure
 	// changed is closed, and replaced, when another endpoint leads or none does.
 	changed chan struct{}
+	// knownAt is when this instance came to know the group.
+	knownAt time.Time
 }
 
 func newDatabase(name string, o Options) *Database {
-	return &Database{name: name, options: o, pools: make(map[string]*connection.Pool), leaving: make(map[string]time.Time), changed: make(chan struct{})}
+	return &Database{
+		name: name, options: o, pools: make(map[string]*connection.Pool), leaving: make(map[string]time.Time),
+		changed: make(chan struct{}), knownAt: o.Clock.Now(),
+	}
 }
 
 // Name returns the group's name.
@@ -52,6 +57,17 @@
 	return d.view
 }
 
+// Leadless returns for how long nothing has proved that an endpoint leads.
+func (d *Database) Leadless() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	proven := d.view.ProvenAt()
+	if proven.Before(d.knownAt) {
+		proven = d.knownAt
+	}
+	return d.options.Clock.Now().Sub(proven)
+}
+
 // Changed returns a channel that is closed once another endpoint leads, or none does.
 func (d *Database) Changed() <-chan struct{} {
 	d.mu.Lock()
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -48,6 +48,11 @@
 	misroutedPause = 2 * time.Second
 	// comeBackAfter is when a refused caller should return if nothing better is known: about a failover.
 	comeBackAfter = 300 * time.Millisecond
+	// failoverLimit is the time without a primary after which statements do not wait for one: the longest failover of those
+	// measured took 4.2 s.
+	failoverLimit = 4500 * time.Millisecond
+	// comeBackLong is when callers return, on average, that were refused then; they return over as long a time.
+	comeBackLong = time.Second
 	// weightBase is the weight of the lowest priority in the queue for connections; each priority doubles it.
 	weightBase     = 1
 	priorityLowest = 3
@@ -124,6 +129,9 @@
 			w.placed, w.why, w.after = c.Endpoint.Name, c.Why, c.After.String()
 			return c, nil
 		}
+		if refused := w.hopeless(); refused != nil {
+			return group.Choice{}, refused
+		}
 		if len(w.query.Tried) > 0 {
 			// Every endpoint has refused once: the next round starts after a pause.
 			w.query.Tried = nil
@@ -138,6 +146,20 @@
 	}
 }
 
+// hopeless refuses a statement that no endpoint can serve now once no primary has been seen for longer than a failover
+// takes. Each statement has asked those endpoints first that may answer.
+func (w *work) hopeless() *verdict.Error {
+	if w.last != nil && w.last.Reason == verdict.Overload {
+		return nil
+	}
+	away := w.database.Leadless()
+	if away < failoverLimit {
+		return nil
+	}
+	after := time.Duration((0.5 + rand.Float64()) * float64(comeBackLong))
+	return verdict.New(verdict.NotRun, verdict.Unreachable, "no primary of %s for %s", w.route.Database, away).WithAfter(after)
+}
+
 // pace is how soon a statement that found no free slot is tried again.
 type pace struct {
 	next, most time.Duration
--- a/group/choose_test.go
+++ b/group/choose_test.go
@@ -150,6 +150,31 @@
 	}
 }
 
+// TestProvenAt tells since when nothing has proved a lead: what endpoints only claim does not count.
+func TestProvenAt(t *testing.T) {
+	second := epoch.Add(time.Second)
+	tests := map[string]struct {
+		view View
+		want time.Time
+	}{
+		"never":                      {},
+		"claim":                      {view: View{}.WithClaim("r1", epoch)},
+		"proof":                      {view: led(), want: epoch},
+		"newer proof of another":     {view: led().WithLead("r1", at(2, 11), second), want: second},
+		"claim after a proof":        {view: led().WithClaim("r1", second), want: epoch},
+		"proof that was denied":      {view: led().WithDenial("p", epoch, second), want: epoch},
+		"proof without a position":   {view: View{}.WithLead("p", at(0, 0), second), want: second},
+		"endpoint of the proof left": {view: led().Without("p"), want: epoch},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, test.view.ProvenAt()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestCertificates asks the oldest certificate within the allowance, which a replica is most likely to cover.
 func TestCertificates(t *testing.T) {
 	v := View{}
--- a/group/view.go
+++ b/group/view.go
@@ -52,6 +52,15 @@
 // Lead returns the endpoint that leads, and false when none is known to.
 func (v View) Lead() (Lead, bool) { return v.lead, v.lead.Endpoint != "" }
 
+// ProvenAt returns when an endpoint last proved that it leads, zero if none has.
+func (v View) ProvenAt() time.Time {
+	newest, _ := v.history.Newest()
+	if !v.lead.Claimed && v.lead.At.After(newest.At) {
+		return v.lead.At
+	}
+	return newest.At
+}
+
 // Certificate returns the newest certificate, and false when there is none.
 func (v View) Certificate() (session.Certificate, bool) { return v.history.Newest() }
 
--- a/simulation/model_test.go
+++ b/simulation/model_test.go
@@ -92,6 +92,8 @@
 	duration time.Duration
 	rate     func(at time.Duration) float64
 	events   func(g *Group, p Policy) map[time.Duration]func()
+	// wrap, if set, returns the policy that callers use.
+	wrap func(Policy) Policy
 }
 
 func steady(rate float64) func(time.Duration) float64 {
@@ -116,6 +118,9 @@
 		if s.events != nil {
 			d.Events = s.events(g, p)
 		}
+		if s.wrap != nil {
+			d.Policy = s.wrap(p)
+		}
 		all := d.Run()
 		cancel()
 		current.Wait()
