dispatch: let one read fetch the proof of the lead after a restart

Beside them every instance made several connections to each endpoint, 27 ms of a slot each, while all slots were wanted for statements.

Change: a read that only lacks a certificate waits while another one of its instance and database fetches it (150 ms each, as long as it can still be prompt). Windows begin at one statement; far away at as many as connections may be made at once. TestSlowStart.

--- a/connection/places.go
+++ b/connection/places.go
@@ -53,7 +53,9 @@
 	p.admit()
 }
 
-// admit lets as many connections be used as the window allows, and those that rest; p.mu is held.
+// admit lets as many connections be used as the window allows, and those that rest; far away, where statements spend their
+// time on the way, at least as many as may be made at once. p.mu is held.
 func (p *Pool) admit() {
-	p.queue.Resize(min(p.window.Size(p.options.Clock.Now())+p.resting, p.window.Limit()))
+	size := max(p.window.Size(p.options.Clock.Now()), p.lanes)
+	p.queue.Resize(min(size+p.resting, p.window.Limit()))
 }
--- a/connection/places_test.go
+++ b/connection/places_test.go
@@ -63,7 +63,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := New(Options{Dialer: test.endpoint, Clock: clock.System{}, Logger: event.Discard(), Limit: 4, Borrows: test.borrows})
+			p := New(Options{Dialer: test.endpoint, Clock: clock.System{}, Logger: event.Discard(), Limit: 4, Borrows: test.borrows}).grown()
 			h := p.must(t, nil)
 			_, _ = h.Exchange(context.Background(), time.Now().Add(test.deadline), statement.Own(statement.Read))
 			p.Release(h, true, time.Millisecond)
@@ -74,6 +74,15 @@
 	}
 }
 
+// TestSlowStart answers the pattern of many instances that start at once: each new connection takes a slot of the endpoint,
+// so a pool begins with one and does not make more than the endpoint gets to.
+func TestSlowStart(t *testing.T) {
+	p := New(Options{Dialer: &dialer{}, Clock: clock.System{}, Logger: event.Discard(), Limit: 8})
+	if got := p.usable(); got != 1 {
+		t.Errorf("%d connections may be used at once in the beginning", got)
+	}
+}
+
 // usable takes connections until none is given any more and returns how many it got.
 func (p *Pool) usable() int {
 	for n := 0; ; n++ {
@@ -89,7 +98,7 @@
 func TestRest(t *testing.T) {
 	busy := statement.Refusal(verdict.New(verdict.NotRun, verdict.Overload, "no place"), statement.Idle)
 	f := &full{answer: busy}
-	p := New(Options{Dialer: f, Clock: clock.System{}, Logger: event.Discard(), Limit: 4})
+	p := New(Options{Dialer: f, Clock: clock.System{}, Logger: event.Discard(), Limit: 4}).grown()
 	h := p.must(t, nil)
 	exchange := func() {
 		_, _ = h.Exchange(context.Background(), time.Now().Add(time.Second), statement.Own(statement.Read))
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -83,7 +83,7 @@
 
 // New returns a pool without connections.
 func New(o Options) *Pool {
-	p := &Pool{options: o, queue: queue.New(o.Limit, o.Clock), dialling: make(chan struct{}, dialMaximum), lanes: 1, window: limit.NewWindow(o.Limit)}
+	p := &Pool{options: o, queue: queue.New(1, o.Clock), dialling: make(chan struct{}, dialMaximum), lanes: 1, window: limit.NewWindow(o.Limit, o.Clock.Now())}
 	for range dialMaximum - p.lanes {
 		p.dialling <- struct{}{}
 	}
@@ -100,6 +100,7 @@
 		<-p.dialling
 		p.lanes++
 	}
+	p.admit()
 }
 
 // Endpoint returns the endpoint.
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -73,7 +73,16 @@
 }
 
 func newPool(d *dialer, limit int) *Pool {
-	return New(Options{Dialer: d, Clock: clock.System{}, Logger: event.Discard(), Limit: limit})
+	return New(Options{Dialer: d, Clock: clock.System{}, Logger: event.Discard(), Limit: limit}).grown()
+}
+
+// grown lets the pool use as many connections at once as it may have, as after some time without a refusal.
+func (p *Pool) grown() *Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.window = limit.NewWindow(p.options.Limit, time.Now().Add(-time.Hour))
+	p.admit()
+	return p
 }
 
 func (p *Pool) must(t *testing.T, settings map[string]string) *Held {
@@ -210,7 +219,7 @@
 				detours++
 				near, _ := net.Pipe()
 				return near, nil
-			}})
+			}}).grown()
 			for range 2 {
 				_, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil)
 			}
--- a/database/database.go
+++ b/database/database.go
@@ -29,6 +29,8 @@
 	departures []Departure
 	// changed is closed, and replaced, when another endpoint leads or none does.
 	changed chan struct{}
+	// seekUntil is until when a read that seeks a proof of the lead goes alone.
+	seekUntil time.Time
 	// knownAt is when this instance came to know the group.
 	knownAt time.Time
 }
@@ -68,7 +70,8 @@
 	return d.options.Clock.Now().Sub(proven)
 }
 
-// Changed returns a channel that is closed once another endpoint leads, or none does.
+// Changed returns a channel that is closed once another endpoint leads, none does, or a proof of the lead has come after a
+// time without one.
 func (d *Database) Changed() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -121,19 +124,44 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before, _ := d.view.Lead()
+	proven := d.view.ProvenAt()
 	d.view = change(d.view, d.options.Clock.Now())
 	after, _ := d.view.Lead()
+	if before.Endpoint != after.Endpoint || d.view.ProvenAt().Sub(proven) > proofGap {
+		close(d.changed)
+		d.changed = make(chan struct{})
+		d.seekUntil = time.Time{}
+	}
 	if before.Endpoint == after.Endpoint {
 		return
 	}
-	close(d.changed)
-	d.changed = make(chan struct{})
 	d.options.Logger.Log(event.LeadChanged, log.Fields{
 		"database": d.name, "before": before.Endpoint, "after": after.Endpoint, "why": why,
 		"age": d.options.Clock.Now().Sub(after.At).String(),
 	})
 }
 
+const (
+	// proofGap is the time without a proof of the lead after which reads may wait for the next one; allowances are longer.
+	proofGap = 500 * time.Millisecond
+	// SeekPatience is how long reads wait for one of them to come back with a proof of the lead: a new connection and a
+	// statement.
+	SeekPatience = 150 * time.Millisecond
+)
+
+// Seek reports whether a read may seek a proof of the lead at the primary. While one does the others wait, since its answer
+// lets them go to replicas.
+func (d *Database) Seek() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.options.Clock.Now()
+	if now.Before(d.seekUntil) {
+		return false
+	}
+	d.seekUntil = now.Add(SeekPatience)
+	return true
+}
+
 // Led notes that an endpoint proved its lead at a time and told its log's position.
 func (d *Database) Led(name string, position endpoint.Position, at time.Time) {
 	d.update("proof", func(v group.View, _ time.Time) group.View { return v.WithLead(name, position, at) })
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -125,6 +125,12 @@
 			if w.deadline.Sub(w.session.dispatcher.now()) < time.Duration(takesShare*float64(c.Takes)) {
 				return group.Choice{}, w.exhausted()
 			}
+			if w.waitsForProof(c) {
+				if err := w.pause(ctx, database.SeekPatience, changed); err != nil {
+					return group.Choice{}, err
+				}
+				continue
+			}
 			w.tries++
 			w.placed, w.why, w.after = c.Endpoint.Name, c.Why, c.After.String()
 			return c, nil
@@ -146,6 +152,17 @@
 	}
 }
 
+// waitsForProof reports whether a read that only lacks a certificate has to wait while another read fetches one, as all do
+// after a failover or a restart. It waits while it can still be prompt, and only if a certificate will be young enough and
+// is to be expected.
+func (w *work) waitsForProof(c group.Choice) bool {
+	late := w.session.dispatcher.now().Sub(w.started) >= w.promptness
+	if !c.Seeks || late || w.query.Age < 2*database.SeekPatience || w.database.Leadless() >= failoverLimit {
+		return false
+	}
+	return !w.database.Seek()
+}
+
 // hopeless refuses a statement that no endpoint can serve now once no primary has been seen for longer than a failover
 // takes. Each statement has asked those endpoints first that may answer.
 func (w *work) hopeless() *verdict.Error {
--- a/group/choose.go
+++ b/group/choose.go
@@ -34,6 +34,8 @@
 	Lead bool
 	// After is the position that the endpoint has to have otherwise.
 	After endpoint.Position
+	// Seeks tells that the primary serves only since no certificate is young enough; its answer will be one.
+	Seeks bool
 	// Takes is how long the endpoint's statements of this instance took lately, on average.
 	Takes time.Duration
 	// Why is the rule that gave the choice.
@@ -87,6 +89,7 @@
 	choices := make([]Choice, 0, len(out))
 	for _, c := range out {
 		c.choice.Takes = v.member(c.choice.Endpoint.Name).latency
+		c.choice.Seeks = !bounded
 		choices = append(choices, c.choice)
 	}
 	if len(choices) == 0 && len(q.Tried) == 0 {
--- a/group/choose_test.go
+++ b/group/choose_test.go
@@ -72,7 +72,7 @@
 		},
 		"no certificate young enough leaves the primary": {
 			view: led(), query: Query{Age: 1500 * time.Millisecond, Domain: domain}, now: epoch.Add(1490 * time.Millisecond),
-			want: []Choice{{Endpoint: members[0], Lead: true, Why: "primary"}},
+			want: []Choice{{Endpoint: members[0], Lead: true, Seeks: true, Why: "primary"}},
 		},
 		"replica that was behind goes last": {
 			view:  led().WithBehind("r1", at(1, 9), at(1, 3), second),
--- a/limit/window.go
+++ b/limit/window.go
@@ -15,18 +15,18 @@
 )
 
 // Window is how many statements of this instance may be under way at an endpoint whose places others use too: a refusal
-// for want of a place halves it, and it grows again with time. It is an immutable value.
+// for want of a place halves it, and it grows again with time. It begins with the least size: as long as many instances
+// begin at once, the connections that they make would take the endpoint's time. It is an immutable value.
 type Window struct {
 	limit float64
 	size  float64
-	// at is the time of the last cut, zero for a window that was never cut.
+	// at is the time of the last cut, or of the window's beginning.
 	at time.Time
 }
 
-// NewWindow returns a window as wide as its limit.
-func NewWindow(limit int) Window {
-	most := max(float64(limit), windowFloor)
-	return Window{limit: most, size: most}
+// NewWindow returns a window that grows from the least size to its limit.
+func NewWindow(limit int, now time.Time) Window {
+	return Window{limit: max(float64(limit), windowFloor), size: windowFloor, at: now}
 }
 
 // Limit returns how wide the window can get.
@@ -42,11 +42,8 @@
 
 // WithLimit returns the window under another limit.
 func (w Window) WithLimit(limit int) Window {
-	most := max(float64(limit), windowFloor)
-	if w.size >= w.limit {
-		w.size = most
-	}
-	w.limit, w.size = most, min(w.size, most)
+	w.limit = max(float64(limit), windowFloor)
+	w.size = min(w.size, w.limit)
 	return w
 }
 
