group: try an endpoint that can't be reached once for each statement

Ruled out: dropping failed endpoints from the choice altogether; connections are reset by some faults, and a read that finds all endpoints so has to try again at once.

--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -258,5 +259,8 @@
 		w.database.Avoid(name, misroutedPause)
 	case verdict.Unreachable, verdict.Connections, verdict.Broken, verdict.Timeout:
 		w.database.Avoid(name, avoidPause)
+		if !slices.Contains(w.query.Shunned, name) {
+			w.query.Shunned = append(w.query.Shunned, name)
+		}
 	}
 }
--- a/group/choose.go
+++ b/group/choose.go
@@ -25,6 +25,13 @@
 	Salt string
 	// Tried are endpoints that have refused the statement in this round.
 	Tried []string
+	// Shunned are endpoints that could not be reached for this statement; they are not chosen while they count as failed.
+	Shunned []string
+}
+
+// passes reports whether an endpoint is not to be chosen for the statement.
+func (v View) passes(q Query, name string, now time.Time) bool {
+	return slices.Contains(q.Tried, name) || slices.Contains(q.Shunned, name) && now.Before(v.member(name).avoidUntil)
 }
 
 // Choice is an endpoint that may serve a statement.
@@ -74,7 +81,7 @@
 	}
 	var out []candidate
 	for _, e := range members {
-		if slices.Contains(q.Tried, e.Name) {
+		if v.passes(q, e.Name, now) {
 			continue
 		}
 		c := Choice{Endpoint: e, After: after, Why: "replica"}
--- a/group/choose_test.go
+++ b/group/choose_test.go
@@ -97,6 +97,14 @@
 				{Endpoint: members[1], Why: "replica"},
 			},
 		},
+		"replica that this statement could not reach is passed": {
+			view: led().WithAvoid("r1", second), query: Query{Domain: domain, Shunned: []string{"r1"}}, now: epoch,
+			want: []Choice{{Endpoint: members[0], Lead: true, Why: "primary"}, {Endpoint: members[2], Why: "replica"}},
+		},
+		"until it counts as failed no more": {
+			view: led().WithAvoid("r1", second), query: Query{Domain: domain, Shunned: []string{"r1"}, Tried: []string{"p", "r2"}}, now: second,
+			want: []Choice{{Endpoint: members[1], Why: "replica"}},
+		},
 		"failed replica goes last": {
 			view: led().WithAvoid("r1", second), query: Query{Domain: domain}, now: epoch,
 			want: []Choice{
