dispatch: refuse at once what every queue refuses

Cause: a pool's queue refuses a statement whose turn would come after its deadline.

Ruled out: that these tries served somebody.

Change: a round of tries in which a queue refused, and no endpoint itself for a reason that passes soon (full, behind, not the primary), ends the statement. Admission's come-back is the wait of the queue, spread by half on both sides.

--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -75,6 +75,7 @@
 	usual pace
 	pace  pace
 	tries int
+	round round
 	// last is the last failure that certainly had no effect, nil when nothing was tried.
 	last *verdict.Error
 	// placed and after are the last choice, for the log.
@@ -83,6 +84,24 @@
 	after  string
 }
 
+// round is what a round of tries has come to: full tells that a queue refused the statement since its turn would come too
+// late, and hopeful that an endpoint refused it for a reason which passes soon.
+type round struct {
+	full, hopeful bool
+}
+
+// with returns the round after a refusal, by an endpoint or on the way to it.
+func (r round) with(reason verdict.Reason, byEndpoint bool) round {
+	switch reason {
+	case verdict.Overload:
+		r.full = r.full || !byEndpoint
+		r.hopeful = r.hopeful || byEndpoint
+	case verdict.Stale, verdict.NotPrimary:
+		r.hopeful = true
+	}
+	return r
+}
+
 // begin makes the work of a statement of this session.
 func (s *Session) newWork(write bool) (*work, *verdict.Error) {
 	d := s.dispatcher
@@ -139,7 +158,11 @@
 		if refused := w.hopeless(); refused != nil {
 			return group.Choice{}, refused
 		}
+		if w.round.full && !w.round.hopeful {
+			return group.Choice{}, w.exhausted()
+		}
 		if len(w.query.Tried) > 0 {
+			w.round = round{}
 			// Every endpoint has refused once: the next round starts after a pause.
 			w.query.Tried = nil
 			if err := w.pause(ctx, w.takeBackoff(), nil); err != nil {
@@ -174,10 +197,12 @@
 	if away < failoverLimit {
 		return nil
 	}
-	after := time.Duration((0.5 + rand.Float64()) * float64(comeBackLong))
-	return verdict.New(verdict.NotRun, verdict.Unreachable, "no primary of %s for %s", w.route.Database, away).WithAfter(after)
+	return verdict.New(verdict.NotRun, verdict.Unreachable, "no primary of %s for %s", w.route.Database, away).WithAfter(spread(comeBackLong))
 }
 
+// spread returns a time of half to one and a half of d, so that callers who were refused together return apart.
+func spread(d time.Duration) time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(d)) }
+
 // pace is how soon a statement that found no free slot is tried again.
 type pace struct {
 	next, most time.Duration
@@ -197,7 +222,7 @@
 }
 
 func (w *work) takeBackoff() time.Duration {
-	pause := time.Duration((0.5 + rand.Float64()) * float64(w.pace.next))
+	pause := spread(w.pace.next)
 	w.pace.next = min(time.Duration(backoffFactor*float64(w.pace.next)), w.pace.most)
 	return pause
 }
@@ -227,7 +252,7 @@
 	if after <= 0 {
 		after = comeBackAfter
 	}
-	return verdict.New(verdict.NotRun, w.last.Reason, "%s; time is up after %d tries", w.last.Message, w.tries).WithAfter(after)
+	return verdict.New(verdict.NotRun, w.last.Reason, "%s; given up after %d tries", w.last.Message, w.tries).WithAfter(spread(after))
 }
 
 // attemptDeadline is when a try ends. A read may go elsewhere: while that can still be in time for the caller, unless the
@@ -248,6 +273,7 @@
 	name := c.Endpoint.Name
 	w.last = failure
 	w.query.Tried = append(w.query.Tried, name)
+	w.round = w.round.with(failure.Reason, a.Failure != nil)
 	switch failure.Reason {
 	case verdict.Overload:
 		w.database.Busy(name)
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -75,10 +75,10 @@
 	return Outcome{Ticket: ticket, Decision: Queued}
 }
 
-// comeBack is the time for the queue to shrink by as much as the request was late, or by half when it was full.
+// comeBack is the time until those ahead will have had their turn, or half of that when the queue was only full.
 func comeBack(wait, spare time.Duration) time.Duration {
 	if spare < 0 {
-		return max(-spare, comeBackMinimum)
+		return max(wait, comeBackMinimum)
 	}
 	return max(wait/2, comeBackMinimum)
 }
--- a/simulation/leadless_test.go
+++ b/simulation/leadless_test.go
@@ -32,6 +32,9 @@
 	return served, after
 }
 
+// atOnce is the longest time in which a refusal counts as given at once: a few statements' time.
+const atOnce = 100 * time.Millisecond
+
 // between returns how long the refused tries of a time took, and when they were told to come back, both in order.
 func (p *timed) between(from, to time.Duration) (took, after []time.Duration) {
 	for _, t := range p.tries {
@@ -67,7 +70,7 @@
 	}
 	play(t, gone, false, func(g *Group, all []Outcome) {
 		took, after := tries.between(10*time.Second, 19*time.Second)
-		if held := quantile(took, 0.99); held > 100*time.Millisecond {
+		if held := quantile(took, 0.99); held > atOnce {
 			t.Errorf("1%% of those refused were held for %s or longer", held)
 		}
 		if first, last := quantile(after, 0.05), quantile(after, 0.95); last < first+500*time.Millisecond {
--- a/simulation/model_test.go
+++ b/simulation/model_test.go
@@ -227,3 +227,23 @@
 		}
 	})
 }
+
+// TestRefusedEarly answers the pattern of twice the load: most requests that can't be served learn it at once, and are told
+// to return at different times.
+func TestRefusedEarly(t *testing.T) {
+	var tries *timed
+	twice := scenario{duration: 10 * time.Second, rate: steady(2 * capacity), wrap: func(p Policy) Policy {
+		tries = &timed{Policy: p, started: time.Now()}
+		return tries
+	}}
+	play(t, twice, false, func(*Group, []Outcome) {
+		took, after := tries.between(3*time.Second, 10*time.Second)
+		t.Logf("%d refused, median %s, 90th %s; to return after %s to %s", len(took), quantile(took, 0.5), quantile(took, 0.9), quantile(after, 0.05), quantile(after, 0.95))
+		if median := quantile(took, 0.5); median > atOnce {
+			t.Errorf("half of those refused learned it only after %s", median)
+		}
+		if first, last := quantile(after, 0.05), quantile(after, 0.95); last < 2*first {
+			t.Errorf("nine of ten refused are told to return after %s to %s", first, last)
+		}
+	})
+}
