succession: log what keeps a primary from being replaced

A refused statement's line (203) did not name the database under which to look, and the line of a try that got no connection (208) gave 65 us for a wait of 1.2 s.

Change: event 531 with the reason in the way, once for each reason; `database` in 203; `took` of 208 includes the wait for a connection; 310 has no age when nobody leads (it was 292 years).

Test: TestWatch's cases name the hindrance. No decision changes.

--- a/database/database.go
+++ b/database/database.go
@@ -135,10 +135,11 @@
 	if before.Endpoint == after.Endpoint {
 		return
 	}
-	d.options.Logger.Log(event.LeadChanged, log.Fields{
-		"database": d.name, "before": before.Endpoint, "after": after.Endpoint, "why": why,
-		"age": d.options.Clock.Now().Sub(after.At).String(),
-	})
+	fields := log.Fields{"database": d.name, "before": before.Endpoint, "after": after.Endpoint, "why": why}
+	if after.Endpoint != "" {
+		fields["age"] = d.options.Clock.Now().Sub(after.At).String()
+	}
+	d.options.Logger.Log(event.LeadChanged, fields)
 }
 
 const (
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -35,9 +35,10 @@
 
 // try runs the statement at one endpoint and reports whether its answer is the caller's.
 func (w *work) try(ctx context.Context, j job, c group.Choice) (statement.Answer, bool) {
+	asked := w.session.dispatcher.now()
 	held, pool, err := w.acquire(ctx, c)
 	if err != nil {
-		w.failed(j.request, c, err, statement.Answer{}, w.session.dispatcher.now())
+		w.failed(j.request, c, err, statement.Answer{}, asked)
 		return statement.Answer{}, false
 	}
 	sent := w.session.dispatcher.now()
@@ -180,6 +181,7 @@
 		d.options.Logger.Log(event.RequestServed, fields)
 		return a
 	}
+	fields["database"] = w.route.Database
 	fields["verdict"], fields["reason"] = a.Failure.Verdict.String(), string(a.Failure.Reason)
 	fields["cause"], fields["comeback"] = a.Failure.Error(), a.Failure.After.String()
 	d.options.Logger.Log(event.RequestRefused, fields)
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -85,9 +85,10 @@
 
 // place begins the transaction at an endpoint and runs its first statement there.
 func (t *transaction) place(ctx context.Context, w *work, j job, c group.Choice) (statement.Answer, bool) {
+	asked := t.session.dispatcher.now()
 	held, pool, err := w.acquire(ctx, c)
 	if err != nil {
-		w.failed(j.request, c, err, statement.Answer{}, t.session.dispatcher.now())
+		w.failed(j.request, c, err, statement.Answer{}, asked)
 		return statement.Answer{}, false
 	}
 	t.held, t.pool, t.work, t.choice, t.since = held, pool, w, c, t.session.dispatcher.now()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -87,17 +87,18 @@
 
 // Succession events, 520 to 539.
 var (
-	PrimaryDoubted    = define(520, log.WarnLevel, "succession", "primary in doubt", "The coordinator asks every endpoint of the group; why gives the evidence and since its age.")
-	SuccessionStarted = define(521, log.WarnLevel, "succession", "succession started", "The primary is taken to be lost and the replicas are held, so that no commit can be acknowledged any more.")
-	PromotionOrdered  = define(522, log.WarnLevel, "succession", "promotion ordered", "The platform is told to promote the endpoint whose log holds every acknowledged commit.")
-	PromotionRefused  = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the order, which has no effect; another attempt starts with a higher fencing token.")
-	PromotionUnknown  = define(524, log.WarnLevel, "succession", "promotion without an answer", "The order may take effect later; the same one is repeated until the endpoint leads or the platform refuses it.")
-	SuccessionDone    = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took tells the time since the succession started.")
-	SuccessionStopped = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
-	HoldReleased      = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held without need receives again.")
-	FenceReserved     = define(528, log.InfoLevel, "succession", "fencing token reserved", "A fencing token that no other instance has was taken from the store, ahead of need.")
-	DepartureSettled  = define(530, log.InfoLevel, "succession", "departure settled", "Endpoints that left have no commit that no registered replica has.")
-	FenceMissing      = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store does not give one; another coordinator has to act.")
+	PrimaryDoubted     = define(520, log.WarnLevel, "succession", "primary in doubt", "The coordinator asks every endpoint of the group; why gives the evidence and since its age.")
+	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is taken to be lost and the replicas are held, so that no commit can be acknowledged any more.")
+	PromotionOrdered   = define(522, log.WarnLevel, "succession", "promotion ordered", "The platform is told to promote the endpoint whose log holds every acknowledged commit.")
+	PromotionRefused   = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the order, which has no effect; another attempt starts with a higher fencing token.")
+	PromotionUnknown   = define(524, log.WarnLevel, "succession", "promotion without an answer", "The order may take effect later; the same one is repeated until the endpoint leads or the platform refuses it.")
+	SuccessionDone     = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took tells the time since the succession started.")
+	SuccessionStopped  = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
+	HoldReleased       = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held without need receives again.")
+	FenceReserved      = define(528, log.InfoLevel, "succession", "fencing token reserved", "A fencing token that no other instance has was taken from the store, ahead of need.")
+	DepartureSettled   = define(530, log.InfoLevel, "succession", "departure settled", "Endpoints that left have no commit that no registered replica has.")
+	SuccessionHindered = define(531, log.WarnLevel, "succession", "succession hindered", "The primary should be replaced and is not; why says what is in the way, evidence what speaks against the primary.")
+	FenceMissing       = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store does not give one; another coordinator has to act.")
 )
 
 // Membership events, 600 to 699.
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -79,14 +79,16 @@
 
 // Coordinator watches one database and replaces its primary.
 type Coordinator struct {
-	options  Options
-	name     string
-	probe    *probe
-	cancel   context.CancelFunc
-	done     chan struct{}
-	watch    Watch
-	doubt    bool
-	surveyed time.Time
+	options Options
+	name    string
+	probe   *probe
+	cancel  context.CancelFunc
+	done    chan struct{}
+	watch   Watch
+	doubt   bool
+	// hindrance is what was last in the way of a succession that is due.
+	hindrance string
+	surveyed  time.Time
 
 	mu      sync.Mutex
 	members []config.Endpoint
@@ -203,6 +205,13 @@
 		c.options.Logger.Log(event.PrimaryDoubted, log.Fields{"database": c.name, "why": string(j.Reason), "lead": lead.Endpoint, "rank": rank})
 	}
 	c.doubt = doubt
+	if j.Hindrance != "" && j.Hindrance != c.hindrance {
+		c.options.Logger.Log(event.SuccessionHindered, log.Fields{
+			"database": c.name, "why": j.Hindrance, "evidence": string(j.Reason), "lead": lead.Endpoint,
+			"since": c.options.Clock.Now().Sub(j.Since).String(),
+		})
+	}
+	c.hindrance = j.Hindrance
 	if len(j.Release) > 0 && c.settle(ctx, j.Lead) {
 		for _, e := range members {
 			if slices.Contains(j.Release, e.Name) {
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"siskincove/endpoint"
@@ -105,6 +106,8 @@
 	// empty when none is known.
 	Replace bool
 	Lost    string
+	// Hindrance says why a succession that is due does not start, empty when nothing is in its way.
+	Hindrance string
 	// Floor is what a log must reach to be promoted.
 	Floor Floor
 	// Contested tells that replicas are held by another succession.
@@ -138,8 +141,10 @@
 	j.Reason, j.Since, j.Lost = reason, w.since, lost(s, j.Lead)
 	w = w.withHolds(s.Sights, now)
 	j.Contested = len(w.holds) > 0
-	lasted := now.Sub(w.since) >= t.patience(reason, rank)
-	j.Replace = reason != NoReason && lasted && promotable(s, j) && !w.underWay(t, rank, now)
+	if reason != NoReason && now.Sub(w.since) >= t.patience(reason, rank) {
+		j.Hindrance = w.hindrance(s, j, t, rank, now)
+		j.Replace = j.Hindrance == ""
+	}
 	if reason == NoReason && lead != nil {
 		j.Release = w.forgotten(t, now)
 	}
@@ -270,10 +275,10 @@
 	}
 }
 
-// promotable reports whether enough replicas answer for a succession to succeed.
-func promotable(s Survey, j Judgement) bool {
+// hindrance returns why a succession would not succeed now, empty if it may.
+func (w Watch) hindrance(s Survey, j Judgement, t Timing, rank int, now time.Time) string {
 	reached := false
-	missing := 0
+	var missing []string
 	for _, sight := range s.Sights {
 		switch {
 		case sight.Endpoint == j.Lost || slices.Contains(j.Settled, sight.Endpoint):
@@ -282,10 +287,19 @@
 		case sight.Standing != nil && sight.Standing.Role == endpoint.Replica:
 			reached = reached || j.Floor.reached(sight.Standing.Log)
 		default:
-			missing++
+			missing = append(missing, sight.Endpoint)
 		}
 	}
-	return reached && missing < max(s.Acknowledge, 1)
+	switch {
+	case len(missing) >= max(s.Acknowledge, 1):
+		return "no answer from replicas that may hold acknowledged commits: " + strings.Join(missing, ", ")
+	case !reached:
+		return "no replica has come as far as the primary's term began"
+	case w.underWay(t, rank, now):
+		return "another succession is under way"
+	default:
+		return ""
+	}
 }
 
 // again returns the watch after a succession: what was learned stays, evidence has to last anew.
--- a/succession/watch_test.go
+++ b/succession/watch_test.go
@@ -92,7 +92,7 @@
 		// A replica that does not answer may hold the only copy of a commit.
 		"too few replicas answer": {
 			looks: []look{{sights: beside(refused, replica("a", 5), Sight{Endpoint: "b"})}, {after: time.Second, sights: beside(refused, replica("a", 5), Sight{Endpoint: "b"})}},
-			want:  Judgement{Reason: Refusing, Since: epoch, Lost: "p", Term: 1},
+			want:  Judgement{Reason: Refusing, Since: epoch, Lost: "p", Hindrance: "no answer from replicas that may hold acknowledged commits: b", Term: 1},
 		},
 		"full primary beside a fresh replica": {
 			looks: []look{{sights: beside(busy, lagging("a"), replica("b", 5))}, {after: 900 * time.Millisecond, sights: beside(busy, lagging("a"), replica("b", 5))}, {after: 1100 * time.Millisecond, sights: beside(primary("p", 5), lagging("a"), replica("b", 5))}},
@@ -131,7 +131,7 @@
 		// Found on hunt-93d0-31 (ONE): two coordinators acted in turn on the same loss.
 		"succession of another is not disturbed": {
 			looks: []look{{sights: beside(refused, heldBy(replica("a", 5), 1026), replica("b", 5))}, {after: 2 * time.Second, sights: beside(refused, heldBy(replica("a", 5), 1026), replica("b", 5))}},
-			want:  Judgement{Reason: Refusing, Since: epoch, Lost: "p", Term: 1026, Contested: true},
+			want:  Judgement{Reason: Refusing, Since: epoch, Lost: "p", Hindrance: "another succession is under way", Term: 1026, Contested: true},
 		},
 		"forgotten succession is taken over": {
 			looks: []look{{sights: beside(refused, heldBy(replica("a", 5), 1026), replica("b", 5))}, {after: 2500 * time.Millisecond, sights: beside(refused, heldBy(replica("a", 5), 1026), replica("b", 5))}},
