database: let holders lend where instances outnumber what slots turn over

Change: endpoints tell their slots when they register; more than eight instances to a slot, about as many as an endpoint lets wait, and a few holders lend the connections, as where there are too few of them. At most two holders come to a slot. The small sites (21 to 5, 15 to 3) are as before.

--- a/config/endpoint.go
+++ b/config/endpoint.go
@@ -22,4 +22,6 @@
 	Leaving bool `toml:"leaving" json:"leaving,omitempty"`
 	// Incarnation is another one after each start of the endpoint, for endpoints that register themselves; else 0.
 	Incarnation uint64 `toml:"-" json:"incarnation,omitempty"`
+	// Slots is how many statements the endpoint runs at once, for endpoints that register themselves; else 0.
+	Slots int `toml:"-" json:"slots,omitempty"`
 }
--- a/database/database.go
+++ b/database/database.go
@@ -210,12 +210,12 @@
 }
 
 // configure takes over the group's endpoints and how the connections to each are divided.
-func (d *Database) configure(members []config.Endpoint, claim string, share Share) {
+func (d *Database) configure(members []config.Endpoint, claim string, share func(config.Endpoint) Share) {
 	d.mu.Lock()
 	current := make(map[string]bool, len(members))
 	for _, e := range members {
 		current[e.Name] = true
-		d.place(e, share)
+		d.place(e, share(e))
 		d.note(e)
 	}
 	for name, p := range d.pools {
--- a/database/registry.go
+++ b/database/registry.go
@@ -49,6 +49,11 @@
 	// holderConnections is about how many connections each holder has where instances have none of their own: more than
 	// an endpoint has slots, so that none of these is ever free for want of a connection.
 	holderConnections = 8
+	// slotShare is for how many instances a slot is enough: as many statements are under way at an endpoint if each instance
+	// sends it one, and an endpoint lets about eight wait for a slot.
+	slotShare = 8
+	// holdersASlot is how many holders a slot is shared by at most, for the same reason.
+	holdersASlot = 2
 	// holdersLeast is how many holders there are if the endpoint takes so many connections: one may be away.
 	holdersLeast = 2
 	// borrowedMaximum is how many connections an instance borrows at most; they wait for each other at the holder.
@@ -108,7 +113,9 @@
 	r.mu.Unlock()
 	for _, d := range r.All() {
 		declared, _ := catalog.Database(d.name)
-		d.configure(catalog.Members(d.name), claims[d.name], Divide(declared.Connections, instances))
+		d.configure(catalog.Members(d.name), claims[d.name], func(e config.Endpoint) Share {
+			return Divide(declared.Connections, e.Slots, instances)
+		})
 	}
 }
 
@@ -120,15 +127,20 @@
 	Limit int
 }
 
-// Divide divides an endpoint's connections among a number of instances, 0 while that is not known.
-func Divide(connections, instances int) Share {
+// Divide divides an endpoint's connections among a number of instances, 0 while that is not known. An endpoint whose slots
+// are not known has 0.
+func Divide(connections, slots, instances int) Share {
 	if instances == 0 {
 		return Share{Limit: connectionsUnknown}
 	}
 	total := max(min(int(connectionShare*float64(connections)), connections-connectionReserve), 1)
-	if own := total / instances; own >= ownLeast || instances <= holdersLeast {
+	crowded := slots > 0 && instances > slotShare*slots
+	if own := total / instances; own >= ownLeast && !crowded || instances <= holdersLeast {
 		return Share{Limit: max(own, 1)}
 	}
 	holders := max(total/holderConnections, min(holdersLeast, total))
+	if slots > 0 {
+		holders = min(holders, max(holdersASlot*slots, holdersLeast))
+	}
 	return Share{Holders: holders, Limit: total / holders}
 }
--- a/directory/decoder.go
+++ b/directory/decoder.go
@@ -18,7 +18,6 @@
 // Registered is an endpoint as it registered itself; its Domain is the failure domain without the region.
 type Registered struct {
 	Endpoint config.Endpoint
-	Slots    int
 	// Role is how the endpoint sees itself.
 	Role endpoint.Role
 }
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return nil
 	}
-	all := l.among(e, database.Divide(declared.Connections, i.census()).Holders)
+	all := l.among(e, database.Divide(declared.Connections, e.Slots, i.census()).Holders)
 	if len(all) == 0 {
 		return nil
 	}
