dispatch: count the refusal of a holder's queue like one of our own

Cause: where connections are lent, a statement whose turn at the holder would come too late went round until its time was up, since the refusal came as if from the endpoint.

Change: a refusal for want of a place that says when to return comes from a queue, here or at a holder; an endpoint's does not.

--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -90,12 +90,13 @@
 	full, hopeful bool
 }
 
-// with returns the round after a refusal, by an endpoint or on the way to it.
-func (r round) with(reason verdict.Reason, byEndpoint bool) round {
-	switch reason {
+// with returns the round after a refusal. A queue, here or at an instance that lends its connections, says when to return;
+// an endpoint does not.
+func (r round) with(failure *verdict.Error) round {
+	switch failure.Reason {
 	case verdict.Overload:
-		r.full = r.full || !byEndpoint
-		r.hopeful = r.hopeful || byEndpoint
+		r.full = r.full || failure.After > 0
+		r.hopeful = r.hopeful || failure.After <= 0
 	case verdict.Stale, verdict.NotPrimary:
 		r.hopeful = true
 	}
@@ -273,7 +274,7 @@
 	name := c.Endpoint.Name
 	w.last = failure
 	w.query.Tried = append(w.query.Tried, name)
-	w.round = w.round.with(failure.Reason, a.Failure != nil)
+	w.round = w.round.with(failure)
 	switch failure.Reason {
 	case verdict.Overload:
 		w.database.Busy(name)
