connection: do not count the time that callers think as work

Cause: a queue estimates waits by how long connections are held.

Change: a connection that rests in a transaction stops the clock of its work. TestRestIsNoWork: 10 ms of work and a minute of thinking are taken for 10 ms.

--- a/connection/held.go
+++ b/connection/held.go
@@ -22,6 +22,9 @@
 	uncertain bool
 	// resting tells that a transaction on the connection awaits its next statement.
 	resting bool
+	// restSince is when that began, and rested how long the connection has rested since it was taken.
+	restSince time.Time
+	rested    time.Duration
 	// idleSince is when the connection came back to its pool.
 	idleSince time.Time
 }
@@ -43,10 +46,13 @@
 		return
 	}
 	h.resting = resting
+	now := h.pool.options.Clock.Now()
 	if resting {
+		h.restSince = now
 		h.pool.rest(1)
 		return
 	}
+	h.rested += now.Sub(h.restSince)
 	h.pool.rest(-1)
 }
 
--- a/connection/places_test.go
+++ b/connection/places_test.go
@@ -115,3 +115,25 @@
 		t.Errorf("%d more may be used once it is at work", got)
 	}
 }
+
+// TestRestIsNoWork answers the pattern of callers that think inside their transactions: what waits in the queue is not
+// refused for the time that they take.
+func TestRestIsNoWork(t *testing.T) {
+	f := &full{answer: statement.Answer{State: statement.Open}}
+	now := clock.NewManual(time.Unix(1_000_000, 0))
+	p := New(Options{Dialer: f, Clock: now, Logger: event.Discard(), Limit: 1})
+	const work, thinking = 10 * time.Millisecond, time.Minute
+	for range 100 {
+		h, err := p.Acquire(context.Background(), limit.Class{}, now.Now().Add(time.Second), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now.Advance(work)
+		h.Rest()
+		now.Advance(thinking)
+		p.Release(h, true, work+thinking)
+	}
+	if got := p.queue.Service(); got > 2*work {
+		t.Errorf("a statement is taken to need %s, want about %s", got, work)
+	}
+}
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -297,6 +297,8 @@
 // closed.
 func (p *Pool) Release(h *Held, reuse bool, took time.Duration) {
 	h.setResting(false)
+	// The wait of those in the queue depends on how long connections are at work.
+	took, h.rested = max(took-h.rested, 0), 0
 	p.mu.Lock()
 	if !reuse || h.broken() || p.closed {
 		h.Close()
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -42,6 +42,13 @@
 	return q.admission.Waiting()
 }
 
+// Service returns the mean time for which a slot is held.
+func (q *Queue) Service() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.admission.Service()
+}
+
 // Resize changes the number of slots and wakes those whose wait is decided by it; what holds one is not disturbed.
 func (q *Queue) Resize(slots int) {
 	q.mu.Lock()
