dispatch: split the rounds, the pace and what wants no wait from work

What a reader of work.go met first was three policies at once. They stand in round.go, pace.go and proof.go (database) now; connections are made in connect.go, and what hinders a succession is in hindrance.go. next reads as choose, or wait.

One change beside it: a pool looks at its window at each arrival too. Before, only the end of an exchange let it grow, so behind a statement that hung no other got a connection, however long ago the last refusal was.

--- a/connection/places.go
+++ b/connection/places.go
@@ -53,6 +53,13 @@
 	p.admit()
 }
 
+// grow lets the window's growth since the last exchange take effect.
+func (p *Pool) grow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.admit()
+}
+
 // admit lets as many connections be used as the window allows, and those that rest; far away, where statements spend their
 // time on the way, at least as many as may be made at once. p.mu is held.
 func (p *Pool) admit() {
--- a/database/database.go
+++ b/database/database.go
@@ -59,17 +59,6 @@
 	return d.view
 }
 
-// Leadless returns for how long nothing has proved that an endpoint leads.
-func (d *Database) Leadless() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	proven := d.view.ProvenAt()
-	if proven.Before(d.knownAt) {
-		proven = d.knownAt
-	}
-	return d.options.Clock.Now().Sub(proven)
-}
-
 // Changed returns a channel that is closed once another endpoint leads, none does, or a proof of the lead has come after a
 // time without one.
 func (d *Database) Changed() <-chan struct{} {
@@ -142,27 +131,6 @@
 	d.options.Logger.Log(event.LeadChanged, fields)
 }
 
-const (
-	// proofGap is the time without a proof of the lead after which reads may wait for the next one; allowances are longer.
-	proofGap = 500 * time.Millisecond
-	// SeekPatience is how long reads wait for one of them to come back with a proof of the lead: a new connection and a
-	// statement.
-	SeekPatience = 150 * time.Millisecond
-)
-
-// Seek reports whether a read may seek a proof of the lead at the primary. While one does the others wait, since its answer
-// lets them go to replicas.
-func (d *Database) Seek() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.options.Clock.Now()
-	if now.Before(d.seekUntil) {
-		return false
-	}
-	d.seekUntil = now.Add(SeekPatience)
-	return true
-}
-
 // Led notes that an endpoint proved its lead at a time and told its log's position.
 func (d *Database) Led(name string, position endpoint.Position, at time.Time) {
 	d.update("proof", func(v group.View, _ time.Time) group.View { return v.WithLead(name, position, at) })
--- a/dispatch/work.go
+++ b/dispatch/work.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -24,18 +23,6 @@
 	// endpoint's statements take: one that is given up while it runs has taken its slot for nothing.
 	leastTime  = 8 * time.Millisecond
 	takesShare = 1.5
-	// backoffFirst and backoffMaximum are the parts of a statement's time that pace its tries at endpoints without a free
-	// slot: what has less time asks more often. backoffFactor makes the pauses longer, so that what waits for long, and is
-	// late already, gives way to what can still be in time.
-	backoffFirst   = 1.0 / 250
-	backoffMaximum = 1.0 / 30
-	backoffFactor  = 1.5
-	// paceUrgent is the pace of high priorities, and paceOpen that of statements of an open transaction, whose earlier work
-	// would be lost.
-	paceUrgent = 0.5
-	paceOpen   = 0.15
-	// priorityUrgent is the lowest urgent priority; 0 is the highest.
-	priorityUrgent = 1
 	// leadPause is how often a statement that waits for a primary looks again without being told of one.
 	leadPause = 50 * time.Millisecond
 	// attemptShare is the part of a read's time that one endpoint gets before another is tried.
@@ -49,11 +36,6 @@
 	misroutedPause = 2 * time.Second
 	// comeBackAfter is when a refused caller should return if nothing better is known: about a failover.
 	comeBackAfter = 300 * time.Millisecond
-	// failoverLimit is the time without a primary after which statements do not wait for one: the longest failover of those
-	// measured took 4.2 s.
-	failoverLimit = 4500 * time.Millisecond
-	// comeBackLong is when callers return, on average, that were refused then; they return over as long a time.
-	comeBackLong = time.Second
 	// weightBase is the weight of the lowest priority in the queue for connections; each priority doubles it.
 	weightBase     = 1
 	priorityLowest = 3
@@ -75,6 +57,7 @@
 	usual pace
 	pace  pace
 	tries int
+	// round is what the present round of tries has come to.
 	round round
 	// last is the last failure that certainly had no effect, nil when nothing was tried.
 	last *verdict.Error
@@ -84,26 +67,7 @@
 	after  string
 }
 
-// round is what a round of tries has come to: full tells that a queue refused the statement since its turn would come too
-// late, and hopeful that an endpoint refused it for a reason which passes soon.
-type round struct {
-	full, hopeful bool
-}
-
-// with returns the round after a refusal. A queue, here or at an instance that lends its connections, says when to return;
-// an endpoint does not.
-func (r round) with(failure *verdict.Error) round {
-	switch failure.Reason {
-	case verdict.Overload:
-		r.full = r.full || failure.After > 0
-		r.hopeful = r.hopeful || failure.After <= 0
-	case verdict.Stale, verdict.NotPrimary:
-		r.hopeful = true
-	}
-	return r
-}
-
-// begin makes the work of a statement of this session.
+// newWork returns the work of a statement of this session.
 func (s *Session) newWork(write bool) (*work, *verdict.Error) {
 	d := s.dispatcher
 	route, catalog, refused := d.route(s.name)
@@ -156,76 +120,26 @@
 			w.placed, w.why, w.after = c.Endpoint.Name, c.Why, c.After.String()
 			return c, nil
 		}
-		if refused := w.hopeless(); refused != nil {
+		if refused := w.wait(ctx, changed); refused != nil {
 			return group.Choice{}, refused
 		}
-		if w.round.full && !w.round.hopeful {
-			return group.Choice{}, w.exhausted()
-		}
-		if len(w.query.Tried) > 0 {
-			w.round = round{}
-			// Every endpoint has refused once: the next round starts after a pause.
-			w.query.Tried = nil
-			if err := w.pause(ctx, w.takeBackoff(), nil); err != nil {
-				return group.Choice{}, err
-			}
-			continue
-		}
-		if err := w.pause(ctx, leadPause, changed); err != nil {
-			return group.Choice{}, err
-		}
-	}
-}
-
-// waitsForProof reports whether a read that only lacks a certificate has to wait while another read fetches one, as all do
-// after a failover or a restart. It waits while it can still be prompt, and only if a certificate will be young enough and
-// is to be expected.
-func (w *work) waitsForProof(c group.Choice) bool {
-	late := w.session.dispatcher.now().Sub(w.started) >= w.promptness
-	if !c.Seeks || late || w.query.Age < 2*database.SeekPatience || w.database.Leadless() >= failoverLimit {
-		return false
 	}
-	return !w.database.Seek()
 }
 
-// hopeless refuses a statement that no endpoint can serve now once no primary has been seen for longer than a failover
-// takes. Each statement has asked those endpoints first that may answer.
-func (w *work) hopeless() *verdict.Error {
-	if w.last != nil && w.last.Reason == verdict.Overload {
-		return nil
+// wait pauses until a statement that no endpoint serves now may look again; it refuses one for which that has no use.
+func (w *work) wait(ctx context.Context, changed <-chan struct{}) *verdict.Error {
+	if refused := w.hopeless(); refused != nil {
+		return refused
 	}
-	away := w.database.Leadless()
-	if away < failoverLimit {
-		return nil
+	if w.round.full && !w.round.hopeful {
+		return w.exhausted()
 	}
-	return verdict.New(verdict.NotRun, verdict.Unreachable, "no primary of %s for %s", w.route.Database, away).WithAfter(spread(comeBackLong))
-}
-
-// spread returns a time of half to one and a half of d, so that callers who were refused together return apart.
-func spread(d time.Duration) time.Duration { return time.Duration((0.5 + rand.Float64()) * float64(d)) }
-
-// pace is how soon a statement that found no free slot is tried again.
-type pace struct {
-	next, most time.Duration
-}
-
-func newPace(timeout time.Duration, priority int) pace {
-	part := 1.0
-	if priority <= priorityUrgent {
-		part = paceUrgent
+	if len(w.query.Tried) == 0 {
+		return w.pause(ctx, leadPause, changed)
 	}
-	return pace{next: time.Duration(part * backoffFirst * float64(timeout)), most: time.Duration(part * backoffMaximum * float64(timeout))}
-}
-
-// scaled returns the pace with all pauses multiplied.
-func (p pace) scaled(part float64) pace {
-	return pace{next: time.Duration(part * float64(p.next)), most: time.Duration(part * float64(p.most))}
-}
-
-func (w *work) takeBackoff() time.Duration {
-	pause := spread(w.pace.next)
-	w.pace.next = min(time.Duration(backoffFactor*float64(w.pace.next)), w.pace.most)
-	return pause
+	// Every endpoint has refused once: the next round starts after a pause.
+	w.round, w.query.Tried = round{}, nil
+	return w.pause(ctx, w.takeBackoff(), nil)
 }
 
 // pause waits, at most until the deadline; a nil channel never ends it early.
