--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -75,6 +75,27 @@
 	"holders lend what they do not hold": {
 		"loan/loan.go", "	if !ok {\n		return verdict.New(verdict.NotRun, verdict.Unreachable, \"instance does not hold", "	if false && !ok {\n		return verdict.New(verdict.NotRun, verdict.Unreachable, \"instance does not hold", "./loan", "TestRefused",
 	},
+	"full endpoint asked as before": {
+		"limit/window.go", "w.size, w.at = max(w.width(now)*windowCut, windowFloor), now", "w.at = now", "./limit", "TestWindow",
+	},
+	"every read seeks the proof of the lead": {
+		"dispatch/round.go", "return !w.database.Seek()", "_ = w.database.Seek()\n	return false", "./simulation", "TestRestart",
+	},
+	"primary that is long away waited for": {
+		"dispatch/round.go", "if away < failoverLimit {", "if true {", "./simulation", "TestNoPrimary",
+	},
+	"queue that refused asked again": {
+		"dispatch/work.go", "if w.round.full && !w.round.hopeful {", "if false {", "./simulation", "TestRefusedEarly",
+	},
+	"callers' thinking counted as work": {
+		"connection/pool.go", "took, h.rested = max(took-h.rested, 0), 0", "h.rested = 0", "./connection", "TestRestIsNoWork",
+	},
+	"library's reader left behind": {
+		"pool/connection.go", "if err := plain.SyncConn(ctx); err != nil {", "if err := error(nil); err != nil {", "./pool", "TestStalledStart",
+	},
+	"slots left out of the division": {
+		"database/registry.go", "own >= ownLeast && !crowded ||", "own >= ownLeast && (!crowded || true) ||", "./database", "TestDivide",
+	},
 	"borrowed connection given back in a transaction": {
 		"loan/loan.go", "if answers[len(answers)-1].State == statement.Idle {", "if true {", "./loan", "TestTransaction",
 	},
