--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -335,6 +335,8 @@
 	for _, i := range w.instances {
 		w.eventually("all instances known", func() bool { return i.census() == instances })
 	}
+	// Of seven instances two hold the connections, and the division follows the knowledge of the others.
+	w.eventually("connections divided", func() bool { return w.borrowing() == (instances-2)*w.endpoints() })
 	before := w.group.Refused()
 	var wait sync.WaitGroup
 	for n := range instances {
--- a/hosted/world_test.go
+++ b/hosted/world_test.go
@@ -13,6 +13,7 @@
 
 	"siskincove/caller"
 	"siskincove/clock"
+	"siskincove/connection"
 	"siskincove/document"
 	"siskincove/event"
 	"siskincove/platform/line"
@@ -136,6 +137,37 @@
 	w.t.Fatalf("not within %s: %s", patience, what)
 }
 
+// borrowing counts, over all instances, the endpoints to which an instance borrows connections.
+func (w *world) borrowing() int {
+	n := 0
+	w.pools(func(p *connection.Pool) {
+		if p.Borrows() {
+			n++
+		}
+	})
+	return n
+}
+
+// endpoints returns how many endpoints an instance knows.
+func (w *world) endpoints() int {
+	n := 0
+	w.pools(func(*connection.Pool) { n++ })
+	return n / len(w.instances)
+}
+
+// pools passes every pool of every instance to a function.
+func (w *world) pools(visit func(*connection.Pool)) {
+	for _, i := range w.instances {
+		for _, d := range i.databases.All() {
+			for _, e := range d.Members() {
+				if p, ok := d.Pool(e.Name); ok {
+					visit(p)
+				}
+			}
+		}
+	}
+}
+
 func (w *world) dial(n int, database string) *hosting.Caller {
 	w.t.Helper()
 	c, err := hosting.Call(w.addresses[n], database)
--- a/standin/cluster/instance.go
+++ b/standin/cluster/instance.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -71,32 +69,6 @@
 	return errors.Wrap(os.WriteFile(r.file, []byte(text), 0o600), "settings")
 }
 
-const (
-	// Ports are taken below those that the system gives to outgoing connections, which could take one between the time
-	// that it is found free here and the time that an instance listens on it.
-	portFirst = 10000
-	portLast  = 32000
-	portTries = 1000
-)
-
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range portTries {
-		if len(out) == n {
-			return out, nil
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", portFirst+rand.IntN(portLast-portFirst))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		out = append(out, address)
-	}
-	return nil, errors.New("no free addresses")
-}
-
 // StartInstance starts the n-th instance, also again after it was ended.
 func (c *Cluster) StartInstance(n int) error {
 	r := c.Instances[n]
