config: write a revision's line in the history with the head

Cause: a publication whose answer is lost reads the head back. If another operator has published on meanwhile the head is neither the old one nor ours, and that was taken for a conflict, "nothing changed", though our revision had been in force. The line in the history, written afterwards, could be missing.

Ruled out: a revision skipped by the store (the head's number grows by one a transaction, and 3 + 2 revisions fit with one wrong refusal).

Change: head and line are one transaction. A lost answer is settled by the line of our revision, which stays; ErrUnrecorded is gone, as no revision is without its line any more. store.Update keeps its way for terms, where a wrong refusal only leaves terms unused.

TestPublishOvertaken: failed before ("version conflict" for a revision that was in force), passes.

--- a/commands/publish.go
+++ b/commands/publish.go
@@ -49,14 +49,11 @@
 	if errors.Is(err, store.ErrConflict) {
 		return &ExitError{Code: ExitConflict, Cause: err}
 	}
-	if err != nil && !errors.Is(err, config.ErrUnrecorded) {
+	if err != nil {
 		return err
 	}
 	return out.print(head, func(w io.Writer) {
 		line(w, "revision %d is in force (%s)", head.Revision, head.Hash)
-		if err != nil {
-			line(w, "warning: %v", err)
-		}
 	})
 }
 
--- a/config/head.go
+++ b/config/head.go
@@ -29,6 +29,9 @@
 	headKey      = "head"
 )
 
+// headRow is where the head lies.
+var headRow = store.Key{Table: headTable, Key: headKey}
+
 // historyKey orders revisions by number.
 func historyKey(revision uint64) string { return fmt.Sprintf("%020d", revision) }
 
@@ -36,7 +39,7 @@
 
 // ReadHead returns the head in force; store.ErrAbsent before the first publication.
 func ReadHead(ctx context.Context, rows store.Rows) (Head, error) {
-	row, err := store.Get(ctx, rows, store.Key{Table: headTable, Key: headKey})
+	row, err := store.Get(ctx, rows, headRow)
 	if err != nil {
 		return Head{}, err
 	}
--- a/config/publish.go
+++ b/config/publish.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"slices"
@@ -38,13 +39,40 @@
 	if err != nil {
 		return Head{}, errors.Wrap(err, "encoding head")
 	}
-	_, err = store.Update(ctx, rows, store.Key{Table: headTable, Key: headKey}, func(before store.Row) ([]byte, error) {
-		return value, unchanged(before, p.Base)
-	})
-	if err != nil {
+	before, err := store.Get(ctx, rows, headRow)
+	if err != nil && !errors.Is(err, store.ErrAbsent) {
+		return Head{}, errors.Wrap(err, "reading the head")
+	}
+	if err := unchanged(before, p.Base); err != nil {
 		return Head{}, err
 	}
-	return head, record(ctx, rows, head, value)
+	line := store.Row{Key: store.Key{Table: historyTable, Key: historyKey(head.Revision)}, Value: value}
+	_, err = rows.Commit(ctx, store.Transaction{
+		Expect: []store.Expectation{{Key: headRow, Version: before.Version}},
+		Puts:   []store.Row{{Key: headRow, Value: value}, line},
+	})
+	if err == nil {
+		return head, nil
+	}
+	return head, settle(ctx, rows, line, before, err)
+}
+
+// settle finds out whether a publication took effect: nil if it did, store.ErrConflict if it certainly did not. The head may
+// have moved on since, but each revision's line in the history is written with the head and stays.
+func settle(ctx context.Context, rows store.Rows, line, before store.Row, failed error) error {
+	if errors.Is(failed, store.ErrRejected) {
+		return errors.Wrap(failed, "publishing")
+	}
+	// The head is read first: if it has moved, the line of its revision is there.
+	head, headErr := store.Get(ctx, rows, headRow)
+	stored, err := store.Get(ctx, rows, line.Key)
+	switch {
+	case err == nil && bytes.Equal(stored.Value, line.Value):
+		return nil
+	case err == nil || headErr == nil && errors.Is(err, store.ErrAbsent) && head.Version != before.Version:
+		return errors.Wrap(store.ErrConflict, "another revision came first")
+	}
+	return errors.Wrap(failed, "outcome of the publication is unknown")
 }
 
 // unchanged reports store.ErrConflict unless the head's row still holds the revision that the plan was made against.
@@ -74,20 +102,7 @@
 	return errors.Wrap(err, "storing objects")
 }
 
-// record keeps the head in the history; a publisher that dies before this leaves a gap, which history shows.
-func record(ctx context.Context, rows store.Rows, head Head, value []byte) error {
-	key := store.Key{Table: historyTable, Key: historyKey(head.Revision)}
-	_, err := store.Update(ctx, rows, key, func(store.Row) ([]byte, error) { return value, nil })
-	if err != nil {
-		return errors.Wrapf(ErrUnrecorded, "revision %d is in force: %v", head.Revision, err)
-	}
-	return nil
-}
-
-// ErrUnrecorded means that a revision is in force but its line in the history could not be written.
-var ErrUnrecorded = errors.New("history was not written")
-
-// History returns up to most heads, newest first; revisions whose line was not written are left out.
+// History returns up to most heads, newest first.
 func History(ctx context.Context, rows store.Rows, most int) ([]Head, error) {
 	head, err := ReadHead(ctx, rows)
 	if err != nil {
--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -21,6 +21,8 @@
 	lose    int
 	before  bool
 	commits int
+	// meanwhile, if set, happens between the effect and the loss of its answer.
+	meanwhile func()
 }
 
 var errLost = errors.New("answer lost")
@@ -33,6 +35,9 @@
 	if !l.before {
 		_, _ = l.Rows.Commit(ctx, t)
 	}
+	if l.meanwhile != nil {
+		l.meanwhile()
+	}
 	return 0, errLost
 }
 
@@ -137,3 +142,39 @@
 		t.Error(diff)
 	}
 }
+
+// TestPublishOvertaken loses the answer to a publication while others publish on: it is told what happened to its own
+// revision, not that of the newest.
+func TestPublishOvertaken(t *testing.T) {
+	tests := map[string]struct {
+		before bool
+		want   error
+	}{
+		"after its effect":              {},
+		"before, and others came first": {before: true, want: store.ErrConflict},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, ctx := begin(t), context.Background()
+			lossy := &losing{Rows: client, lose: 1, before: test.before}
+			lossy.meanwhile = func() {
+				base := uint64(1)
+				if test.before {
+					base = 0
+				}
+				for n := range 2 {
+					if _, err := config.Publish(ctx, client, client, publication("other", fmt.Sprintf("other%d", n), base+uint64(n))); err != nil {
+						t.Error(err)
+					}
+				}
+			}
+			head, err := config.Publish(ctx, lossy, client, publication("own", "own", 0))
+			if !errors.Is(err, test.want) {
+				t.Errorf("%v, want %v", err, test.want)
+			}
+			if test.want == nil && head.Revision != 1 {
+				t.Errorf("revision %d", head.Revision)
+			}
+		})
+	}
+}
