store: say what a conflict of Update leaves open

A lost answer is settled by the row alone, so a conflict may hide that the update was stored and then overwritten. Its one user, the reservation of terms, loses nothing by that but unused terms. Comment only.

--- a/store/update.go
+++ b/store/update.go
@@ -40,7 +40,8 @@
 
 // Update reads the row at a key, lets edit make its next value and stores that if the row has not changed meanwhile. The
 // values that edit returns must be unique to this update: a lost answer is settled by reading the row back.
-// It returns the stored value; ErrConflict means that another writer came first and nothing was stored.
+// It returns the stored value. ErrConflict means that another writer's value stands there: if the answer was lost, this
+// update may have been stored before that.
 func Update(ctx context.Context, rows Rows, key Key, edit func(before Row) ([]byte, error)) ([]byte, error) {
 	before, err := Get(ctx, rows, key)
 	if err != nil && !errors.Is(err, ErrAbsent) {
