hosted: share one redistribution among quick membership changes

Pattern of load: all instances start or die at once. Cause: each change of a live instance rebuilt the catalog and ranked the instances for every endpoint and database, in the goroutine of the heartbeat that brought it. That work is the product of instances and databases, takes the processor from heartbeats, and their loss brings further changes. Ruled out: heartbeats alone (they cost the same before and after).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -51,6 +51,8 @@
 	snapshot          Snapshot
 	endpointsLoaded   bool
 	endpointsLoadedAt time.Time
+	// primaries maps each database of the current catalog to the endpoint that is registered as its primary.
+	primaries map[string]string
 	// unavailableSince is since when the store does not answer, by kind of read.
 	unavailableSince map[string]time.Time
 }
@@ -166,11 +168,22 @@
 	set.Endpoints = endpoints
 	catalog := config.NewCatalog(set).WithIdleTimeout(d.configuration.IdleTimeout)
 	d.catalog.Store(catalog)
+	d.primaries = primaries
 	d.options.Apply(catalog, primaries)
 }
 
-// Reapply calls Options.Apply again with the current configuration and endpoints. Call it when something else has changed
-// on which the catalog or Options.Apply depends.
+// Use calls f with the arguments of the latest call of Options.Apply, if there was one. It does not overlap with calls of
+// Options.Apply.
+func (d *Directory) Use(f func(catalog *config.Catalog, primaries map[string]string)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if catalog := d.catalog.Load(); catalog != nil {
+		f(catalog, d.primaries)
+	}
+}
+
+// Reapply builds the catalog again and calls Options.Apply with it. Call it when something else has changed on which the
+// catalog depends.
 func (d *Directory) Reapply() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -53,6 +53,8 @@
 	coordinators *coordinator.Set[*succession.Coordinator]
 	callers      *caller.Server
 	health       *health
+	// redistributor divides connections and coordinators again after changes of the live instances.
+	redistributor *redistributor
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
 	fetchMu sync.Mutex
 }
@@ -88,6 +90,7 @@
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
 	})
+	i.redistributor = startRedistributor(i.ctx, o.Clock, i.redistribute)
 	i.startMembers()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
@@ -108,7 +111,7 @@
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
 		RosterInterval: rosterInterval, Period: heartbeatPeriod, Seeds: i.seeds,
-		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.membersChanged, OnDeath: i.node.Drop,
+		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.redistributor.request, OnDeath: i.node.Drop,
 	})
 }
 
@@ -188,11 +191,15 @@
 	return n
 }
 
-// membersChanged redistributes connections and coordinators after the set of live instances in a region has changed.
-func (i *Instance) membersChanged(region string) {
+// redistribute divides connections and coordinators again after the set of live instances in the given regions has changed.
+func (i *Instance) redistribute(regions []string) {
 	<-i.initialized
-	i.directory.Reapply()
-	i.coordinators.Reconcile(region)
+	i.directory.Use(func(catalog *config.Catalog, primaries map[string]string) {
+		i.databases.Configure(catalog, primaries, i.instanceCount())
+	})
+	for _, region := range regions {
+		i.coordinators.Reconcile(region)
+	}
 }
 
 // wait blocks until all components have stopped.
@@ -200,6 +207,7 @@
 	<-i.callers.Done()
 	<-i.dispatcher.Done()
 	<-i.members.Done()
+	<-i.redistributor.done
 	<-i.directory.Done()
 	<-i.node.Done()
 	<-i.health.done
