hosted: send leads only in replies and only of databases in use

Cause: each heartbeat and each reply carried the lead of every database, whoever received it: bytes and processor time were the product of instances and databases; two thirds of the partners were in other regions. Leads in requests were taken as hints only, so they had no use but after a promotion, which is announced. Ruled out: a memory of each peer's interests (needless once leads travel only in the reply to a request that names them). Change: a request names the databases that callers used within 10 s or that the instance coordinates, by hash; the reply has the leads of at most 64 of them. Six of eight partners are in the own region if it has that many, the others are spread between them.

--- a/coordinator/set.go
+++ b/coordinator/set.go
@@ -66,6 +66,14 @@
 	return s.rank(database, endpoints)
 }
 
+// Runs reports whether this instance runs a coordinator of a database.
+func (s *Set[R]) Runs(database string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.runners[database]
+	return ok
+}
+
 func (s *Set[R]) rank(database string, endpoints []config.Endpoint) (int, bool) {
 	for rank, instance := range s.options.Members.Coordinators(database, endpoints, s.options.Count) {
 		if instance.ID == s.options.Self {
--- a/database/database.go
+++ b/database/database.go
@@ -34,6 +34,8 @@
 	proofFetchUntil time.Time
 	// knownAt is when this instance learned of the group.
 	knownAt time.Time
+	// usedAt is when a statement last needed an endpoint of the group, zero if none has.
+	usedAt time.Time
 }
 
 func newDatabase(name string, o Options) *Database {
@@ -73,10 +75,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.options.Clock.Now()
+	d.usedAt = now
 	inflight := func(name string) int { return d.pools[name].Used() }
 	return d.view.Choose(q, d.acceptingMembers(now), inflight, now)
 }
 
+// UsedWithin reports whether a statement needed an endpoint of the group within the given time.
+func (d *Database) UsedWithin(limit time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.usedAt.IsZero() && d.options.Clock.Now().Sub(d.usedAt) < limit
+}
+
 // acceptingMembers returns the endpoints that may get new work.
 func (d *Database) acceptingMembers(now time.Time) []config.Endpoint {
 	out := make([]config.Endpoint, 0, len(d.members))
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
 
 	"siskincove/database"
 	"siskincove/directory"
@@ -23,27 +26,80 @@
 	fetchTimeout = 500 * time.Millisecond
 	// announceTimeout bounds the heartbeats that announce a new primary.
 	announceTimeout = 300 * time.Millisecond
+	// interestDuration is how long after a statement an instance still wants to receive a database's leads.
+	interestDuration = 10 * time.Second
+	// maxLeads bounds the leads in a reply. The databases that are left out differ between replies.
+	maxLeads = 64
 )
 
-// extendHeartbeat adds to a heartbeat the versions of the directory and the primaries for which this instance has a recent
-// proof, rather than only a registration or a peer's hint.
-func (i *Instance) extendHeartbeat(h *wire.Heartbeat) {
+// extendHeartbeat adds to a heartbeat the versions of the directory. A request also gets the databases in which this instance
+// is interested, and a reply the leads of those in which the sender of the request is.
+func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
 	v := i.directory.Versions()
 	h.Configuration, h.Endpoints = v.Configuration, v.Endpoints
-	now := i.options.Clock.Now()
+	if request == nil {
+		h.Interests = i.interests()
+		return
+	}
+	h.Leads = i.leadsFor(request.GetInterests())
+}
+
+// interests returns the hashes of the databases that callers of this instance use or that it coordinates.
+func (i *Instance) interests() []uint32 {
+	var out []uint32
 	for _, d := range i.databases.All() {
-		lead, ok := d.View().Lead()
-		if !ok || lead.Claimed || now.Sub(lead.At) > maxProofAge {
+		if d.UsedWithin(interestDuration) || i.coordinators.Runs(d.Name()) {
+			out = append(out, interestHash(d.Name()))
+		}
+	}
+	return out
+}
+
+// interestHash returns the hash by which heartbeats name a database.
+func interestHash(database string) uint32 { return uint32(xxhash.Sum64String(database)) }
+
+// leadsFor returns the leads of at most maxLeads of the databases with the given hashes.
+func (i *Instance) leadsFor(hashes []uint32) []*wire.Lead {
+	wanted := make(map[uint32]struct{}, len(hashes))
+	for _, hash := range hashes {
+		wanted[hash] = struct{}{}
+	}
+	var out []*wire.Lead
+	now := i.options.Clock.Now()
+	for _, d := range rotated(i.databases.All(), rand.IntN) {
+		if _, ok := wanted[interestHash(d.Name())]; !ok {
 			continue
 		}
-		// The newest certificate's position belongs to this proof only if both are of the same time.
-		message := &wire.Lead{Database: d.Name(), Endpoint: lead.Endpoint, Age: peer.Micros(now.Sub(lead.At))}
-		if c, ok := d.View().Certificate(); ok && c.At.Equal(lead.At) {
-			message.Position = peer.ToPosition(c.Position)
+		if lead := provenLead(d, now); lead != nil && len(out) < maxLeads {
+			out = append(out, lead)
 		}
-		h.Leads = append(h.Leads, message)
 	}
+	return out
+}
+
+// rotated returns a slice that starts at a position chosen by pick and continues from the start.
+func rotated[T any](in []T, pick func(n int) int) []T {
+	if len(in) == 0 {
+		return nil
+	}
+	first := pick(len(in))
+	return slices.Concat(in[first:], in[:first])
+}
+
+// provenLead returns the message about a database's primary, or nil unless this instance has a recent proof of its lead,
+// rather than only a registration or a peer's hint.
+func provenLead(d *database.Database, now time.Time) *wire.Lead {
+	lead, ok := d.View().Lead()
+	if !ok || lead.Claimed || now.Sub(lead.At) > maxProofAge {
+		return nil
+	}
+	out := &wire.Lead{Database: d.Name(), Endpoint: lead.Endpoint, Age: peer.Micros(now.Sub(lead.At))}
+	// The newest certificate's position belongs to this proof only if both are of the same time.
+	if c, ok := d.View().Certificate(); ok && c.At.Equal(lead.At) {
+		out.Position = peer.ToPosition(c.Position)
+	}
+	return out
 }
 
 // handleHeartbeat processes what extendHeartbeat added to a peer's heartbeat. If h is a reply, sentAt is when this instance
@@ -135,10 +191,19 @@
 	return store.Row{Key: store.Key{Key: row.GetKey()}, Value: row.GetValue(), Version: row.GetVersion()}
 }
 
-// announce sends a heartbeat to every live peer at once, so that they learn of a new primary without waiting for the next
-// round. It does not need the database's name, as a heartbeat covers all databases.
-func (i *Instance) announce(string) {
+// announce sends a heartbeat with the lead of a database to every live peer at once, so that they learn of a new primary
+// without waiting for the next round.
+func (i *Instance) announce(name string) {
 	ctx, cancel := context.WithTimeout(i.ctx, announceTimeout)
 	defer cancel()
-	i.members.Announce(ctx)
+	d, ok := i.databases.Get(name)
+	if !ok {
+		return
+	}
+	i.members.Announce(ctx, func(h *wire.Heartbeat) {
+		h.Leads = slices.DeleteFunc(h.Leads, func(l *wire.Lead) bool { return l.GetDatabase() == name })
+		if lead := provenLead(d, i.options.Clock.Now()); lead != nil {
+			h.Leads = append(h.Leads, lead)
+		}
+	})
 }
--- a/member/announce.go
+++ b/member/announce.go
@@ -8,12 +8,13 @@
 	"siskincove/peer/wire"
 )
 
-// Announce sends a heartbeat to every live peer and waits for the replies.
-func (d *Driver) Announce(ctx context.Context) {
+// Announce sends a heartbeat to every live peer and waits for the replies. extend, if not nil, adds further data to each
+// heartbeat.
+func (d *Driver) Announce(ctx context.Context, extend func(h *wire.Heartbeat)) {
 	var wait sync.WaitGroup
 	for _, i := range d.Instances() {
 		if i.State.Live() {
-			wait.Go(func() { d.exchange(ctx, i) })
+			wait.Go(func() { d.exchange(ctx, i, extend) })
 		}
 	}
 	wait.Wait()
@@ -41,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sentAt := d.options.Clock.Now()
-	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
+	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(nil)}})
 	if err != nil || reply.GetHeartbeat() == nil {
 		return
 	}
--- a/member/driver.go
+++ b/member/driver.go
@@ -55,8 +55,9 @@
 	Seeds func() []string
 	// OnChange is called after the set of live instances in a region has changed; "" means all regions.
 	OnChange func(region string)
-	// ExtendHeartbeat, if set, adds further data to each outgoing heartbeat.
-	ExtendHeartbeat func(h *wire.Heartbeat)
+	// ExtendHeartbeat, if set, adds further data to each outgoing heartbeat h. request is the heartbeat that h answers, nil
+	// if it answers none.
+	ExtendHeartbeat func(h, request *wire.Heartbeat)
 	// OnHeartbeat, if set, is called with each received heartbeat. For a reply, sentAt is when this instance sent the
 	// heartbeat that it answers; otherwise it is zero.
 	OnHeartbeat func(h *wire.Heartbeat, sentAt time.Time)
@@ -135,7 +136,7 @@
 	d.mu.Lock()
 	d.table.MarkLeaving(d.options.Clock.Now())
 	d.mu.Unlock()
-	d.Announce(ctx)
+	d.Announce(ctx, nil)
 	d.options.OnChange("")
 }
 
@@ -169,7 +170,7 @@
 	d.mu.Unlock()
 	var wait sync.WaitGroup
 	for _, i := range targets {
-		wait.Go(func() { d.exchange(ctx, i) })
+		wait.Go(func() { d.exchange(ctx, i, nil) })
 	}
 	wait.Wait()
 	return d.endRound()
@@ -189,12 +190,16 @@
 	return urgent
 }
 
-// exchange sends a heartbeat and records the reply, or that none came.
-func (d *Driver) exchange(ctx context.Context, i Instance) {
+// exchange sends a heartbeat, extended by extend unless that is nil, and records the reply, or that none came.
+func (d *Driver) exchange(ctx context.Context, i Instance, extend func(h *wire.Heartbeat)) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sentAt := d.options.Clock.Now()
-	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(false)}})
+	h := d.heartbeat(nil)
+	if extend != nil {
+		extend(h)
+	}
+	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: h}})
 	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
 		d.ApplyHeartbeat(reply.GetHeartbeat())
 		d.notifyHeartbeat(reply.GetHeartbeat(), sentAt)
@@ -212,14 +217,14 @@
 	}
 }
 
-// heartbeat returns a heartbeat to send. If full and rosterKnown are set, it names all live instances, for a peer that does
-// not know them yet.
-func (d *Driver) heartbeat(full bool) *wire.Heartbeat {
+// heartbeat returns a heartbeat to send. request is the heartbeat that it answers, nil if it answers none. If the sender of
+// the request does not know the other instances yet and rosterKnown is set, the reply names all live instances.
+func (d *Driver) heartbeat(request *wire.Heartbeat) *wire.Heartbeat {
 	revision, _ := d.options.Revisions.Revision()
-	out := d.ownHeartbeat(full)
+	out := d.ownHeartbeat(request != nil && !request.GetSettled())
 	out.Revision = revision
 	if d.options.ExtendHeartbeat != nil {
-		d.options.ExtendHeartbeat(out)
+		d.options.ExtendHeartbeat(out, request)
 	}
 	return out
 }
@@ -252,7 +257,7 @@
 	}
 	d.ApplyHeartbeat(h)
 	d.notifyHeartbeat(h, time.Time{})
-	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(!h.GetSettled())}})
+	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(h)}})
 	return true
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -4,13 +4,18 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"siskincove/config"
 )
 
 const (
 	// deadAfterMisses is how many heartbeats in a row an instance must miss to count as dead.
 	deadAfterMisses = 3
-	// partnerCount is how many instances each instance sends heartbeats to, in turn.
-	partnerCount = 8
+	// partnerCount is how many instances each instance sends heartbeats to, in turn. nearPartnerCount of them are in its
+	// own region, as far as there are that many, since traffic between regions is dear; the others carry news between
+	// regions.
+	partnerCount     = 8
+	nearPartnerCount = 6
 	// fanout is how many heartbeats are sent to partners each period.
 	fanout = 3
 	// maxUrgent bounds the urgent heartbeats in one period.
@@ -298,16 +303,29 @@
 	return out
 }
 
+// rankPartners returns the IDs of the partners, those in other regions spread evenly among the others.
 func (t *Table) rankPartners() []string {
-	candidates := make([]Instance, 0, len(t.instances))
+	var near, far []Instance
 	for _, i := range t.instances {
-		if i.State != Dead {
-			candidates = append(candidates, i)
+		switch {
+		case i.State == Dead:
+		case config.Region(i.Domain) == config.Region(t.self.Domain):
+			near = append(near, i)
+		default:
+			far = append(far, i)
 		}
 	}
-	ids := make([]string, 0, partnerCount)
-	for _, i := range NewPlacement(candidates).HighestRanked(t.self.ID, "", partnerCount) {
-		ids = append(ids, i.ID)
+	near, far = Rank(t.self.ID, near), Rank(t.self.ID, far)
+	farCount := min(len(far), max(partnerCount-nearPartnerCount, partnerCount-len(near)))
+	near, far = near[:min(len(near), partnerCount-farCount)], far[:farCount]
+	total := len(near) + len(far)
+	ids := make([]string, 0, total)
+	for n := range total {
+		if (n+1)*farCount/total > n*farCount/total {
+			ids, far = append(ids, far[0].ID), far[1:]
+		} else {
+			ids, near = append(ids, near[0].ID), near[1:]
+		}
 	}
 	return ids
 }
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -228,3 +228,40 @@
 		})
 	}
 }
+
+// TestPartners guards against heartbeats that mostly cross regions, whose traffic is dear, and against partners that are all
+// in one region, which would keep news from the others.
+func TestPartners(t *testing.T) {
+	tests := map[string]struct {
+		near, far int
+		// want tells for each partner in turn whether it is far.
+		want []bool
+	}{
+		"many in each region":     {near: 60, far: 130, want: []bool{false, false, false, true, false, false, false, true}},
+		"small own region":        {near: 3, far: 20, want: []bool{false, true, false, true, true, false, true, true}},
+		"alone in the region":     {near: 0, far: 3, want: []bool{true, true, true}},
+		"no other region":         {near: 20, far: 0, want: make([]bool, 8)},
+		"fewer than the partners": {near: 2, far: 2, want: []bool{false, true, false, true}},
+		"alone":                   {want: []bool{}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(selfInstance())
+			for n := range test.near {
+				table.Answered(otherInstance(fmt.Sprintf("near%d", n), 1), false, epoch)
+			}
+			for n := range test.far {
+				other := otherInstance(fmt.Sprintf("far%d", n), 1)
+				other.Domain = "elsewhere/b"
+				table.Answered(other, false, epoch)
+			}
+			got := []bool{}
+			for _, i := range table.partners() {
+				got = append(got, config.Region(i.Domain) == "elsewhere")
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
