directory, member: follow the configuration by two instances a domain

Ruled out: asking seeds before the store after a restart (three instances would have to answer all others at once). Change: two instances of a domain follow the feed, one of them may be cut off; whoever learns of something newer sends heartbeats to its partners at once (Driver.Push). The list of instances is read again by the domain's poller only.

--- a/cmd/siskincoved/hosted.go
+++ b/cmd/siskincoved/hosted.go
@@ -15,6 +15,7 @@
 	"siskincove/platform/records"
 	"siskincove/platform/rows"
 	"siskincove/settings"
+	"siskincove/store"
 )
 
 // hostedOptions configure an instance that serves the platform's protocol.
@@ -32,7 +33,7 @@
 	promoter := promotion.New(s.Promotion.Address, s.Instance.ID)
 	i, err := hosted.New(ctx, hosted.Options{
 		Settings: s, Clock: clk, Logger: o.logger,
-		Rows: rowStore, Decoder: records.Decoder{}, Dialer: protocol.Dialer{Clock: clk}, Promoter: promoter,
+		Rows: store.NewMetered(rowStore), Decoder: records.Decoder{}, Dialer: protocol.Dialer{Clock: clk}, Promoter: promoter,
 		Protocol: func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
 	})
 	if err != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,6 +28,10 @@
 	Logger  *event.Logger
 	// Regions returns the region of each failure domain.
 	Regions func() map[string]string
+	// ShouldFollow reports whether this instance follows the changes of the configuration on behalf of its failure domain.
+	ShouldFollow func() bool
+	// OnChange is called after a newer configuration or other endpoints were applied. It must not block or use the directory.
+	OnChange func()
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each new catalog and with the name of the endpoint that is registered as primary of each
@@ -75,6 +79,13 @@
 // Catalog returns the current catalog, or nil until both a configuration and the endpoints are known.
 func (d *Directory) Catalog() *config.Catalog { return d.catalog.Load() }
 
+// ConfigurationVersion returns the version that the operator gave the current configuration, 0 for none.
+func (d *Directory) ConfigurationVersion() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configuration.Version
+}
+
 // Refresh reads the endpoints again, with a short timeout. It reports whether endpoints have been known for at least
 // missingGrace; before that, one may be absent only because its entry has lapsed briefly.
 func (d *Directory) Refresh(ctx context.Context) bool {
@@ -170,6 +181,7 @@
 	d.catalog.Store(catalog)
 	d.primaries = primaries
 	d.options.Apply(catalog, primaries)
+	d.options.OnChange()
 }
 
 // Use calls f with the arguments of the latest call of Options.Apply, if there was one. It does not overlap with calls of
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -28,7 +28,7 @@
 	pollInterval = 1200 * time.Millisecond
 	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
 	refreshTimeout = 150 * time.Millisecond
-	// standbyInterval is how often the other instances check whether they should poll.
+	// standbyInterval is how often the other instances check whether they should poll or follow.
 	standbyInterval = time.Second
 	// retryMin and retryMax bound the backoff while the store does not answer.
 	retryMin = 200 * time.Millisecond
@@ -43,17 +43,23 @@
 	endpointReads      = "endpoints"
 )
 
-// followConfiguration reads the configuration row and then follows its changes.
+// followConfiguration reads the configuration row, unless a peer has supplied it, and then follows its changes while
+// ShouldFollow reports true. Other instances learn of changes from peers.
 func (d *Directory) followConfiguration(ctx context.Context) {
 	table, key := d.options.Decoder.ConfigurationRow()
 	after, loaded := uint64(0), false
 	backoff := retryMin
 	for ctx.Err() == nil {
 		var err error
-		if loaded {
+		followed := loaded
+		switch {
+		case d.Versions().Configuration > 0 && !d.options.ShouldFollow():
+			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
+			continue
+		case loaded:
 			after, err = d.followChanges(ctx, table, key, after)
 			loaded = !errors.Is(err, store.ErrCompacted)
-		} else {
+		default:
 			after, err = d.readConfiguration(ctx, table, key)
 			loaded = err == nil
 		}
@@ -63,7 +69,10 @@
 			backoff = min(2*backoff, retryMax)
 			continue
 		}
-		backoff = retryMin
+		if backoff = retryMin; !followed {
+			// After a start the other instances are found meanwhile, so that not all of them follow.
+			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
+		}
 	}
 }
 
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -369,3 +369,52 @@
 		t.Error("no instance lent a connection")
 	}
 }
+
+// TestFewFollow guards against calls to the store that grow with the instances: each of them followed the configuration by
+// a request of its own, and each change answered them all. The others must apply a change as soon as those that follow.
+func TestFewFollow(t *testing.T) {
+	t.Parallel()
+	const instances, domains = 12, 3
+	d := newDeployment(t, instances)
+	followers := func() int {
+		n := 0
+		for _, i := range d.instances {
+			if i.isFollower() {
+				n++
+			}
+		}
+		return n
+	}
+	d.eventually("few instances follow", func() bool { return followers() == domains*followersPerDomain })
+	// Requests that were sent before the instances knew each other end after followWait at the latest; a change ends them now.
+	write := func(version int) {
+		d.store.Write("op", "config", map[string]any{
+			"version":  version,
+			"routes":   []map[string]any{{"name": "r1", "host": "main", "type": "primary", "service": "g", "timeout-ms": 4000}},
+			"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}}, "limits": map[string]any{},
+		})
+	}
+	applied := func(version uint64) func() bool {
+		return func() bool {
+			for _, i := range d.instances {
+				if i.directory.ConfigurationVersion() != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	write(10)
+	d.eventually("first change applied", applied(10))
+	time.Sleep(time.Second)
+	before, written := d.store.Calls("/rows-feed"), time.Now()
+	write(11)
+	d.eventually("second change applied", applied(11))
+	if took := time.Since(written); took > 3*time.Second {
+		t.Errorf("change in force at all instances after %s", took)
+	}
+	time.Sleep(time.Second)
+	if calls := d.store.Calls("/rows-feed") - before; calls > domains*followersPerDomain {
+		t.Errorf("%d further requests for changes after one, from %d instances in %d domains", calls, instances, domains)
+	}
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -27,6 +27,9 @@
 	// pollersPerDomain is how many instances of a failure domain read the endpoints from the store; the others learn of
 	// changes from them.
 	pollersPerDomain = 1
+	// followersPerDomain is how many instances of a failure domain follow the changes of the configuration. One may be cut
+	// off from the store.
+	followersPerDomain = 2
 	// heartbeatPeriod is the time between two rounds of heartbeats, which also carry the directory's versions and proofs of
 	// which endpoints lead.
 	heartbeatPeriod = 700 * time.Millisecond
@@ -89,6 +92,7 @@
 	i.lender = i.newLender()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
+		ShouldFollow: i.isFollower, OnChange: i.push,
 	})
 	i.redistributor = startRedistributor(i.ctx, o.Clock, i.redistribute)
 	i.startMembers()
@@ -110,7 +114,7 @@
 	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
-		RosterInterval: rosterInterval, Period: heartbeatPeriod, Seeds: i.seeds,
+		RosterInterval: rosterInterval, ShouldReadRoster: i.isPoller, Period: heartbeatPeriod, Seeds: i.seeds,
 		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.redistributor.request, OnDeath: i.node.Drop,
 	})
 }
@@ -151,20 +155,37 @@
 // RecordPeerRevision ignores revisions.
 func (noRevisions) RecordPeerRevision(uint64, string) {}
 
-// isPoller reports whether this instance reads the endpoints from the store for its failure domain. The ranking depends
-// only on the key and the known instances, so that instances with the same view of the others agree on the poller without
+// isPoller reports whether this instance reads the endpoints and the list of instances from the store for its failure
+// domain.
+func (i *Instance) isPoller() bool { return i.actsForDomain("poller/", pollersPerDomain) }
+
+// isFollower reports whether this instance follows the changes of the configuration for its failure domain.
+func (i *Instance) isFollower() bool { return i.actsForDomain("follower/", followersPerDomain) }
+
+// actsForDomain reports whether this instance is one of count instances that have a task for its failure domain. The ranking
+// depends only on the prefix, the domain and the known instances, so that instances with the same view of the others agree without
 // messages.
-func (i *Instance) isPoller() bool {
+func (i *Instance) actsForDomain(taskPrefix string, count int) bool {
 	<-i.initialized
 	own := i.options.Settings.Instance
-	for _, poller := range i.members.HighestRanked("poller/"+own.Domain, own.Domain, pollersPerDomain) {
-		if poller.ID == own.ID {
+	for _, ranked := range i.members.HighestRanked(taskPrefix+own.Domain, own.Domain, count) {
+		if ranked.ID == own.ID {
 			return true
 		}
 	}
 	return false
 }
 
+// push tells the partners at once that this instance has a newer directory.
+func (i *Instance) push() {
+	select {
+	case <-i.initialized:
+		i.members.Push()
+	default:
+		// The first heartbeats follow at once.
+	}
+}
+
 // applyCatalog configures the databases and, once the instance is initialized, the coordinators. primaries maps each database
 // to the endpoint that is registered as its primary.
 func (i *Instance) applyCatalog(catalog *config.Catalog, primaries map[string]string) {
--- a/member/announce.go
+++ b/member/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"siskincove/clock"
 	"siskincove/peer"
 	"siskincove/peer/wire"
 )
@@ -20,6 +21,37 @@
 	wait.Wait()
 }
 
+// Push requests a heartbeat to every partner without waiting for the next round, to spread something new. It does not wait
+// for the heartbeats.
+func (d *Driver) Push() {
+	select {
+	case d.pushRequested <- struct{}{}:
+	default:
+	}
+}
+
+// pushLoop sends the heartbeats that Push requests. Requests in quick succession share them.
+func (d *Driver) pushLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.pushRequested:
+		}
+		d.mu.Lock()
+		partners := d.table.partners()
+		d.mu.Unlock()
+		var wait sync.WaitGroup
+		for _, i := range partners {
+			wait.Go(func() { d.exchange(ctx, i, nil) })
+		}
+		wait.Wait()
+		if clock.Wait(ctx, d.options.Clock, pushPause) != nil {
+			return
+		}
+	}
+}
+
 // contactSeeds sends heartbeats to the seeds until rosterKnown is set.
 func (d *Driver) contactSeeds(ctx context.Context) {
 	d.mu.Lock()
--- a/member/driver.go
+++ b/member/driver.go
@@ -18,8 +18,10 @@
 	defaultPeriod    = 250 * time.Millisecond
 	urgentPeriod     = 100 * time.Millisecond
 	heartbeatTimeout = 200 * time.Millisecond
-	rosterInterval   = 5 * time.Second
-	rosterTimeout    = 2 * time.Second
+	// pushPause is the least time between two rounds of heartbeats that Push requested.
+	pushPause      = 100 * time.Millisecond
+	rosterInterval = 5 * time.Second
+	rosterTimeout  = 2 * time.Second
 	// unlistedRosterInterval is the interval between reads of the roster until it lists this instance.
 	unlistedRosterInterval = 250 * time.Millisecond
 	// settlePeriods is the number of heartbeat periods after rosterKnown is set before this instance may own endpoints.
@@ -49,6 +51,9 @@
 	Revisions Revisions
 	// RosterInterval is how often the roster is read once this instance is known to be listed, 0 for the default.
 	RosterInterval time.Duration
+	// ShouldReadRoster, if set, reports whether this instance reads the roster again once it is known to be listed. The
+	// others learn of new instances from rumours.
+	ShouldReadRoster func() bool
 	// Period is the pause between two rounds of heartbeats while no instance has to be probed urgently, 0 for the default.
 	Period time.Duration
 	// Seeds, if set, returns addresses, maybe stale, of instances to contact until the roster is known.
@@ -71,6 +76,9 @@
 	done    chan struct{}
 	running sync.WaitGroup
 
+	// pushRequested holds a value after Push until the heartbeats have been sent.
+	pushRequested chan struct{}
+
 	mu      sync.Mutex
 	table   *Table
 	started time.Time
@@ -96,8 +104,12 @@
 	if o.Period == 0 {
 		o.Period = defaultPeriod
 	}
-	d := &Driver{options: o, started: o.Clock.Now(), done: make(chan struct{}), table: NewTable(o.Self), ownerOrders: make(map[string][]Instance), lastOwner: make(map[string]string)}
+	d := &Driver{
+		options: o, started: o.Clock.Now(), done: make(chan struct{}), pushRequested: make(chan struct{}, 1), table: NewTable(o.Self),
+		ownerOrders: make(map[string][]Instance), lastOwner: make(map[string]string),
+	}
 	d.running.Go(func() { d.heartbeatLoop(ctx) })
+	d.running.Go(func() { d.pushLoop(ctx) })
 	d.running.Go(func() { d.rosterLoop(ctx) })
 	go func() {
 		defer close(d.done)
--- a/member/rosterloop.go
+++ b/member/rosterloop.go
@@ -11,7 +11,7 @@
 func (d *Driver) rosterLoop(ctx context.Context) {
 	for {
 		pause := unlistedRosterInterval
-		if d.readRoster(ctx) {
+		if d.mayTrustPeers() || d.readRoster(ctx) {
 			pause = d.options.RosterInterval
 		}
 		select {
@@ -22,6 +22,15 @@
 	}
 }
 
+// mayTrustPeers reports whether this instance need not read the roster now, since it has read one that lists it and another
+// instance does so.
+func (d *Driver) mayTrustPeers() bool {
+	d.mu.Lock()
+	listed := d.table.Listed(d.options.Self.ID)
+	d.mu.Unlock()
+	return listed && d.options.ShouldReadRoster != nil && !d.options.ShouldReadRoster()
+}
+
 // readRoster reads the roster once and reports whether rosterKnown is set by now.
 func (d *Driver) readRoster(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
