directory: offer peers only the endpoints that changed

Cause: a peer with a newer version of the endpoints sent its whole table, 250 bytes an endpoint, to each instance and for each version; the pollers of the domains read one change at different versions, so it travelled more than once. Ruled out: trusting the record of changes alone; TestChanges found that what appears and vanishes between two reads of a peer is in no record. Change: an entry keeps the version at which its registration was first read, delisted endpoints are kept too (256 at most); an offer has only what is newer than the inquiry's version, and a digest of all endpoints. If the digest differs after applying it, all rows are fetched. Unchanged rows are not decoded again. An older instance, which does not say that it accepts changes, gets all rows. TestChanges, TestChangesAreFew, TestDelistedBounded.

--- a/directory/offer.go
+++ b/directory/offer.go
@@ -6,7 +6,13 @@
 // zero.
 type Offer struct {
 	Configuration store.Row
-	Endpoints     []store.Row
+	// Endpoints holds all rows, or only those that have changed since the peer's version if Partial is set. Delisted then
+	// names the endpoints that are no longer listed.
+	Endpoints []store.Row
+	Delisted  []string
+	Partial   bool
+	// Digest is the Snapshot.Digest of the peer that made the offer.
+	Digest uint64
 	// EndpointsVersion is the store version at which the endpoints last changed.
 	EndpointsVersion uint64
 }
@@ -29,26 +35,54 @@
 	return Versions{Configuration: d.configurationRow.Version, Endpoints: d.snapshot.Version()}
 }
 
-// Offer returns the configuration and the endpoints, each only if it is newer than the peer's.
-func (d *Directory) Offer(peer Versions) Offer {
+// Offer returns the configuration and the endpoints, each only if it is newer than the peer's. If the peer accepts changes,
+// the endpoints are limited to those where that is possible.
+func (d *Directory) Offer(peer Versions, acceptsChanges bool) Offer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var o Offer
 	if d.configurationRow.Version > peer.Configuration {
 		o.Configuration = d.configurationRow
 	}
-	if d.snapshot.Version() > peer.Endpoints {
-		o.Endpoints, o.EndpointsVersion = d.snapshot.Rows(), d.snapshot.Version()
+	if d.snapshot.Version() <= peer.Endpoints {
+		return o
+	}
+	o.EndpointsVersion, o.Digest = d.snapshot.Version(), d.snapshot.Digest()
+	changes, complete := d.snapshot.ChangesSince(peer.Endpoints)
+	if o.Partial = acceptsChanges && complete; o.Partial {
+		o.Endpoints, o.Delisted = changes.Rows, changes.Delisted
+	} else {
+		o.Endpoints = d.snapshot.Rows()
 	}
 	return o
 }
 
-// Accept applies the parts of a peer's offer that are newer than the current configuration or endpoints.
-func (d *Directory) Accept(o Offer) {
+// Accept applies the parts of a peer's offer that are newer than the current configuration or endpoints. It returns false if
+// the offered changes of the endpoints do not lead to the peer's endpoints, so that all of them are needed.
+func (d *Directory) Accept(o Offer) bool {
 	if o.Configuration.Version > 0 {
 		d.updateConfiguration(o.Configuration, sourcePeer)
 	}
-	if o.EndpointsVersion > 0 {
-		d.updateEndpoints(o.Endpoints, o.EndpointsVersion, sourcePeer)
+	if o.EndpointsVersion == 0 {
+		return true
+	}
+	rows := o.Endpoints
+	if o.Partial {
+		var ok bool
+		if rows, ok = d.rowsAfter(o); !ok {
+			return false
+		}
 	}
+	d.updateEndpoints(rows, o.EndpointsVersion, sourcePeer)
+	return true
+}
+
+// rowsAfter returns all rows after an offer of changes, and false if they differ from the peer's.
+func (d *Directory) rowsAfter(o Offer) ([]store.Row, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rows := d.snapshot.RowsAfter(Changes{Rows: o.Endpoints, Delisted: o.Delisted})
+	ignore := func(string, error) {}
+	after, _ := d.snapshot.With(rows, o.EndpointsVersion, d.options.Decoder, d.options.Clock.Now(), ignore)
+	return rows, after.Digest() == o.Digest
 }
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -1,8 +1,12 @@
 package directory
 
 import (
+	"bytes"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"siskincove/config"
 	"siskincove/endpoint"
 	"siskincove/store"
@@ -23,6 +27,10 @@
 	registration Registration
 	// promotedVersion is the store version at which the endpoint was first seen as primary, notPromoted while it is not.
 	promotedVersion uint64
+	// changedAt is the store version at which the present registration was first read.
+	changedAt uint64
+	// digest is a hash of the name and the registration.
+	digest uint64
 	// missingSince is when the endpoint was first found not to be listed; zero while it is listed.
 	missingSince time.Time
 }
@@ -31,6 +39,10 @@
 type Snapshot struct {
 	version uint64
 	entries map[string]entry
+	// delisted holds the endpoints that are no longer listed, with the store version at which that was first read. It and
+	// entry.changedAt cover all changes after recordedFrom.
+	delisted     map[string]uint64
+	recordedFrom uint64
 }
 
 // Version returns the store version at which the endpoints last changed.
@@ -61,11 +73,14 @@
 // With returns the snapshot after the whole endpoint table was read at a version of the store, and what differs from s. Rows
 // that can't be decoded are skipped and their names passed to unreadable.
 func (s Snapshot) With(rows []store.Row, version uint64, decoder Decoder, now time.Time, unreadable func(string, error)) (Snapshot, Difference) {
-	next := Snapshot{version: s.version, entries: make(map[string]entry, len(rows))}
+	next := Snapshot{version: s.version, entries: make(map[string]entry, len(rows)), recordedFrom: s.recordedFrom}
+	if s.version == 0 {
+		next.recordedFrom = version
+	}
 	var diff Difference
 	for _, row := range rows {
 		name := row.Key.Key
-		registration, err := decoder.Endpoint(name, row.Value)
+		registration, err := s.registration(name, row, decoder)
 		if err != nil {
 			unreadable(name, err)
 			continue
@@ -81,23 +96,36 @@
 			next.retain(name, e, now, &diff)
 		}
 	}
+	next = next.withDelisted(s.delisted, diff, version)
 	if !diff.Empty() {
 		next.version = version
 	}
 	return next, diff
 }
 
+// registration returns the decoded value of a row. A row that has not changed is not decoded again.
+func (s Snapshot) registration(name string, row store.Row, decoder Decoder) (Registration, error) {
+	if known, ok := s.entries[name]; ok && bytes.Equal(known.row.Value, row.Value) {
+		return known.registration, nil
+	}
+	return decoder.Endpoint(name, row.Value)
+}
+
 // newEntry returns the entry for a row, and true if the endpoint is new, listed again or registered with other values.
 func (s Snapshot) newEntry(name string, row store.Row, registration Registration, version uint64) (entry, bool) {
 	previous, known := s.entries[name]
-	e := entry{row: row, registration: registration, promotedVersion: previous.promotedVersion}
+	e := entry{row: row, registration: registration, promotedVersion: previous.promotedVersion, changedAt: previous.changedAt, digest: previous.digest}
 	switch {
 	case registration.Role != endpoint.Primary:
 		e.promotedVersion = notPromoted
 	case previous.promotedVersion == notPromoted || previous.registration.Endpoint.Incarnation != registration.Endpoint.Incarnation:
 		e.promotedVersion = max(version, 1)
 	}
-	return e, !known || !previous.missingSince.IsZero() || previous.registration != registration
+	changed := !known || !previous.missingSince.IsZero() || previous.registration != registration
+	if changed {
+		e.changedAt, e.digest = version, xxhash.Sum64String(fmt.Sprintf("%s %+v", name, registration))
+	}
+	return e, changed
 }
 
 // retain keeps an endpoint that is no longer listed, unless it was leaving or has been missing for longer than missingGrace.
@@ -115,7 +143,8 @@
 
 // Expire returns the snapshot without the endpoints that have been missing for longer than missingGrace.
 func (s Snapshot) Expire(now time.Time) (Snapshot, Difference) {
-	next := Snapshot{version: s.version, entries: make(map[string]entry, len(s.entries))}
+	next := s
+	next.entries = make(map[string]entry, len(s.entries))
 	var diff Difference
 	for name, e := range s.entries {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) > missingGrace {
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -139,21 +139,37 @@
 	if !peerVersions.NewerThan(ownVersions) {
 		return
 	}
+	for _, acceptsChanges := range []bool{true, false} {
+		offer, err := i.inquire(address, ownVersions, acceptsChanges)
+		if err != nil {
+			i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
+			return
+		}
+		if i.directory.Accept(offer) {
+			return
+		}
+	}
+}
+
+// inquire asks a peer for what is newer than the given versions.
+func (i *Instance) inquire(address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
 	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
-		Configuration: ownVersions.Configuration, Endpoints: ownVersions.Endpoints,
+		Configuration: than.Configuration, Endpoints: than.Endpoints, Changes: acceptsChanges,
 	}}})
 	if err != nil {
-		i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
-		return
+		return directory.Offer{}, err
 	}
 	received := reply.GetOffer()
-	offer := directory.Offer{Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: received.GetVersion()}
+	out := directory.Offer{
+		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: received.GetVersion(),
+		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
+	}
 	for _, row := range received.GetEndpoints() {
-		offer.Endpoints = append(offer.Endpoints, fromRow(row))
+		out.Endpoints = append(out.Endpoints, fromRow(row))
 	}
-	i.directory.Accept(offer)
+	return out, nil
 }
 
 // Serve handles one exchange with a peer, whose first frame has been received. It reports whether the stream may carry
@@ -175,8 +191,11 @@
 	if inquiry == nil {
 		return false
 	}
-	offer := i.directory.Offer(directory.Versions{Configuration: inquiry.GetConfiguration(), Endpoints: inquiry.GetEndpoints()})
-	answer := &wire.Offer{Configuration: toRow(offer.Configuration), Version: offer.EndpointsVersion}
+	offer := i.directory.Offer(directory.Versions{Configuration: inquiry.GetConfiguration(), Endpoints: inquiry.GetEndpoints()}, inquiry.GetChanges())
+	answer := &wire.Offer{
+		Configuration: toRow(offer.Configuration), Version: offer.EndpointsVersion, Partial: offer.Partial, Delisted: offer.Delisted,
+		Digest: offer.Digest,
+	}
 	for _, row := range offer.Endpoints {
 		answer.Endpoints = append(answer.Endpoints, toRow(row))
 	}
