member: presume listed instances in the placement after a restart

Pattern of load: all instances restart at once. Ruled out: the store (answers in 20 ms). Change: on the platform an unproven instance of the roster or of a rumour takes part in the placement until it misses a heartbeat, so holders are the same everywhere from the first read of the roster; the first redistribution follows after 20 ms; presumed ones are probed 4 a round, from the own ID on.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -114,7 +114,7 @@
 	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
-		RosterInterval: rosterInterval, ShouldReadRoster: i.isPoller, Period: heartbeatPeriod, Seeds: i.seeds,
+		RosterInterval: rosterInterval, PresumeUnproven: true, ShouldReadRoster: i.isPoller, Period: heartbeatPeriod, Seeds: i.seeds,
 		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.redistributor.request, OnDeath: i.node.Drop,
 	})
 }
--- a/hosted/redistributor.go
+++ b/hosted/redistributor.go
@@ -10,7 +10,7 @@
 
 const (
 	// redistributeDelay collects the changes that arrive together, as when many instances start.
-	redistributeDelay = 100 * time.Millisecond
+	redistributeDelay = 20 * time.Millisecond
 	// redistributePause is the least time between two redistributions. Each one ranks the instances for every endpoint, and
 	// a start of all instances brings a change for each of them.
 	redistributePause = 500 * time.Millisecond
--- a/member/driver.go
+++ b/member/driver.go
@@ -51,6 +51,8 @@
 	Revisions Revisions
 	// RosterInterval is how often the roster is read once this instance is known to be listed, 0 for the default.
 	RosterInterval time.Duration
+	// PresumeUnproven lets instances of the roster and of rumours take part in the placement before they have answered.
+	PresumeUnproven bool
 	// ShouldReadRoster, if set, reports whether this instance reads the roster again once it is known to be listed. The
 	// others learn of new instances from rumours.
 	ShouldReadRoster func() bool
@@ -108,6 +110,9 @@
 		options: o, started: o.Clock.Now(), done: make(chan struct{}), pushRequested: make(chan struct{}, 1), table: NewTable(o.Self),
 		ownerOrders: make(map[string][]Instance), lastOwner: make(map[string]string),
 	}
+	if o.PresumeUnproven {
+		d.table.PresumeUnproven()
+	}
 	d.running.Go(func() { d.heartbeatLoop(ctx) })
 	d.running.Go(func() { d.pushLoop(ctx) })
 	d.running.Go(func() { d.rosterLoop(ctx) })
@@ -285,29 +290,35 @@
 	}
 	d.mu.Lock()
 	changes := d.table.Answered(from, h.GetLeaving(), now)
+	version := d.table.Version()
 	d.table.ApplyRumours(rumours, now)
+	added := d.table.Version() != version
 	d.rosterKnown = d.rosterKnown || h.GetSettled()
 	d.mu.Unlock()
 	d.options.Revisions.RecordPeerRevision(h.GetRevision(), h.GetAddress())
 	d.handleChanges(changes)
+	if added {
+		d.options.OnChange("")
+	}
 }
 
 func (d *Driver) handleChanges(changes []Change) {
 	regions := make(map[string]bool)
 	for _, c := range changes {
 		fields := log.Fields{"instance": c.Instance.ID, "address": c.Instance.Address, "before": c.Before.String()}
-		switch c.Instance.State {
-		case Alive:
+		switch {
+		case c.Instance.State == c.Before:
+		case c.Instance.State == Alive:
 			if c.Before != Suspect {
 				d.options.Logger.Log(event.MemberAlive, fields)
 			}
-		case Leaving:
+		case c.Instance.State == Leaving:
 			d.options.Logger.Log(event.MemberLeaving, fields)
-		case Dead:
+		case c.Instance.State == Dead:
 			d.options.Logger.Log(event.MemberDead, fields)
 			d.options.OnDeath(c.Instance.Address)
 		}
-		if c.Instance.State.Live() != c.Before.Live() {
+		if c.Moved {
 			regions[config.Region(c.Instance.Domain)] = true
 		}
 	}
--- a/member/ownership.go
+++ b/member/ownership.go
@@ -33,10 +33,10 @@
 	d.lastOwner[endpoint] = owner
 }
 
-// currentPlacement returns the placement over the live instances, rebuilt if these have changed; d.mu must be held.
+// currentPlacement returns the current placement, rebuilt if the instances that take part have changed; d.mu must be held.
 func (d *Driver) currentPlacement() *Placement {
 	if d.placement == nil || d.version != d.table.Version() {
-		d.placement = NewPlacement(d.table.Live())
+		d.placement = NewPlacement(d.table.Placed())
 		d.ownerOrders = make(map[string][]Instance)
 		d.version = d.table.Version()
 	}
--- a/member/rosterloop.go
+++ b/member/rosterloop.go
@@ -36,13 +36,26 @@
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
 	defer cancel()
 	list, err := d.options.Roster.List(ctx)
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	if err != nil {
 		d.options.Logger.Log(event.RosterFailed, log.Fields{"error": err.Error()})
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		return d.rosterKnown
 	}
+	known, changed := d.applyRoster(list)
+	if changed {
+		d.options.OnChange("")
+	}
+	return known
+}
+
+// applyRoster applies the roster to the table. It returns whether rosterKnown is set by now, and whether the instances that
+// take part in the placement have changed.
+func (d *Driver) applyRoster(list []Instance) (known, changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	version := d.table.Version()
 	d.table.ApplyRoster(list, d.options.Clock.Now())
 	d.rosterKnown = d.rosterKnown || d.table.Listed(d.options.Self.ID)
-	return d.rosterKnown
+	return d.rosterKnown, d.table.Version() != version
 }
--- a/member/table.go
+++ b/member/table.go
@@ -18,8 +18,11 @@
 	nearPartnerCount = 6
 	// fanout is how many heartbeats are sent to partners each period.
 	fanout = 3
-	// maxUrgent bounds the urgent heartbeats in one period.
-	maxUrgent = 16
+	// maxUrgent bounds the urgent heartbeats in one period. maxPresumedProbes bounds those to unproven instances that take part
+	// in the placement anyway: after a restart of all instances each has to probe all others, which takes processor time
+	// from callers.
+	maxUrgent         = 16
+	maxPresumedProbes = 4
 	// forgetDeadAfter is how long a dead instance that the roster does not list is kept.
 	forgetDeadAfter = 10 * time.Minute
 	// countDeadFor is how long InstanceCount includes a dead instance. An instance that is cut off from all others must not
@@ -47,6 +50,8 @@
 	version     uint64
 	// partnerIDs are the partners' IDs, nil if they have to be ranked again.
 	partnerIDs []string
+	// presumesUnproven is set if unproven instances take part in the placement until they miss a heartbeat.
+	presumesUnproven bool
 }
 
 // NewTable returns a table that knows only this instance.
@@ -65,7 +70,7 @@
 // Self returns this instance.
 func (t *Table) Self() Instance { return t.self }
 
-// Version returns a number that increases whenever the set of live instances changes.
+// Version returns a number that increases whenever the instances that take part in the placement change.
 func (t *Table) Version() uint64 { return t.version }
 
 // Instances returns the other instances, ordered by ID.
@@ -78,11 +83,27 @@
 	return out
 }
 
+// PresumeUnproven lets unproven instances take part in the placement until they miss a heartbeat, so that after a restart
+// of many instances all of them have the same placement at once.
+func (t *Table) PresumeUnproven() { t.presumesUnproven = true }
+
+// placed reports whether an instance takes part in the placement.
+func (t *Table) placed(i Instance) bool {
+	return i.State.Live() || t.presumesUnproven && i.State == Unproven && i.Missed == 0
+}
+
 // Live returns the instances that may own endpoints, this one included unless it is leaving, ordered by ID.
 func (t *Table) Live() []Instance {
+	return t.selected(func(i Instance) bool { return i.State.Live() })
+}
+
+// Placed returns the instances that take part in the placement, this one included unless it is leaving, ordered by ID.
+func (t *Table) Placed() []Instance { return t.selected(t.placed) }
+
+func (t *Table) selected(include func(Instance) bool) []Instance {
 	out := make([]Instance, 0, len(t.instances)+1)
 	for _, i := range t.instances {
-		if i.State.Live() {
+		if include(i) {
 			out = append(out, i)
 		}
 	}
@@ -151,6 +172,9 @@
 	t.partnerIDs = nil
 	t.instances[r.ID] = Instance{ID: r.ID, Address: r.Address, Domain: r.Domain, State: Unproven, Since: now}
 	t.urgent[r.ID] = now
+	if t.presumesUnproven {
+		t.version++
+	}
 }
 
 // Answered records a heartbeat from an instance, or its reply to one, and returns the change of its state, if any.
@@ -169,14 +193,14 @@
 	if !ok {
 		t.partnerIDs = nil
 	}
-	before := known.State
+	wasPlaced := ok && t.placed(known)
 	next := from
 	next.Since = known.Since
 	next.State = known.State
 	next.Missed = 0
 	t.instances[from.ID] = next.WithState(state, now)
 	delete(t.urgent, from.ID)
-	return t.recordChange(from.ID, before)
+	return t.recordChange(from.ID, known.State, wasPlaced)
 }
 
 // Missed records that an instance did not answer a heartbeat and returns the change of its state, if any.
@@ -185,7 +209,7 @@
 	if !ok || known.State == Dead {
 		return nil
 	}
-	before := known.State
+	before, wasPlaced := known.State, t.placed(known)
 	known.Missed++
 	switch {
 	case known.Missed >= deadAfterMisses:
@@ -198,22 +222,26 @@
 		t.urgent[id] = now
 	}
 	t.instances[id] = known
-	return t.recordChange(id, before)
+	return t.recordChange(id, before, wasPlaced)
 }
 
-func (t *Table) recordChange(id string, before State) []Change {
+// recordChange returns the change of an instance's state or part in the placement, if any.
+func (t *Table) recordChange(id string, before State, wasPlaced bool) []Change {
 	i := t.instances[id]
-	if i.State == before {
+	moved := t.placed(i) != wasPlaced
+	if i.State == before && !moved {
 		return nil
 	}
-	if i.State.Live() != before.Live() {
+	if moved {
 		t.version++
+	}
+	if moved || i.State.Live() != before.Live() {
 		t.partnerIDs = nil
 	}
-	if i.State != Suspect {
+	if i.State != Suspect && i.State != before {
 		t.queueRumour(id)
 	}
-	return []Change{{Instance: i, Before: before}}
+	return []Change{{Instance: i, Before: before, Moved: moved}}
 }
 
 // ProbeSoon requests a heartbeat to the live instance at an address in the next period, as after a failed request there.
@@ -258,7 +286,9 @@
 		}
 	}
 	for _, id := range t.urgentIDs() {
-		add(t.instances[id])
+		if len(out) < maxUrgent {
+			add(t.instances[id])
+		}
 	}
 	partners := t.partners()
 	for range min(fanout, len(partners)) {
@@ -281,13 +311,25 @@
 	return i
 }
 
+// urgentIDs returns the instances to probe urgently in this period. They are taken in an order that starts after this
+// instance's own ID, so that instances that start together do not all probe the same ones.
 func (t *Table) urgentIDs() []string {
 	ids := make([]string, 0, len(t.urgent))
 	for id := range t.urgent {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	return ids[:min(len(ids), maxUrgent)]
+	first, _ := slices.BinarySearch(ids, t.self.ID)
+	ids = slices.Concat(ids[first:], ids[:first])
+	presumed := 0
+	return slices.DeleteFunc(ids, func(id string) bool {
+		i := t.instances[id]
+		if i.State == Unproven && t.placed(i) {
+			presumed++
+			return presumed > maxPresumedProbes
+		}
+		return false
+	})
 }
 
 // partners returns the instances, except dead ones, that rank highest for this one. Each instance thus probes a few others
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -265,3 +265,78 @@
 		})
 	}
 }
+
+// TestPresumedPlacement guards against a restart of all instances after which each knows only itself: it would connect to
+// every endpoint, and all their new connections together would take the endpoints' slots from statements.
+func TestPresumedPlacement(t *testing.T) {
+	listed := []Instance{{ID: "b", Address: "127.0.0.1:2b", Domain: "r/a"}, {ID: "self", Address: "127.0.0.1:1"}}
+	roster := func(t *Table) { t.ApplyRoster(listed, epoch) }
+	miss := func(t *Table) { t.Missed("b", epoch) }
+	answer := func(t *Table) { t.Answered(otherInstance("b", 1), false, epoch) }
+	rumour := func(t *Table) {
+		t.ApplyRumours([]Rumour{{ID: "c", Address: "127.0.0.1:2c", Domain: "r/a", State: Alive}}, epoch)
+	}
+	leave := func(t *Table) { t.Answered(otherInstance("b", 1), true, epoch) }
+	tests := map[string]struct {
+		steps []func(*Table)
+		want  []string
+	}{
+		"listed":                               {steps: []func(*Table){roster}, want: []string{"b", "self"}},
+		"listed, missed a heartbeat":           {steps: []func(*Table){roster, miss}, want: []string{"self"}},
+		"listed, missed one and answered":      {steps: []func(*Table){roster, miss, answer}, want: []string{"b", "self"}},
+		"answered, missed one":                 {steps: []func(*Table){roster, answer, miss}, want: []string{"b", "self"}},
+		"named by a peer":                      {steps: []func(*Table){rumour}, want: []string{"c", "self"}},
+		"listed, leaving":                      {steps: []func(*Table){roster, leave}, want: []string{"self"}},
+		"dead, still listed":                   {steps: []func(*Table){roster, answer, miss, miss, miss, roster}, want: []string{"self"}},
+		"dead, then answered, then missed one": {steps: []func(*Table){roster, miss, miss, miss, answer, miss}, want: []string{"b", "self"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(selfInstance())
+			table.PresumeUnproven()
+			for _, step := range test.steps {
+				before, version := table.Placed(), table.Version()
+				step(table)
+				if diff := cmp.Diff(before, table.Placed(), cmpopts.IgnoreFields(Instance{}, "State", "Missed", "Incarnation")); diff != "" && version == table.Version() {
+					t.Errorf("placement changed but not its version:\n%s", diff)
+				}
+			}
+			ids := []string{}
+			for _, i := range table.Placed() {
+				ids = append(ids, i.ID)
+			}
+			if diff := cmp.Diff(test.want, ids); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestProbesAfterRestart guards against a restart of all instances after which each probes all others at once, and all probe
+// the same ones first.
+func TestProbesAfterRestart(t *testing.T) {
+	const instances, rounds = 200, 3
+	all := makeInstances(instances)
+	probed := make(map[string]int)
+	for _, self := range all {
+		table := NewTable(self)
+		table.PresumeUnproven()
+		table.ApplyRoster(all, epoch)
+		for range rounds {
+			targets := table.Targets(epoch)
+			if len(targets) > maxPresumedProbes+fanout {
+				t.Fatalf("%d heartbeats in one round", len(targets))
+			}
+			for _, i := range targets {
+				probed[i.ID]++
+				table.Answered(i, false, epoch)
+			}
+		}
+	}
+	for id, n := range probed {
+		// Instances probe others at random as partners too, and those just after their own IDs.
+		if n > 3*rounds*(maxPresumedProbes+fanout) {
+			t.Errorf("%s is probed %d times in %d rounds", id, n, rounds)
+		}
+	}
+}
