loan: do not ask again holders that did not answer

Pattern of load: instances are split from one another while callers of all databases go on. Ruled out: slow endpoints (a holder reports those before the deadline), the store, one database's primary (its statements are a tenth). Change: loan.Health remembers for all pools of an instance which holders did not answer, for 1 s doubling to 2 s; their idle connections are retired and a heartbeat is requested. An answer within 100 ms after the deadline means that only the endpoint was slow. The error names the holder.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -40,19 +40,21 @@
 
 // Instance is the running proxy of this process: it holds all components and the listeners.
 type Instance struct {
-	options      Options
-	settings     atomic.Pointer[settings.Settings]
-	ctx          context.Context
-	cancel       context.CancelFunc
-	initialized  chan struct{}
-	trimDone     chan struct{}
-	node         *peer.Node
-	members      *member.Driver
-	roster       *member.Roster
-	directory    *directory.Directory
-	databases    *database.Registry
-	dispatcher   *dispatch.Dispatcher
-	lender       *loan.Lender
+	options     Options
+	settings    atomic.Pointer[settings.Settings]
+	ctx         context.Context
+	cancel      context.CancelFunc
+	initialized chan struct{}
+	trimDone    chan struct{}
+	node        *peer.Node
+	members     *member.Driver
+	roster      *member.Roster
+	directory   *directory.Directory
+	databases   *database.Registry
+	dispatcher  *dispatch.Dispatcher
+	lender      *loan.Lender
+	// holderHealth tracks which holders of borrowed connections answer.
+	holderHealth *loan.Health
 	coordinators *coordinator.Set[*succession.Coordinator]
 	callers      *caller.Server
 	health       *health
@@ -88,6 +90,7 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
+	i.holderHealth = loan.NewHealth(o.Clock)
 	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, DrainTime: i.endpointDrainTime, Detour: i.detour, Lending: lending{i}})
 	i.lender = i.newLender()
 	i.directory = directory.New(i.ctx, directory.Options{
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -13,10 +13,6 @@
 	"siskincove/peer/wire"
 )
 
-// maxHoldersAsked is how many holders are tried for one connection: an instance that reaches none of them is most likely
-// cut off from the endpoint's failure domain.
-const maxHoldersAsked = 2
-
 // lending implements database.Lending: if an endpoint has too few connections or slots for all instances, some instances,
 // the holders, connect to it, and the others, the borrowers, use the holders' connections. The holders are instances in
 // the endpoint's failure domain if there are any.
@@ -43,7 +39,7 @@
 func (l lending) Dialer() connection.Dialer {
 	i := l.instance
 	return loan.Dialer{
-		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.holdersToAsk,
+		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.holdersToAsk, Health: i.holderHealth,
 		Direct: i.options.Dialer, OnUnreachable: i.members.ProbeSoon,
 	}
 }
@@ -57,12 +53,7 @@
 		return nil
 	}
 	all := l.rankedHolders(e, database.Divide(databaseConfig.Connections, e.Slots, i.instanceCount()).Holders)
-	if len(all) == 0 {
-		return nil
-	}
-	first := int(xxhash.Sum64String(i.options.Settings.Instance.ID) % uint64(len(all)))
-	rotated := append(append([]member.Instance{}, all[first:]...), all[:first]...)
-	return rotated[:min(len(rotated), maxHoldersAsked)]
+	return rotated(all, func(n int) int { return int(xxhash.Sum64String(i.options.Settings.Instance.ID) % uint64(n)) })
 }
 
 func (i *Instance) newLender() *loan.Lender {
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,10 @@
 	errEndpointLost    = errors.New("holder lost its connection to the endpoint")
 )
 
+// answerGrace is how long after the deadline of an exchange the answer of a holder that responds can be on its way: the
+// round trip between distant regions.
+const answerGrace = 100 * time.Millisecond
+
 // Conn is a connection to an endpoint through another instance, the holder. The holder assigns one of its own connections
 // to each exchange or transaction. A Conn must not be used by more than one goroutine at a time.
 type Conn struct {
@@ -31,6 +36,13 @@
 	results chan *wire.Results
 	broken  chan struct{}
 	class   limit.Class
+	// holder is the holder's address.
+	holder string
+	health *Health
+	// onSilence is called with the holder's address after an exchange that it did not answer in time.
+	onSilence func(address string)
+	// answered is set once the holder has sent anything since the last exchange began.
+	answered atomic.Bool
 
 	mu  sync.Mutex
 	err error
@@ -40,9 +52,14 @@
 	retired bool
 }
 
-// newConn returns a connection over a stream on which the loan was requested. The reader goroutine ends with the stream.
-func newConn(stream peer.Stream, clk clock.Service) *Conn {
-	c := &Conn{stream: stream, clock: clk, results: make(chan *wire.Results, 1), broken: make(chan struct{})}
+// newConn returns a connection to the holder at an address over a stream on which the loan was requested. The reader goroutine
+// ends with the stream.
+func (d Dialer) newConn(stream peer.Stream, holder string) *Conn {
+	c := &Conn{
+		stream: stream, clock: d.Clock, holder: holder, health: d.Health, onSilence: d.OnUnreachable,
+		results: make(chan *wire.Results, 1), broken: make(chan struct{}),
+	}
+	c.health.add(holder, c)
 	go c.readLoop()
 	return c
 }
@@ -74,14 +91,36 @@
 	_ = c.stream.Close()
 }
 
+// abandon ends the connection after an exchange that was not answered by its deadline. The stream stays open for answerGrace:
+// if the holder answers by then, only the endpoint was slow.
+func (c *Conn) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return
+	}
+	c.err = errors.Wrap(errDeadline, c.holder)
+	close(c.broken)
+	time.AfterFunc(answerGrace, func() {
+		_ = c.stream.Close()
+		if c.answered.Load() {
+			return
+		}
+		c.health.recordSilence(c.holder)
+		c.onSilence(c.holder)
+	})
+}
+
 // readLoop passes results to Exchange until the stream ends.
 func (c *Conn) readLoop() {
+	defer c.health.remove(c.holder, c)
 	for {
 		frame, err := c.stream.Receive()
 		if err != nil {
 			c.fail(errors.Wrap(err, "loan"))
 			return
 		}
+		c.answered.Store(true)
 		r := frame.GetResults()
 		if r == nil {
 			c.fail(errUnexpectedFrame)
@@ -137,6 +176,7 @@
 	if err := c.beginExchange(); err != nil {
 		return nil, err
 	}
+	c.answered.Store(false)
 	remaining := deadline.Sub(c.clock.Now())
 	stop := context.AfterFunc(ctx, func() { c.fail(ctx.Err()) })
 	defer stop()
@@ -164,9 +204,10 @@
 	defer timer.Stop()
 	select {
 	case r := <-c.results:
+		c.health.recordAnswer(c.holder)
 		return r
 	case <-timer.C:
-		c.fail(errDeadline)
+		c.abandon()
 	case <-c.broken:
 	}
 	select {
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -15,6 +15,10 @@
 	"siskincove/peer/wire"
 )
 
+// maxHoldersAsked is how many holders are tried for one connection: an instance that reaches none of them is most likely cut
+// off from the endpoint's failure domain.
+const maxHoldersAsked = 2
+
 // Dialer borrows connections to endpoints from other instances.
 type Dialer struct {
 	// Context bounds the lifetime of borrowed connections.
@@ -24,15 +28,24 @@
 	Peers   peer.Dialer
 	// Holders returns the instances that may lend connections to an endpoint, in the order in which to ask them.
 	Holders func(e config.Endpoint) []member.Instance
+	// Health is shared by all dialers of an instance.
+	Health *Health
 	// Direct connects to an endpoint when none of its holders is reachable.
 	Direct connection.Dialer
-	// OnUnreachable is called with the address of a holder that could not be reached.
+	// OnUnreachable is called with the address of a holder that could not be reached or did not answer.
 	OnUnreachable func(address string)
 }
 
 // Dial borrows a connection from the first reachable holder, and connects directly if there is none.
 func (d Dialer) Dial(ctx context.Context, e config.Endpoint) (connection.Conn, error) {
+	asked := 0
 	for _, holder := range d.Holders(e) {
+		if !d.Health.Responds(holder.Address) {
+			continue
+		}
+		if asked++; asked > maxHoldersAsked {
+			break
+		}
 		stream, err := d.open(ctx, holder.Address)
 		if err == nil {
 			err = stream.Send(&wire.Frame{Body: &wire.Frame_Loan{Loan: &wire.Loan{
@@ -40,7 +53,7 @@
 			}}})
 		}
 		if err == nil {
-			return newConn(stream, d.Clock), nil
+			return d.newConn(stream, holder.Address), nil
 		}
 		d.OnUnreachable(holder.Address)
 		d.Logger.Log(event.HolderUnreachable, log.Fields{"endpoint": e.Name, "holder": holder.ID, "error": err.Error()})
--- /dev/null
+++ b/loan/health.go
@@ -0,0 +1,114 @@
+package loan
+
+import (
+	"sync"
+	"time"
+
+	"siskincove/clock"
+)
+
+const (
+	// minSilencePause and maxSilencePause bound how long a holder that did not answer is not asked again. Each further time
+	// doubles the pause. In the first one heartbeats tell whether the holder is dead.
+	minSilencePause = time.Second
+	maxSilencePause = 2 * time.Second
+)
+
+// silence records how long a holder is not to be asked because it did not answer. It is an immutable value.
+type silence struct {
+	until time.Time
+	pause time.Duration
+}
+
+// withSilence returns the record after another exchange without an answer. Exchanges that were under way when the pause
+// began do not lengthen it.
+func (s silence) withSilence(now time.Time) silence {
+	if now.Before(s.until) {
+		return s
+	}
+	pause := min(max(2*s.pause, minSilencePause), maxSilencePause)
+	return silence{until: now.Add(pause), pause: pause}
+}
+
+// holderState is what a borrower knows of a holder, and its connections there.
+type holderState struct {
+	silence silence
+	conns   map[*Conn]struct{}
+}
+
+// Health tracks, for all borrowed connections of an instance, which holders answer. A holder answers before the deadline of
+// an exchange even if the endpoint does not, so one that doesn't is cut off, stopped or overloaded.
+type Health struct {
+	clock clock.Service
+
+	mu      sync.Mutex
+	holders map[string]*holderState
+}
+
+// NewHealth returns a Health without holders.
+func NewHealth(clk clock.Service) *Health {
+	return &Health{clock: clk, holders: make(map[string]*holderState)}
+}
+
+// Responds reports whether the holder at an address may be asked: it has not failed to answer recently.
+func (h *Health) Responds(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.holders[address]
+	return !ok || !h.clock.Now().Before(s.silence.until)
+}
+
+// add records a connection to the holder at an address.
+func (h *Health) add(address string, c *Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.holders[address]
+	if !ok {
+		s = &holderState{conns: make(map[*Conn]struct{})}
+		h.holders[address] = s
+	}
+	s.conns[c] = struct{}{}
+}
+
+// remove forgets a connection that was closed.
+func (h *Health) remove(address string, c *Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.holders[address]
+	if s == nil {
+		return
+	}
+	delete(s.conns, c)
+	if len(s.conns) == 0 && !h.clock.Now().Before(s.silence.until) {
+		delete(h.holders, address)
+	}
+}
+
+// recordAnswer records that the holder at an address answered.
+func (h *Health) recordAnswer(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.holders[address]; s != nil {
+		s.silence = silence{}
+	}
+}
+
+// recordSilence records that the holder at an address did not answer an exchange before its deadline. It retires the
+// holder's other connections, so that no further statement waits there.
+func (h *Health) recordSilence(address string) {
+	h.mu.Lock()
+	s := h.holders[address]
+	if s == nil {
+		h.mu.Unlock()
+		return
+	}
+	s.silence = s.silence.withSilence(h.clock.Now())
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	h.mu.Unlock()
+	for _, c := range conns {
+		c.retire()
+	}
+}
