member: probe one presumed instance a round instead of all at once

Cause: every instance probed every other after a start, connections and heartbeats that grow with the square of the instances: of 38,000 exchanges at 195 machines and a start about 30 MB went between regions. Ruled out: fewer urgent probes alone (they still reach all). Change: an instance of the roster that is presumed to be live is probed as a partner, one other a round, or when a request or a rumour speaks against it; a rumour that it is live is no reason.

--- a/hosted/detour.go
+++ b/hosted/detour.go
@@ -66,9 +66,9 @@
 // first.
 func (i *Instance) detourHelpers(e config.Endpoint) []member.Instance {
 	var local, remote []member.Instance
-	for _, other := range i.members.Instances() {
+	for _, other := range i.members.PlacedPeers() {
 		switch {
-		case other.State != member.Alive:
+		case other.State == member.Suspect:
 		case other.Domain == e.Domain:
 			local = append(local, other)
 		default:
--- a/member/announce.go
+++ b/member/announce.go
@@ -9,14 +9,12 @@
 	"siskincove/peer/wire"
 )
 
-// Announce sends a heartbeat to every live peer and waits for the replies. extend, if not nil, adds further data to each
+// Announce sends a heartbeat to every peer that takes part in the placement and waits for the replies. extend, if not nil, adds further data to each
 // heartbeat.
 func (d *Driver) Announce(ctx context.Context, extend func(h *wire.Heartbeat)) {
 	var wait sync.WaitGroup
-	for _, i := range d.Instances() {
-		if i.State.Live() {
-			wait.Go(func() { d.exchange(ctx, i, extend) })
-		}
+	for _, i := range d.PlacedPeers() {
+		wait.Go(func() { d.exchange(ctx, i, extend) })
 	}
 	wait.Wait()
 }
--- a/member/driver.go
+++ b/member/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -153,6 +154,13 @@
 	return d.table.Live()
 }
 
+// PlacedPeers returns the other instances that take part in the placement.
+func (d *Driver) PlacedPeers() []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.table.Placed(), func(i Instance) bool { return i.ID == d.options.Self.ID })
+}
+
 // Leave marks this instance as leaving and announces that to every live peer.
 func (d *Driver) Leave(ctx context.Context) {
 	d.mu.Lock()
--- a/member/rumour.go
+++ b/member/rumour.go
@@ -30,12 +30,14 @@
 	t.rumourSends[id] = rumourRepeats
 }
 
-// AllRumours returns a rumour of each live instance, for a peer that does not know them.
+// AllRumours returns a rumour of each instance that takes part in the placement, for a peer that does not know them.
 func (t *Table) AllRumours() []Rumour {
 	var out []Rumour
 	for _, i := range t.Instances() {
-		if i.State.Live() {
-			out = append(out, newRumour(i))
+		if t.placed(i) {
+			r := newRumour(i)
+			r.State = Alive
+			out = append(out, r)
 		}
 	}
 	return out
--- a/member/table.go
+++ b/member/table.go
@@ -18,11 +18,8 @@
 	nearPartnerCount = 6
 	// fanout is how many heartbeats are sent to partners each period.
 	fanout = 3
-	// maxUrgent bounds the urgent heartbeats in one period. maxPresumedProbes bounds those to unproven instances that take part
-	// in the placement anyway: after a restart of all instances each has to probe all others, which takes processor time
-	// from callers.
-	maxUrgent         = 16
-	maxPresumedProbes = 4
+	// maxUrgent bounds the urgent heartbeats in one period.
+	maxUrgent = 16
 	// forgetDeadAfter is how long a dead instance that the roster does not list is kept.
 	forgetDeadAfter = 10 * time.Minute
 	// countDeadFor is how long InstanceCount includes a dead instance. An instance that is cut off from all others must not
@@ -156,7 +153,7 @@
 	}
 }
 
-// addUnproven adds an unknown instance, to be probed by a heartbeat. It replaces a known one if that has another address,
+// addUnproven adds an unknown instance, to be probed by a heartbeat, urgently unless it is presumed to be live. It replaces a known one if that has another address,
 // is not live and is of no newer incarnation.
 func (t *Table) addUnproven(r Rumour, now time.Time) {
 	if r.ID == t.self.ID || r.ID == "" {
@@ -171,10 +168,11 @@
 	}
 	t.partnerIDs = nil
 	t.instances[r.ID] = Instance{ID: r.ID, Address: r.Address, Domain: r.Domain, State: Unproven, Since: now}
-	t.urgent[r.ID] = now
 	if t.presumesUnproven {
 		t.version++
+		return
 	}
+	t.urgent[r.ID] = now
 }
 
 // Answered records a heartbeat from an instance, or its reply to one, and returns the change of its state, if any.
@@ -244,10 +242,11 @@
 	return []Change{{Instance: i, Before: before, Moved: moved}}
 }
 
-// ProbeSoon requests a heartbeat to the live instance at an address in the next period, as after a failed request there.
+// ProbeSoon requests a heartbeat to the instance at an address in the next period, as after a failed request there, if it takes
+// part in the placement.
 func (t *Table) ProbeSoon(address string, now time.Time) {
 	for id, i := range t.instances {
-		if i.Address == address && i.State.Live() {
+		if i.Address == address && t.placed(i) {
 			t.urgent[id] = now
 		}
 	}
@@ -268,14 +267,14 @@
 		}
 		return
 	}
-	contradicts := r.Incarnation >= known.Incarnation && r.State.Live() != known.State.Live()
+	contradicts := r.Incarnation >= known.Incarnation && r.State.Live() != t.placed(known)
 	if contradicts {
 		t.urgent[r.ID] = now
 	}
 }
 
-// Targets returns the instances to send heartbeats to in this period: the urgent ones, some partners in turn and, now and
-// then, a dead one.
+// Targets returns the instances to send heartbeats to in this period: the urgent ones, some partners in turn, one that takes
+// part in the placement unproven and, now and then, a dead one.
 func (t *Table) Targets(now time.Time) []Instance {
 	var out []Instance
 	chosen := make(map[string]bool)
@@ -286,15 +285,16 @@
 		}
 	}
 	for _, id := range t.urgentIDs() {
-		if len(out) < maxUrgent {
-			add(t.instances[id])
-		}
+		add(t.instances[id])
 	}
 	partners := t.partners()
 	for range min(fanout, len(partners)) {
 		add(partners[t.nextPartner%len(partners)])
 		t.nextPartner++
 	}
+	if i, ok := t.nextPresumed(); ok {
+		add(i)
+	}
 	for id, i := range t.instances {
 		if i.State == Dead && now.Sub(i.Since) > deadRetryInterval {
 			t.instances[id] = i.withRetryAt(now)
@@ -318,18 +318,30 @@
 	for id := range t.urgent {
 		ids = append(ids, id)
 	}
+	ids = t.afterSelf(ids)
+	return ids[:min(len(ids), maxUrgent)]
+}
+
+// afterSelf sorts IDs in an order that starts after this instance's own ID.
+func (t *Table) afterSelf(ids []string) []string {
 	slices.Sort(ids)
 	first, _ := slices.BinarySearch(ids, t.self.ID)
-	ids = slices.Concat(ids[first:], ids[:first])
-	presumed := 0
-	return slices.DeleteFunc(ids, func(id string) bool {
-		i := t.instances[id]
+	return slices.Concat(ids[first:], ids[:first])
+}
+
+// nextPresumed returns an unproven instance that takes part in the placement, and false if there is none. Partners of the
+// instance find out sooner if it does not answer, and gossip that.
+func (t *Table) nextPresumed() (Instance, bool) {
+	var ids []string
+	for id, i := range t.instances {
 		if i.State == Unproven && t.placed(i) {
-			presumed++
-			return presumed > maxPresumedProbes
+			ids = append(ids, id)
 		}
-		return false
-	})
+	}
+	if len(ids) == 0 {
+		return Instance{}, false
+	}
+	return t.instances[t.afterSelf(ids)[0]], true
 }
 
 // partners returns the instances, except dead ones, that rank highest for this one. Each instance thus probes a few others
