--- a/member/announce.go
+++ b/member/announce.go
@@ -72,10 +72,11 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sentAt := d.options.Clock.Now()
-	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(nil)}})
+	request := d.heartbeat(nil)
+	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: request}})
 	if err != nil || reply.GetHeartbeat() == nil {
 		return
 	}
-	d.ApplyHeartbeat(reply.GetHeartbeat())
+	d.applyReply(request, reply.GetHeartbeat())
 	d.notifyHeartbeat(reply.GetHeartbeat(), sentAt)
 }
--- a/member/driver.go
+++ b/member/driver.go
@@ -90,7 +90,7 @@
 	table   *Table
 	started time.Time
 	// rosterKnown is set once a roster that lists this instance was read: one that does not is older than the instance and
-	// may lack others too. A heartbeat from a peer whose own rosterKnown is set counts as well.
+	// may lack others too. The reply of a peer whose own rosterKnown is set, and which names all instances, counts as well.
 	rosterKnown bool
 	// settledPeriods counts the heartbeat periods since rosterKnown was set or settleTimeout passed.
 	settledPeriods int
@@ -238,7 +238,7 @@
 	}
 	reply, err := peer.Call(ctx, d.options.Dialer, i.Address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: h}})
 	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
-		d.ApplyHeartbeat(reply.GetHeartbeat())
+		d.applyReply(h, reply.GetHeartbeat())
 		d.notifyHeartbeat(reply.GetHeartbeat(), sentAt)
 		return
 	}
@@ -301,6 +301,18 @@
 	return true
 }
 
+// applyReply applies the reply to a heartbeat that this instance sent. A peer that knows the other instances names all of
+// them in the reply to one that does not.
+func (d *Driver) applyReply(request, reply *wire.Heartbeat) {
+	d.ApplyHeartbeat(reply)
+	if request.GetSettled() || !reply.GetSettled() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rosterKnown = true
+}
+
 // ApplyHeartbeat updates the table by a peer's heartbeat.
 func (d *Driver) ApplyHeartbeat(h *wire.Heartbeat) {
 	now := d.options.Clock.Now()
@@ -316,7 +328,6 @@
 	version := d.table.Version()
 	d.table.ApplyRumours(rumours, now)
 	added := d.table.Version() != version
-	d.rosterKnown = d.rosterKnown || h.GetSettled()
 	d.mu.Unlock()
 	d.options.Revisions.RecordPeerRevision(h.GetRevision(), h.GetAddress())
 	d.handleChanges(changes)
