--- a/connection/capacity.go
+++ b/connection/capacity.go
@@ -62,13 +62,8 @@
 
 // updateCapacityLocked sets how many connections may be in use: as many as the window allows, plus those idle in a
 // transaction. A window smaller than maxDials is taken as maxDials, because statements to a distant endpoint spend most
-// of their time on the network. Borrowed connections have no window: their statements wait at the holder, whose window
-// covers the endpoint's slots. p.mu must be held.
+// of their time on the network. p.mu must be held.
 func (p *Pool) updateCapacityLocked() {
-	if p.options.Borrows {
-		p.queue.Resize(p.window.Limit())
-		return
-	}
 	size := max(p.window.Size(p.options.Clock.Now()), p.maxDials)
 	p.queue.Resize(min(size+p.idleInTx, p.window.Limit()))
 }
