--- a/connection/conn.go
+++ b/connection/conn.go
@@ -28,6 +28,10 @@
 // ErrUnsent marks the error of an exchange that sent nothing.
 var ErrUnsent = errors.New("nothing was sent")
 
+// ErrLender marks the error of an exchange that failed because of the instance that lends the connection. It says nothing
+// about the endpoint.
+var ErrLender = errors.New("lending instance failed")
+
 // ClassSetter is implemented by connections whose exchanges are queued at another instance.
 type ClassSetter interface {
 	// SetClass sets the class under which the following exchanges are queued.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -21,6 +21,7 @@
 	"siskincove/document"
 	"siskincove/endpoint"
 	"siskincove/event"
+	"siskincove/group"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
@@ -522,3 +523,47 @@
 		t.Error("the leaving endpoint was not chosen")
 	}
 }
+
+// TestLenderFails guards against a failed lending instance that counts as a failure of the endpoint: all statements of the
+// instance avoided the endpoint for a while, and those that only the primary may serve waited.
+func TestLenderFails(t *testing.T) {
+	lenderFails := func([]statement.Step) ([]statement.Answer, error) {
+		return nil, errors.Mark(errCut, connection.ErrLender)
+	}
+	tests := map[string]struct {
+		route   string
+		request statement.Request
+		scripts map[string][]script
+		want    outcome
+		sent    []string
+	}{
+		"read that only the primary may serve": {
+			route: "main", request: read("1"), scripts: map[string][]script{"p": {lenderFails}},
+			want: outcome{Receipt: "receipt of 1"}, sent: []string{"p: begin ", "p: begin ", "p: read 1", "p: rollback "},
+		},
+		"read at a replica": {
+			route: "history", request: read("1"), scripts: map[string][]script{"r": {lenderFails}},
+			want: outcome{Receipt: "receipt of 1"}, sent: []string{"r: read 1", "p: begin ", "p: read 1", "p: rollback "},
+		},
+		"write is not repeated": {
+			route: "main", request: write("1"), scripts: map[string][]script{"p": {lenderFails}},
+			want: outcome{Verdict: "may have run", Reason: verdict.Broken}, sent: []string{"p: write 1"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, e := open(t, test.route, test.scripts)
+			got := s.Run(context.Background(), test.request)
+			if diff := cmp.Diff(test.want, outcomeOf(got)); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(test.sent, e.sent); diff != "" {
+				t.Error(diff)
+			}
+			db, _ := s.dispatcher.options.Databases.Get("db")
+			if choices := db.Choose(group.Query{PrimaryOnly: true}); len(choices) == 0 {
+				t.Error("the primary is avoided")
+			}
+		})
+	}
+}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -108,7 +108,9 @@
 // handleNoAnswer handles a statement whose connection ended before the answer. A read, or a statement that was not sent,
 // is tried again; a write that was sent may have run and is not repeated.
 func (w *workItem) handleNoAnswer(j job, c group.Choice, pool *connection.Pool, err error, sent time.Time) (statement.Answer, bool) {
-	pool.CloseIdle()
+	if !errors.Is(err, connection.ErrLender) {
+		pool.CloseIdle()
+	}
 	if errors.Is(err, connection.ErrUnsent) {
 		w.recordFailure(j.request, c, verdict.New(verdict.NotRun, verdict.Broken, "connection was lost before the statement").WithCause(err), statement.Answer{}, sent)
 		return statement.Answer{}, false
--- a/dispatch/workitem.go
+++ b/dispatch/workitem.go
@@ -6,7 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincove/config"
+	"siskincove/connection"
 	"siskincove/database"
 	"siskincove/group"
 	"siskincove/limit"
@@ -194,12 +197,16 @@
 }
 
 // updateView updates the view of the group after an endpoint refused the statement, which was sent at the given time,
-// and excludes the endpoint from the next attempts of the round.
+// and excludes the endpoint from the next attempts of the round. A failure of the instance that lends the connection says
+// nothing about the endpoint, which another instance may lend.
 func (w *workItem) updateView(c group.Choice, failure *verdict.Error, a statement.Answer, sent time.Time) {
 	name := c.Endpoint.Name
 	w.lastFailure = failure
 	w.query.Tried = append(w.query.Tried, name)
 	w.round = w.round.with(failure)
+	if errors.Is(failure, connection.ErrLender) {
+		return
+	}
 	switch failure.Reason {
 	case verdict.Overload:
 		w.database.RecordBusy(name)
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -42,7 +42,7 @@
 func (d Dialer) Dial(ctx context.Context, e config.Endpoint) (connection.Conn, error) {
 	asked := 0
 	for _, holder := range d.Holders(e) {
-		if !d.Health.Responds(holder.Address) {
+		if !d.Health.MayAsk(holder.Address, e.Name) {
 			continue
 		}
 		if asked++; asked > maxHoldersAsked {
@@ -55,7 +55,7 @@
 			}}})
 		}
 		if err == nil {
-			return d.newConn(stream, holder.Address), nil
+			return d.newConn(stream, holder.Address, e.Name), nil
 		}
 		d.OnUnreachable(holder.Address)
 		d.Logger.Log(event.HolderUnreachable, log.Fields{"endpoint": e.Name, "holder": holder.ID, "error": err.Error()})
--- a/loan/health.go
+++ b/loan/health.go
@@ -1,6 +1,7 @@
 package loan
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,6 +13,9 @@
 	// doubles the pause. In the first one heartbeats tell whether the holder is dead.
 	minSilencePause = time.Second
 	maxSilencePause = 2 * time.Second
+	// refusalPause is how long a holder is not asked again for an endpoint that it does not hold. Views of the instances
+	// agree again within a few rounds of heartbeats.
+	refusalPause = time.Second
 )
 
 // silence records how long a holder is not to be asked because it did not answer. It is an immutable value.
@@ -33,7 +37,19 @@
 // holderState is what a borrower knows of a holder, and its connections there.
 type holderState struct {
 	silence silence
-	conns   map[*Conn]struct{}
+	// refusedUntil is until when the holder is not asked for connections to an endpoint that it does not hold.
+	refusedUntil map[string]time.Time
+	conns        map[*Conn]struct{}
+}
+
+// active reports whether the state still keeps the holder from being asked.
+func (s *holderState) active(now time.Time) bool {
+	for _, until := range s.refusedUntil {
+		if now.Before(until) {
+			return true
+		}
+	}
+	return now.Before(s.silence.until)
 }
 
 // Health tracks, for all borrowed connections of an instance, which holders answer. A holder answers before the deadline of
@@ -50,12 +66,34 @@
 	return &Health{clock: clk, holders: make(map[string]*holderState)}
 }
 
-// Responds reports whether the holder at an address may be asked: it has not failed to answer recently.
-func (h *Health) Responds(address string) bool {
+// MayAsk reports whether the holder at an address may be asked for a connection to an endpoint: it has neither failed to answer
+// recently nor said that it does not lend connections to that endpoint.
+func (h *Health) MayAsk(address, endpoint string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.holders[address]
+	if !ok {
+		return true
+	}
+	now := h.clock.Now()
+	return !now.Before(s.silence.until) && !now.Before(s.refusedUntil[endpoint])
+}
+
+// recordRefusal records that the holder at an address does not lend connections to an endpoint: it is leaving, or its view of
+// the instances differs from this one's.
+func (h *Health) recordRefusal(address, endpoint string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s, ok := h.holders[address]
-	return !ok || !h.clock.Now().Before(s.silence.until)
+	if !ok {
+		return
+	}
+	now := h.clock.Now()
+	maps.DeleteFunc(s.refusedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if s.refusedUntil == nil {
+		s.refusedUntil = make(map[string]time.Time)
+	}
+	s.refusedUntil[endpoint] = now.Add(refusalPause)
 }
 
 // add records a connection to the holder at an address.
@@ -79,7 +117,7 @@
 		return
 	}
 	delete(s.conns, c)
-	if len(s.conns) == 0 && !h.clock.Now().Before(s.silence.until) {
+	if len(s.conns) == 0 && !s.active(h.clock.Now()) {
 		delete(h.holders, address)
 	}
 }
--- a/loan/health_test.go
+++ b/loan/health_test.go
@@ -144,3 +144,30 @@
 		})
 	}
 }
+
+// TestRefusingHolder guards against statements that ask the same holder again and again for an endpoint that it does not
+// hold, because its view of the instances differs; it may still be asked for others.
+func TestRefusingHolder(t *testing.T) {
+	clk := clock.NewManual(time.Unix(1000, 0))
+	h := NewHealth(clk)
+	h.add("h1", &Conn{})
+	h.recordRefusal("h1", "e1")
+	tests := map[string]struct {
+		after    time.Duration
+		endpoint string
+		want     bool
+	}{
+		"at once":        {endpoint: "e1", want: false},
+		"other endpoint": {endpoint: "e2", want: true},
+		"later":          {after: refusalPause, endpoint: "e1", want: true},
+	}
+	for _, name := range []string{"at once", "other endpoint", "later"} {
+		test := tests[name]
+		t.Run(name, func(t *testing.T) {
+			clk.Advance(test.after)
+			if diff := cmp.Diff(test.want, h.MayAsk("h1", test.endpoint)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -186,7 +186,7 @@
 func (l *loan) acquire(ctx context.Context, class limit.Class, deadline time.Time) error {
 	pool, ok := l.lender.options.Pool(l.request)
 	if !ok {
-		return verdict.New(verdict.NotRun, verdict.Unreachable, "instance does not hold connections to %s", l.request.GetEndpoint())
+		return verdict.New(verdict.NotRun, verdict.Leaving, "instance does not hold connections to %s", l.request.GetEndpoint())
 	}
 	conn, err := pool.Acquire(ctx, class, deadline, l.settings)
 	if err != nil {
