store, platform/rows: versions that hold the era of the store

Cause of what would break: versions were compared as numbers. A feed took the larger of two versions and would wait for what is lost; a conditional write prepared before could pass on another row with the same number; a fencing token could be given out twice; a configuration was ordered by the version of its row; an instance whose row was lost never registered again. Change: store.Version orders by era, then number; only platform/rows reads the header Store-Era. Fencing tokens have the era above 32 bits, hold terms a part of their block for each of four eras. Configurations are ordered by the operator's version, also among peers. A new era travels in the versions of heartbeats; each instance then reads the list of instances and registers again (event 316). The stand-in can be restored from a copy and counts eras from 1 (TestScan expects that).

--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -27,7 +27,7 @@
 
 var errLost = errors.New("answer lost")
 
-func (r *lossyRows) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
+func (r *lossyRows) Commit(ctx context.Context, t store.Transaction) (store.Version, error) {
 	r.commits++
 	if r.commits != r.loseAt {
 		return r.Rows.Commit(ctx, t)
--- a/directory/changes.go
+++ b/directory/changes.go
@@ -20,7 +20,7 @@
 }
 
 // ChangesSince returns the changes after a version of the store, and false if they are not known completely.
-func (s Snapshot) ChangesSince(version uint64) (Changes, bool) {
+func (s Snapshot) ChangesSince(version store.Version) (Changes, bool) {
 	if version == 0 || version < s.recordedFrom {
 		return Changes{}, false
 	}
@@ -67,8 +67,8 @@
 
 // withDelisted returns the snapshot with the endpoints that were delisted before, without those that are listed again, and
 // with those that the difference found to be missing or removed at a version of the store.
-func (s Snapshot) withDelisted(before map[string]uint64, diff Difference, version uint64) Snapshot {
-	s.delisted = make(map[string]uint64, len(before))
+func (s Snapshot) withDelisted(before map[string]store.Version, diff Difference, version store.Version) Snapshot {
+	s.delisted = make(map[string]store.Version, len(before))
 	for name, at := range before {
 		if e, known := s.entries[name]; !known || !e.missingSince.IsZero() {
 			s.delisted[name] = at
--- a/directory/changes_test.go
+++ b/directory/changes_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"siskincove/store"
 )
 
 // listedRows returns the values of the listed rows by name.
@@ -24,7 +26,7 @@
 func TestChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const readers = 3
-		table, version := map[string]string{}, uint64(0)
+		table, version := map[string]string{}, store.Version(0)
 		var snapshots [readers]Snapshot
 		ignore := func(string, error) {}
 		names := rapid.SampledFrom([]string{"e1", "e2", "e3", "e4", "e5"})
@@ -75,7 +77,7 @@
 	delete(table, "e2")
 	s, _ = s.With(rows(table), 20, wordDecoder{}, epoch, ignore)
 	tests := map[string]struct {
-		since    uint64
+		since    store.Version
 		complete bool
 		rows     int
 		delisted int
@@ -98,7 +100,7 @@
 // TestDelistedBounded guards against a record of departed endpoints that only grows.
 func TestDelistedBounded(t *testing.T) {
 	s := Snapshot{}
-	for n := range uint64(3 * maxDelisted) {
+	for n := range store.Version(3 * maxDelisted) {
 		s, _ = s.With(rows(map[string]string{fmt.Sprintf("e%d", n): "replica leaving 1"}), n+1, wordDecoder{}, epoch, func(string, error) {})
 	}
 	if len(s.delisted) > maxDelisted {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -97,13 +97,11 @@
 	return d.endpointsLoaded && d.options.Clock.Now().Sub(d.endpointsLoadedAt) >= missingGrace
 }
 
-// updateConfiguration applies the configuration row unless the current row or configuration has the same or a later version.
+// updateConfiguration applies the configuration row unless the current configuration has the same or a later version. The
+// versions of rows do not count, since the store may be restored from a copy with an older row.
 func (d *Directory) updateConfiguration(row store.Row, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if row.Version <= d.configurationRow.Version {
-		return
-	}
 	configuration, err := d.options.Decoder.Configuration(row.Value)
 	if err != nil {
 		d.options.Logger.Log(event.RevisionReadFailed, log.Fields{"version": row.Version, "from": source, "error": err.Error()})
@@ -121,7 +119,7 @@
 
 // updateEndpoints applies the endpoint rows that were read at a version of the store, unless those of the same or a later
 // version are known.
-func (d *Directory) updateEndpoints(rows []store.Row, version uint64, source string) {
+func (d *Directory) updateEndpoints(rows []store.Row, version store.Version, source string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if version <= d.snapshot.Version() && d.endpointsLoaded {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -14,7 +14,7 @@
 // TestConfigurationOrder guards against a newer configuration being replaced by an older row that arrives late. The decoder
 // takes the length of the value as the version of the configuration.
 func TestConfigurationOrder(t *testing.T) {
-	row := func(version uint64, value string) store.Row {
+	row := func(version store.Version, value string) store.Row {
 		return store.Row{Key: store.Key{Table: "o", Key: "c"}, Version: version, Value: []byte(value)}
 	}
 	tests := map[string]struct {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -47,7 +47,7 @@
 // ShouldFollow reports true. Other instances learn of changes from peers.
 func (d *Directory) followConfiguration(ctx context.Context) {
 	table, key := d.options.Decoder.ConfigurationRow()
-	after, loaded := uint64(0), false
+	after, loaded := store.Version(0), false
 	backoff := retryMin
 	for ctx.Err() == nil {
 		var err error
@@ -77,7 +77,7 @@
 }
 
 // readConfiguration reads and applies the configuration row. It returns the version of the store at which it was read.
-func (d *Directory) readConfiguration(ctx context.Context, table, key string) (uint64, error) {
+func (d *Directory) readConfiguration(ctx context.Context, table, key string) (store.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	page, err := d.options.Rows.Range(ctx, table, "", key, "")
@@ -94,7 +94,7 @@
 
 // followChanges waits for changes after a version of the store and applies those of the configuration row. It returns the
 // version up to which it has seen all changes.
-func (d *Directory) followChanges(ctx context.Context, table, key string, after uint64) (uint64, error) {
+func (d *Directory) followChanges(ctx context.Context, table, key string, after store.Version) (store.Version, error) {
 	callCtx, cancel := context.WithTimeout(ctx, followWait+followGrace)
 	defer cancel()
 	changes, err := d.options.Rows.Follow(callCtx, table, after, followWait)
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -14,13 +14,14 @@
 	// Digest is the Snapshot.Digest of the peer that made the offer.
 	Digest uint64
 	// EndpointsVersion is the store version at which the endpoints last changed.
-	EndpointsVersion uint64
+	EndpointsVersion store.Version
 }
 
-// Versions are the store versions of an instance's configuration and endpoints.
+// Versions are the version that the operator gave an instance's configuration, which a restored store does not change, and
+// the store version of its endpoints.
 type Versions struct {
 	Configuration uint64
-	Endpoints     uint64
+	Endpoints     store.Version
 }
 
 // NewerThan reports whether the configuration or the endpoints of v are newer than those of other.
@@ -32,7 +33,7 @@
 func (d *Directory) Versions() Versions {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Versions{Configuration: d.configurationRow.Version, Endpoints: d.snapshot.Version()}
+	return Versions{Configuration: d.configuration.Version, Endpoints: d.snapshot.Version()}
 }
 
 // Offer returns the configuration and the endpoints, each only if it is newer than the peer's. If the peer accepts changes,
@@ -41,7 +42,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var o Offer
-	if d.configurationRow.Version > peer.Configuration {
+	if d.configuration.Version > peer.Configuration {
 		o.Configuration = d.configurationRow
 	}
 	if d.snapshot.Version() <= peer.Endpoints {
@@ -60,7 +61,7 @@
 // Accept applies the parts of a peer's offer that are newer than the current configuration or endpoints. It returns false if
 // the offered changes of the endpoints do not lead to the peer's endpoints, so that all of them are needed.
 func (d *Directory) Accept(o Offer) bool {
-	if o.Configuration.Version > 0 {
+	if len(o.Configuration.Value) > 0 {
 		d.updateConfiguration(o.Configuration, sourcePeer)
 	}
 	if o.EndpointsVersion == 0 {
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -18,7 +18,7 @@
 	// 7 s.
 	missingGrace = 4 * time.Second
 	// notPromoted is the promotedVersion of entries that are not primary.
-	notPromoted = 0
+	notPromoted = store.Version(0)
 )
 
 // entry is a registered endpoint, with its row in the store and what was observed over several reads.
@@ -26,9 +26,9 @@
 	row          store.Row
 	registration Registration
 	// promotedVersion is the store version at which the endpoint was first seen as primary, notPromoted while it is not.
-	promotedVersion uint64
+	promotedVersion store.Version
 	// changedAt is the store version at which the present registration was first read.
-	changedAt uint64
+	changedAt store.Version
 	// digest is a hash of the name and the registration.
 	digest uint64
 	// missingSince is when the endpoint was first found not to be listed; zero while it is listed.
@@ -37,16 +37,16 @@
 
 // Snapshot is the set of endpoints registered at one version of the store. It is an immutable value.
 type Snapshot struct {
-	version uint64
+	version store.Version
 	entries map[string]entry
 	// delisted holds the endpoints that are no longer listed, with the store version at which that was first read. It and
 	// entry.changedAt cover all changes after recordedFrom.
-	delisted     map[string]uint64
-	recordedFrom uint64
+	delisted     map[string]store.Version
+	recordedFrom store.Version
 }
 
 // Version returns the store version at which the endpoints last changed.
-func (s Snapshot) Version() uint64 { return s.version }
+func (s Snapshot) Version() store.Version { return s.version }
 
 // Rows returns the rows of the endpoints that are listed.
 func (s Snapshot) Rows() []store.Row {
@@ -72,7 +72,7 @@
 
 // With returns the snapshot after the whole endpoint table was read at a version of the store, and what differs from s. Rows
 // that can't be decoded are skipped and their names passed to unreadable.
-func (s Snapshot) With(rows []store.Row, version uint64, decoder Decoder, now time.Time, unreadable func(string, error)) (Snapshot, Difference) {
+func (s Snapshot) With(rows []store.Row, version store.Version, decoder Decoder, now time.Time, unreadable func(string, error)) (Snapshot, Difference) {
 	next := Snapshot{version: s.version, entries: make(map[string]entry, len(rows)), recordedFrom: s.recordedFrom}
 	if s.version == 0 {
 		next.recordedFrom = version
@@ -97,7 +97,7 @@
 		}
 	}
 	next = next.withDelisted(s.delisted, diff, version)
-	if !diff.Empty() {
+	if !diff.Empty() || version.Era() > s.version.Era() {
 		next.version = version
 	}
 	return next, diff
@@ -112,7 +112,7 @@
 }
 
 // newEntry returns the entry for a row, and true if the endpoint is new, listed again or registered with other values.
-func (s Snapshot) newEntry(name string, row store.Row, registration Registration, version uint64) (entry, bool) {
+func (s Snapshot) newEntry(name string, row store.Row, registration Registration, version store.Version) (entry, bool) {
 	previous, known := s.entries[name]
 	e := entry{row: row, registration: registration, promotedVersion: previous.promotedVersion, changedAt: previous.changedAt, digest: previous.digest}
 	switch {
@@ -161,7 +161,7 @@
 func (s Snapshot) endpoints(regions map[string]string) ([]config.Endpoint, map[string]string) {
 	out := make([]config.Endpoint, 0, len(s.entries))
 	primaries := make(map[string]string)
-	latestPromotion := make(map[string]uint64)
+	latestPromotion := make(map[string]store.Version)
 	for _, e := range s.entries {
 		member := e.registration.Endpoint
 		member.Domain = regions[member.Domain] + "/" + member.Domain
--- a/directory/snapshot_test.go
+++ b/directory/snapshot_test.go
@@ -51,7 +51,7 @@
 // tableRead is the endpoint table as read at a store version, some time after epoch.
 type tableRead struct {
 	after   time.Duration
-	version uint64
+	version store.Version
 	rows    map[string]string
 }
 
@@ -61,7 +61,7 @@
 		reads      []tableRead
 		endpoints  []string
 		primary    string
-		version    uint64
+		version    store.Version
 		unreadable []string
 	}{
 		"first read": {reads: []tableRead{{version: 5, rows: both}}, endpoints: []string{"p", "r"}, primary: "p", version: 5},
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,6 +52,7 @@
 	ConfigurationApplied = define(313, log.InfoLevel, "directory", "configuration applied", "The operator's configuration of this version is in use; from tells whether the store or a peer supplied it.")
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
+	StoreRestored        = define(316, log.WarnLevel, "directory", "store restored from a copy", "The store lost what was written in its last seconds; era counts the restores. The instance registers itself again if its row is missing.")
 )
 
 // Endpoint events, 400 to 499.
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -37,7 +37,8 @@
 func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
 	v := i.directory.Versions()
-	h.Configuration, h.Endpoints = v.Configuration, v.Endpoints
+	i.observeEra(v.Endpoints.Era())
+	h.Configuration, h.Endpoints = v.Configuration, uint64(v.Endpoints)
 	if request == nil {
 		h.Interests = i.interests()
 		return
@@ -45,6 +46,17 @@
 	h.Leads = i.leadsFor(request.GetInterests())
 }
 
+// observeEra reads the list of instances again once the store has been restored from a copy, which may lack this instance.
+// Those that read the store see a new era first; the versions in heartbeats tell it to the others.
+func (i *Instance) observeEra(era uint64) {
+	before := i.era.Swap(era)
+	if before == 0 || era <= before {
+		return
+	}
+	i.options.Logger.Log(event.StoreRestored, log.Fields{"era": era, "before": before})
+	i.members.RereadRoster()
+}
+
 // interests returns the hashes of the databases that callers of this instance use or that it coordinates.
 func (i *Instance) interests() []uint32 {
 	var out []uint32
@@ -111,7 +123,7 @@
 			i.recordLead(d, lead, sentAt)
 		}
 	}
-	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: h.GetEndpoints()}
+	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: store.Version(h.GetEndpoints())}
 	if peerVersions.NewerThan(i.directory.Versions()) {
 		i.fetchDirectory(peerVersions, h.GetAddress())
 	}
@@ -156,14 +168,14 @@
 	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
-		Configuration: than.Configuration, Endpoints: than.Endpoints, Changes: acceptsChanges,
+		Configuration: than.Configuration, Endpoints: uint64(than.Endpoints), Changes: acceptsChanges,
 	}}})
 	if err != nil {
 		return directory.Offer{}, err
 	}
 	received := reply.GetOffer()
 	out := directory.Offer{
-		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: received.GetVersion(),
+		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: store.Version(received.GetVersion()),
 		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
 	}
 	for _, row := range received.GetEndpoints() {
@@ -191,9 +203,9 @@
 	if inquiry == nil {
 		return false
 	}
-	offer := i.directory.Offer(directory.Versions{Configuration: inquiry.GetConfiguration(), Endpoints: inquiry.GetEndpoints()}, inquiry.GetChanges())
+	offer := i.directory.Offer(directory.Versions{Configuration: inquiry.GetConfiguration(), Endpoints: store.Version(inquiry.GetEndpoints())}, inquiry.GetChanges())
 	answer := &wire.Offer{
-		Configuration: toRow(offer.Configuration), Version: offer.EndpointsVersion, Partial: offer.Partial, Delisted: offer.Delisted,
+		Configuration: toRow(offer.Configuration), Version: uint64(offer.EndpointsVersion), Partial: offer.Partial, Delisted: offer.Delisted,
 		Digest: offer.Digest,
 	}
 	for _, row := range offer.Endpoints {
@@ -203,11 +215,11 @@
 }
 
 func toRow(row store.Row) *wire.Row {
-	return &wire.Row{Key: row.Key.Key, Value: row.Value, Version: row.Version}
+	return &wire.Row{Key: row.Key.Key, Value: row.Value, Version: uint64(row.Version)}
 }
 
 func fromRow(row *wire.Row) store.Row {
-	return store.Row{Key: store.Key{Key: row.GetKey()}, Value: row.GetValue(), Version: row.GetVersion()}
+	return store.Row{Key: store.Key{Key: row.GetKey()}, Value: row.GetValue(), Version: store.Version(row.GetVersion())}
 }
 
 // announce sends a heartbeat with the lead of a database to every live peer at once, so that they learn of a new primary
--- a/hosted/health.go
+++ b/hosted/health.go
@@ -114,7 +114,7 @@
 	v := i.directory.Versions()
 	out := Status{
 		Instance: i.options.Settings.Instance.ID, Domain: i.options.Settings.Instance.Domain, Ready: h.ready(),
-		Configuration: v.Configuration, Endpoints: v.Endpoints, Sessions: i.callers.Sessions(), Peers: len(i.members.Instances()),
+		Configuration: v.Configuration, Endpoints: uint64(v.Endpoints), Sessions: i.callers.Sessions(), Peers: len(i.members.Instances()),
 	}
 	now := i.options.Clock.Now()
 	for _, d := range i.databases.All() {
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -418,3 +418,50 @@
 		t.Errorf("%d further requests for changes after one, from %d instances in %d domains", calls, instances, domains)
 	}
 }
+
+// TestRestoredStore guards against instances that go back to an older configuration, can't find each other or miss later
+// changes when the platform's store is restored from a copy some seconds old, while some of them restart.
+func TestRestoredStore(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 2)
+	write := func(version int) {
+		d.store.Write("op", "config", map[string]any{
+			"version":  version,
+			"routes":   []map[string]any{{"name": "r1", "host": "main", "type": "primary", "service": "g", "timeout-ms": 4000}},
+			"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}}, "limits": map[string]any{},
+		})
+	}
+	applied := func(version uint64) func() bool {
+		return func() bool {
+			for _, i := range d.instances {
+				if i.directory.ConfigurationVersion() != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	d.eventually("registered", func() bool { return len(d.store.Rows("instances")) == 2 })
+	old := d.store.Copy()
+	write(10)
+	third := d.start(2)
+	d.eventually("third instance registered", func() bool { return len(d.store.Rows("instances")) == 3 })
+	d.eventually("configuration in force before the restore", applied(10))
+	d.store.Restore(old)
+	restarted := d.startWithSeeds(3, d.instances[0].options.Settings.Listen.Peers)
+	d.eventually("restarted instance has the newest configuration that any has", func() bool { return restarted.directory.ConfigurationVersion() == 10 })
+	d.eventually("third instance is listed again", func() bool {
+		_, listed := d.store.Rows("instances")[third.options.Settings.Instance.ID]
+		return listed
+	})
+	if !applied(10)() {
+		t.Error("an instance went back to an older configuration")
+	}
+	write(11)
+	d.eventually("change after the restore", applied(11))
+	d.store.Restore(old)
+	d.store.Restore(old)
+	write(12)
+	d.eventually("change after two more restores", applied(12))
+	d.mustQuery(d.dial(0, "main"), "q1", "WRITE x one")
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -60,6 +60,8 @@
 	health       *health
 	// redistributor divides connections and coordinators again after changes of the live instances.
 	redistributor *redistributor
+	// era is the latest era of the store that the directory has, 0 before the first.
+	era atomic.Uint64
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
 	fetchMu sync.Mutex
 }
--- a/member/driver.go
+++ b/member/driver.go
@@ -85,6 +85,8 @@
 	pushRequested chan struct{}
 	// probeRequested holds a value after ProbeSoon until the next round of heartbeats.
 	probeRequested chan struct{}
+	// rosterRequested holds a value after RereadRoster until the roster is read.
+	rosterRequested chan struct{}
 
 	mu      sync.Mutex
 	table   *Table
@@ -113,7 +115,7 @@
 	}
 	d := &Driver{
 		options: o, started: o.Clock.Now(), done: make(chan struct{}), pushRequested: make(chan struct{}, 1),
-		probeRequested: make(chan struct{}, 1), table: NewTable(o.Self),
+		probeRequested: make(chan struct{}, 1), rosterRequested: make(chan struct{}, 1), table: NewTable(o.Self),
 		ownerOrders: make(map[string][]Instance), lastOwner: make(map[string]string),
 	}
 	if o.PresumeUnproven {
--- a/member/roster.go
+++ b/member/roster.go
@@ -23,10 +23,11 @@
 
 // Roster is the list of instances in the store. Each instance registers itself and removes its row when it leaves.
 type Roster struct {
-	rows       store.Rows
-	self       Instance
-	logger     *event.Logger
-	registered atomic.Bool
+	rows   store.Rows
+	self   Instance
+	logger *event.Logger
+	// registeredEra is one more than the store's era in which this instance was found to be listed, 0 if it was not.
+	registeredEra atomic.Uint64
 }
 
 // NewRoster returns the roster as read and written by the instance self.
@@ -43,29 +44,31 @@
 func (r *Roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
 
 // List returns all registered instances; rows that can't be decoded are logged and skipped. It registers this instance
-// once, unless its row from before a restart is still right: when all instances restart at once, the store can serve their
-// reads but not as many writes.
+// once in each era of the store, unless its row from before a restart is still right: when all instances restart at once, the
+// store can serve their reads but not as many writes.
 func (r *Roster) List(ctx context.Context) ([]Instance, error) {
-	out, err := r.read(ctx)
-	if err != nil || r.registered.Load() {
+	out, era, err := r.read(ctx)
+	if err != nil || r.registeredEra.Load() == era+1 {
 		return out, err
 	}
 	for _, i := range out {
 		if i.ID == r.self.ID && i.Address == r.self.Address && i.Domain == r.self.Domain {
-			r.registered.Store(true)
+			r.registeredEra.Store(era + 1)
 			return out, nil
 		}
 	}
 	if err := r.register(ctx); err != nil {
 		return nil, err
 	}
-	return r.read(ctx)
+	out, _, err = r.read(ctx)
+	return out, err
 }
 
-func (r *Roster) read(ctx context.Context) ([]Instance, error) {
+// read returns the listed instances and the store's era.
+func (r *Roster) read(ctx context.Context) ([]Instance, uint64, error) {
 	page, err := store.Scan(ctx, r.rows, rosterTable, "", "")
 	if err != nil {
-		return nil, errors.Wrap(err, "reading the list of instances")
+		return nil, 0, errors.Wrap(err, "reading the list of instances")
 	}
 	out := make([]Instance, 0, len(page.Rows))
 	for _, row := range page.Rows {
@@ -76,7 +79,7 @@
 		}
 		out = append(out, Instance{ID: row.Key.Key, Address: decoded.Address, Domain: decoded.Domain})
 	}
-	return out, nil
+	return out, page.Version.Era(), nil
 }
 
 func (r *Roster) register(ctx context.Context) error {
@@ -84,10 +87,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encoding the roster row of this instance")
 	}
-	if _, err := r.rows.Commit(ctx, store.Transaction{Puts: []store.Row{{Key: r.key(), Value: value}}}); err != nil {
+	version, err := r.rows.Commit(ctx, store.Transaction{Puts: []store.Row{{Key: r.key(), Value: value}}})
+	if err != nil {
 		return errors.Wrap(err, "registering this instance")
 	}
-	r.registered.Store(true)
+	r.registeredEra.Store(version.Era() + 1)
 	return nil
 }
 
--- a/member/rosterloop.go
+++ b/member/rosterloop.go
@@ -18,10 +18,27 @@
 		case <-ctx.Done():
 			return
 		case <-d.options.Clock.After(pause):
+		case <-d.rosterRequested:
+			d.forgetRoster()
 		}
 	}
 }
 
+// RereadRoster requests that the roster is read again soon, since the store may have lost rows of it.
+func (d *Driver) RereadRoster() {
+	select {
+	case d.rosterRequested <- struct{}{}:
+	default:
+	}
+}
+
+// forgetRoster makes this instance read the roster itself until that lists it again.
+func (d *Driver) forgetRoster() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.ForgetListed()
+}
+
 // mayTrustPeers reports whether this instance need not read the roster now, since it has read one that lists it and another
 // instance does so.
 func (d *Driver) mayTrustPeers() bool {
--- a/member/table.go
+++ b/member/table.go
@@ -143,6 +143,9 @@
 // Listed reports whether the roster read last lists an instance.
 func (t *Table) Listed(id string) bool { return t.listed[id] }
 
+// ForgetListed discards which instances the roster lists; the instances themselves stay known.
+func (t *Table) ForgetListed() { t.listed = make(map[string]bool) }
+
 func (t *Table) forgetDead(now time.Time) {
 	for id, i := range t.instances {
 		if i.State == Dead && !t.listed[id] && now.Sub(i.Since) > forgetDeadAfter {
--- a/standin/hosting/serve.go
+++ b/standin/hosting/serve.go
@@ -32,10 +32,30 @@
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
 		s.mu.Unlock()
-		next(w, r)
+		next(eraWriter{ResponseWriter: w, store: s}, r)
 	}
 }
 
+// eraWriter adds the store's era, as of the moment of the answer, to a response.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader writes the era with the other headers.
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set("Store-Era", strconv.FormatUint(w.store.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes the headers first if they have not been written.
+func (w eraWriter) Write(data []byte) (int, error) {
+	if w.Header().Get("Store-Era") == "" {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 // awaitNotSilent returns the faults once the store is not silent, and false if the client disconnects first.
 func (s *Store) awaitNotSilent(r *http.Request) (StoreFaults, bool) {
 	for {
@@ -156,7 +176,7 @@
 func (s *Store) changesSince(table string, after uint64) ([]Row, uint64, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.droppedUpTo {
+	if after < s.droppedUpTo || after > s.version {
 		return nil, 0, true, nil
 	}
 	var out []Row
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -5,8 +5,10 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +48,9 @@
 	listener net.Listener
 	server   *http.Server
 
+	// era counts the restores, from 1.
+	era atomic.Uint64
+
 	mu      sync.Mutex
 	version uint64
 	rows    map[string]Row
@@ -73,6 +78,7 @@
 		listener: listener, rows: make(map[string]Row), objects: make(map[string][]byte), changed: make(chan struct{}),
 		calls: make(map[string]int),
 	}
+	s.era.Store(1)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /control/fault", s.serveFault)
 	mux.HandleFunc("POST /rows-tx", s.withFaults(s.transact))
@@ -131,6 +137,30 @@
 	s.notify()
 }
 
+// Copy is the content of a store at some moment.
+type Copy struct {
+	version     uint64
+	rows        map[string]Row
+	history     []Row
+	droppedUpTo uint64
+}
+
+// Copy returns a copy of the rows and their history.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{version: s.version, rows: maps.Clone(s.rows), history: slices.Clone(s.history), droppedUpTo: s.droppedUpTo}
+}
+
+// Restore replaces the content by a copy: what was written since is lost, and its versions are given out again in a new era.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era.Add(1)
+	s.version, s.rows, s.history, s.droppedUpTo = c.version, maps.Clone(c.rows), slices.Clone(c.history), c.droppedUpTo
+	s.notify()
+}
+
 func (s *Store) put(r Row) {
 	r.Version = s.version
 	if r.Tombstone {
--- a/store/metered.go
+++ b/store/metered.go
@@ -19,7 +19,7 @@
 }
 
 // Commit implements Rows. It counts the call under the table of the first change.
-func (m Metered) Commit(ctx context.Context, t Transaction) (uint64, error) {
+func (m Metered) Commit(ctx context.Context, t Transaction) (Version, error) {
 	table := ""
 	switch {
 	case len(t.Puts) > 0:
@@ -38,7 +38,7 @@
 }
 
 // Follow implements Rows.
-func (m Metered) Follow(ctx context.Context, table string, after uint64, maxWait time.Duration) (Changes, error) {
+func (m Metered) Follow(ctx context.Context, table string, after Version, maxWait time.Duration) (Changes, error) {
 	countCall("follow", table)
 	return m.rows.Follow(ctx, table, after, maxWait)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -17,13 +17,13 @@
 type Row struct {
 	Key     Key
 	Value   []byte
-	Version uint64
+	Version Version
 }
 
 // Expectation is the version that a row must have for a transaction to be applied; 0 means that the row must not exist.
 type Expectation struct {
 	Key     Key
-	Version uint64
+	Version Version
 }
 
 // Transaction is a set of changes applied atomically if every row in Expect has the expected version. All its rows must be
@@ -39,7 +39,7 @@
 type Page struct {
 	Rows    []Row
 	More    bool
-	Version uint64
+	Version Version
 }
 
 // Change is a row that was stored or, if Deleted is set, deleted.
@@ -51,19 +51,19 @@
 // Changes are the changes of a table after some version, in order. The next call of Rows.Follow resumes after Version.
 type Changes struct {
 	Changes []Change
-	Version uint64
+	Version Version
 }
 
 // Rows gives access to the tables of the store. After an error other than ErrConflict, ErrCompacted or ErrRejected, the
 // outcome of a transaction is unknown.
 type Rows interface {
 	// Commit applies a transaction and returns its version, or ErrConflict if an expectation does not hold.
-	Commit(ctx context.Context, t Transaction) (uint64, error)
+	Commit(ctx context.Context, t Transaction) (Version, error)
 	// Range returns the rows of a part with from <= key < to; an empty to means no upper bound.
 	Range(ctx context.Context, table, part, from, to string) (Page, error)
 	// Follow returns the changes of a table after a version, waiting up to maxWait for the first. ErrCompacted means that
 	// the store no longer has the history since that version, so that the table has to be read again.
-	Follow(ctx context.Context, table string, after uint64, maxWait time.Duration) (Changes, error)
+	Follow(ctx context.Context, table string, after Version, maxWait time.Duration) (Changes, error)
 }
 
 // Objects gives access to a store of immutable byte strings.
--- a/store/update_test.go
+++ b/store/update_test.go
@@ -98,7 +98,7 @@
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
-	if diff := cmp.Diff(uint64(count), page.Version); diff != "" {
+	if diff := cmp.Diff(store.NewVersion(1, count), page.Version); diff != "" {
 		t.Errorf("version: %s", diff)
 	}
 }
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -64,11 +64,17 @@
 }
 
 // termBlockSize is the number of terms in a block. A succession takes the term of its holds from the block after that of the
-// highest term it has seen, at an offset given by its fencing token, which no other succession has. Fewer than
-// termBlockSize successions see the same highest term, so that their terms differ.
-const termBlockSize = 1 << 10
+// highest term it has seen, at an offset given by its fencing token, which no other succession has. A block has a part for
+// each of erasPerBlock eras of the store in turn. Fewer than termsPerEra successions of one era see the same highest term, and
+// a copy from which the store is restored is only seconds old, so that their terms differ.
+const (
+	termBlockSize = 1 << 10
+	erasPerBlock  = 1 << 2
+	termsPerEra   = termBlockSize / erasPerBlock
+)
 
 // holdTerm returns a term above highest that no other succession uses for its holds.
 func holdTerm(highest endpoint.FencedTerm, fencingToken uint64) endpoint.FencedTerm {
-	return (highest/termBlockSize+1)*termBlockSize + endpoint.FencedTerm(fencingToken%termBlockSize)
+	offset := tokenEra(fencingToken)%erasPerBlock*termsPerEra + tokenNumber(fencingToken)%termsPerEra
+	return (highest/termBlockSize+1)*termBlockSize + endpoint.FencedTerm(offset)
 }
--- a/succession/reservation.go
+++ b/succession/reservation.go
@@ -12,8 +12,20 @@
 // fenceTable holds the next free fencing token of each database.
 const fenceTable = "fences"
 
+// tokenNumberBits is how many bits of a fencing token hold the number that the store counts; the store's era is above them.
+const tokenNumberBits = 32
+
+// newToken returns the fencing token with a number in an era of the store. A store that was restored from a copy counts some
+// numbers again, in a later era.
+func newToken(era, number uint64) uint64 { return era<<tokenNumberBits | number }
+
+// tokenEra and tokenNumber return the parts of a fencing token.
+func tokenEra(token uint64) uint64    { return token >> tokenNumberBits }
+func tokenNumber(token uint64) uint64 { return token & (1<<tokenNumberBits - 1) }
+
 // ReserveFence reserves a fencing token of a database in the store. The token is above all reserved before, and no other
-// call gets it. If the store's answer is lost, the token may be reserved and is then never used.
+// call gets it, also if the store is restored from a copy. If the store's answer is lost, the token may be reserved and is
+// then never used.
 func ReserveFence(ctx context.Context, rows store.Rows, database string) (uint64, error) {
 	key := store.Key{Table: fenceTable, Key: database}
 	row, err := store.Get(ctx, rows, key)
@@ -26,9 +38,12 @@
 			return 0, errors.Wrap(err, "parsing the stored fencing token")
 		}
 	}
-	_, err = rows.Commit(ctx, store.Transaction{
+	reserved, err := rows.Commit(ctx, store.Transaction{
 		Expect: []store.Expectation{{Key: key, Version: version}},
 		Puts:   []store.Row{{Key: key, Value: strconv.AppendUint(nil, next+1, 10)}},
 	})
-	return next, errors.Wrap(err, "reserving a fencing token")
+	if err != nil {
+		return 0, errors.Wrap(err, "reserving a fencing token")
+	}
+	return newToken(reserved.Era(), next), nil
 }
--- a/succession/reservation_test.go
+++ b/succession/reservation_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"siskincove/endpoint"
 	"siskincove/platform/rows"
 	"siskincove/standin/hosting"
 )
@@ -51,3 +52,41 @@
 		t.Errorf("only %d tokens were reserved", len(reserved))
 	}
 }
+
+// TestReserveFenceRestored guards against a fencing token that two coordinators hold, or one below an older token, after the
+// store was restored from a copy in which the first reservation is missing.
+func TestReserveFenceRestored(t *testing.T) {
+	s, err := hosting.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	first, second := rows.New(s.Address()), rows.New(s.Address())
+	var tokens []uint64
+	terms := make(map[endpoint.FencedTerm]bool)
+	reserve := func(c *rows.Client) {
+		token, err := ReserveFence(ctx, c, "db")
+		if err != nil {
+			t.Fatal(err)
+		}
+		tokens = append(tokens, token)
+		terms[holdTerm(1, token)] = true
+	}
+	reserve(first)
+	old := s.Copy()
+	for range 3 {
+		reserve(first)
+		s.Restore(old)
+		reserve(second)
+	}
+	for n := 1; n < len(tokens); n++ {
+		if tokens[n] <= tokens[n-1] {
+			t.Errorf("token %d was reserved after %d", tokens[n], tokens[n-1])
+		}
+	}
+	if len(terms) != len(tokens) {
+		t.Errorf("%d successions hold replicas under %d terms", len(tokens), len(terms))
+	}
+}
