--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -55,7 +55,10 @@
 	crashed        bool
 	returned       bool
 	holdsReleased  bool
-	trace          string
+	// era is the era of the store, and reserved how many fencing tokens it has counted since the copy.
+	era      uint64
+	reserved uint64
+	trace    string
 }
 
 // key returns a text that differs for states that behave differently.
@@ -87,6 +90,8 @@
 	flag(state.crashed)
 	flag(state.returned)
 	flag(state.holdsReleased)
+	number(state.era)
+	number(state.reserved)
 	for _, c := range state.coordinators {
 		flag(c.started)
 		flag(c.expired)
@@ -154,10 +159,14 @@
 	coordinators      int
 	allowCrash        bool
 	allowRelease      bool
-	visited           map[string]bool
-	pending           []modelState
-	lostCommit        string
-	promoted          int
+	// allowRestore lets the store be restored once from a copy without any reservation. With tokensWithoutEra, a mutation
+	// that must be caught, the tokens that are counted again are the same.
+	allowRestore     bool
+	tokensWithoutEra bool
+	visited          map[string]bool
+	pending          []modelState
+	lostCommit       string
+	promoted         int
 }
 
 func (m *model) push(state modelState) {
@@ -258,8 +267,15 @@
 	if oldPrimary < 0 {
 		return
 	}
+	token := uint64(c + 1)
+	if m.allowRestore {
+		token = newToken(state.era, state.reserved+1)
+		if m.tokensWithoutEra {
+			token = state.reserved + 1
+		}
+	}
 	plan := Plan{
-		Term: holdTerm(endpoint.FencedTerm(state.term), uint64(c+1)), Fence: uint64(c + 1), OldPrimary: endpointNames[oldPrimary], Acknowledge: 1,
+		Term: holdTerm(endpoint.FencedTerm(state.term), token), Fence: token, OldPrimary: endpointNames[oldPrimary], Acknowledge: 1,
 	}
 	for i, e := range state.endpoints {
 		if i != oldPrimary && (!m.omitReplica || i != 2) && (!m.omitCrashed || e.alive) {
@@ -279,6 +295,7 @@
 		return
 	}
 	n := state.next(fmt.Sprintf("%d: starts", c))
+	n.reserved++
 	if plan.Contested {
 		n.coordinators[1-c].expired = true
 	}
@@ -367,9 +384,14 @@
 	return n, Accepted
 }
 
-// stepPlatform carries out late promotions, and lets another coordinator invalidate old promotion requests and release
+// stepPlatform restores the store, carries out late promotions, and lets another coordinator invalidate old promotion requests and release
 // abandoned holds.
 func (m *model) stepPlatform(state modelState) {
+	if m.allowRestore && state.era == 0 && state.reserved > 0 {
+		n := state.next("store restored")
+		n.era, n.reserved = 1, 0
+		m.push(n)
+	}
 	for i, promotion := range state.latePromotions {
 		n := state.next("late promotion")
 		n.latePromotions = append(n.latePromotions[:i:i], n.latePromotions[i+1:]...)
@@ -399,6 +421,8 @@
 		"two coordinators, a late promotion":                       {model: model{maxCommits: 1, coordinators: 2, maxLatePromotions: 1}},
 		"holds are released before old promotions are invalidated": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowRelease: true, releaseUnfenced: true}, loses: true},
 		"crashed endpoints are unregistered":                       {model: model{maxCommits: 1, coordinators: 2, allowCrash: true, omitCrashed: true}},
+		"two coordinators, the store is restored":                  {model: model{maxCommits: 1, coordinators: 2, allowRestore: true}},
+		"two coordinators, tokens are counted again":               {model: model{maxCommits: 1, coordinators: 2, maxLatePromotions: 1, allowRestore: true, tokensWithoutEra: true}, loses: true},
 		"a replica is not counted":                                 {model: model{maxCommits: 1, coordinators: 1, omitReplica: true}, loses: true},
 	}
 	for name, test := range tests {
