--- a/limit/admission.go
+++ b/limit/admission.go
@@ -118,11 +118,14 @@
 	return time.Duration(float64(n) * float64(a.serviceTime) / share)
 }
 
-// Release frees a slot that was held for the given duration and returns the resulting decisions on waiting requests.
+// Release frees a slot that was held for the given duration, 0 if nothing was done with it, and returns the resulting
+// decisions on waiting requests.
 func (a *Admission) Release(took time.Duration, now time.Time) []Outcome {
 	a.used--
-	a.serviceTime += time.Duration(smoothing * float64(took-a.serviceTime))
-	a.serviceTime = max(a.serviceTime, 1)
+	if took > 0 {
+		a.serviceTime += time.Duration(smoothing * float64(took-a.serviceTime))
+		a.serviceTime = max(a.serviceTime, 1)
+	}
 	return a.grantFreeSlots(now)
 }
 
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -229,3 +229,31 @@
 		t.Error("circuit is still open after a success")
 	}
 }
+
+// TestUnusedSlots guards against an estimate of waiting times that sinks with each slot that is freed unused, as when a
+// caller gives up as its slot is granted or no connection can be opened: requests that can't be served in time would queue.
+func TestUnusedSlots(t *testing.T) {
+	const service = 20 * time.Millisecond
+	a := NewAdmission(1)
+	class := Class{Name: "main", Queue: 100}
+	use := func(took time.Duration) {
+		if o := a.Arrive(1, class, epoch.Add(time.Second), epoch); o.Decision != Granted {
+			t.Fatalf("no free slot: %v", o.Decision)
+		}
+		a.Release(took, epoch)
+	}
+	for range 100 {
+		use(service)
+	}
+	before := a.ServiceTime()
+	for range 100 {
+		use(0)
+	}
+	if after := a.ServiceTime(); after != before {
+		t.Errorf("mean service time %s after 100 slots were freed unused, %s before", after, before)
+	}
+	a.Arrive(2, class, epoch.Add(time.Second), epoch)
+	if o := a.Arrive(3, class, epoch.Add(service), epoch); o.Decision != Refused {
+		t.Errorf("a request that can't be served in time was not refused: %v", o.Decision)
+	}
+}
