--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -70,6 +70,7 @@
 	HolderUnreachable    = define(412, log.WarnLevel, "connection", "holder not reached", "An instance that lends connections to the endpoint did not answer; the next holder is tried, and finally the endpoint itself.")
 	LoanRefused          = define(413, log.InfoLevel, "connection", "loan refused", "This holder had no free connection for a borrower's statement in time, or has none at all; the borrower informs its caller.")
 	EndpointFull         = define(414, log.InfoLevel, "connection", "endpoint at capacity", "The endpoint refused a statement or did not start it in time; window is the number of statements that this instance may have in flight there now.")
+	PoolNotStarted       = define(415, log.ErrorLevel, "pool", "pool not started", "This instance owns the endpoint but can't connect to it, for example because TLS is required and no authority is set; error gives the cause.")
 	DetourTaken          = define(410, log.InfoLevel, "connection", "endpoint reached through a peer", "The endpoint can't be reached directly; a connection to it was made through another instance.")
 	OwnerRefused         = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason gives the cause.")
 )
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,6 +67,7 @@
 // Error returns the message of the cause.
 func (e *ListenError) Error() string { return e.Cause.Error() }
 
+// listen opens all listeners, or none if it fails.
 func listen(s settings.Listen) (listeners, error) {
 	var l listeners
 	var err error
@@ -74,14 +75,24 @@
 		return l, &ListenError{Key: "listen.callers", Cause: err}
 	}
 	if l.peers, err = net.Listen("tcp", s.Peers); err != nil {
+		l.close()
 		return l, &ListenError{Key: "listen.peers", Cause: err}
 	}
 	if l.health, err = net.Listen("tcp", s.Health); err != nil {
+		l.close()
 		return l, &ListenError{Key: "listen.health", Cause: err}
 	}
 	return l, nil
 }
 
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.peers, l.health} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. The error is a *ListenError or a
 // *CertificateError.
 func New(ctx context.Context, s settings.Settings, clk clock.Service, logger *event.Logger, platformStore Store) (*Instance, error) {
@@ -93,6 +104,7 @@
 	certs, err := openCertificates(ctx, s.TLS, clk, logger)
 	if err != nil {
 		cancel()
+		l.close()
 		return nil, err
 	}
 	i := &Instance{settings: s, certificates: certs, clock: clk, logger: logger, cancel: cancel, initialized: make(chan struct{})}
--- a/pool/owner.go
+++ b/pool/owner.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/endpoint"
@@ -95,7 +97,9 @@
 	defer o.mu.Unlock()
 	for _, e := range o.catalog.Set.Endpoints {
 		if !o.draining && o.ownership.AffectsDomain(region, e.Domain) && o.ownership.Owns(e) {
-			_, _ = o.ensurePool(e)
+			if _, err := o.ensurePool(e); err != nil {
+				o.logger.Log(event.PoolNotStarted, log.Fields{"endpoint": e.Name, "address": e.Address, "error": err.Error()})
+			}
 		}
 	}
 	for name, p := range o.pools {
