hosted: redistribute at once after the start while it is cheap

Pattern of load: all instances restart at once. Ruled out: process start (under 10 ms of processor), the store. Change: the pause is ten times the duration of the redistribution, 20 to 500 ms.

--- a/hosted/redistributor.go
+++ b/hosted/redistributor.go
@@ -11,9 +11,11 @@
 const (
 	// redistributeDelay collects the changes that arrive together, as when many instances start.
 	redistributeDelay = 20 * time.Millisecond
-	// redistributePause is the least time between two redistributions. Each one ranks the instances for every endpoint, and
-	// a start of all instances brings a change for each of them.
-	redistributePause = 500 * time.Millisecond
+	// redistributePauseFactor times the duration of a redistribution is the pause after it, within redistributeDelay and
+	// maxRedistributePause. Each one ranks the instances for every endpoint, and a start of all instances brings a change for
+	// each of them; but the first ones after a start decide whether this instance opens connections of its own.
+	redistributePauseFactor = 10
+	maxRedistributePause    = 500 * time.Millisecond
 )
 
 // redistributor calls a function after changes of the live instances. Changes in quick succession share one call.
@@ -61,8 +63,10 @@
 		if clock.Wait(ctx, r.clock, redistributeDelay) != nil {
 			return
 		}
+		started := r.clock.Now()
 		r.apply(r.take())
-		if clock.Wait(ctx, r.clock, redistributePause) != nil {
+		pause := redistributePauseFactor * r.clock.Now().Sub(started)
+		if clock.Wait(ctx, r.clock, min(max(pause, redistributeDelay), maxRedistributePause)) != nil {
 			return
 		}
 	}
