hosted: request the list of instances before the configuration

Cause: after a restart 73 of 106 instances applied the configuration some ms before the list of instances was read, with connections of their own until then (1,750 pools).

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -95,12 +95,13 @@
 	i.holderHealth = loan.NewHealth(o.Clock)
 	i.databases = database.NewRegistry(database.Options{Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, DrainTime: i.endpointDrainTime, Detour: i.detour, Lending: lending{i}})
 	i.lender = i.newLender()
+	i.redistributor = startRedistributor(i.ctx, o.Clock, i.redistribute)
+	// The list of instances is requested before the configuration, which needs the number of instances.
+	i.startMembers()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
 		ShouldFollow: i.isFollower, OnChange: i.push,
 	})
-	i.redistributor = startRedistributor(i.ctx, o.Clock, i.redistribute)
-	i.startMembers()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
 	})
