--- a/directory/directory.go
+++ b/directory/directory.go
@@ -176,9 +176,10 @@
 	endpoints, primaries := d.snapshot.endpoints(d.options.Regions())
 	set.Endpoints = endpoints
 	catalog := config.NewCatalog(set).WithIdleTimeout(d.configuration.IdleTimeout)
+	d.options.Apply(catalog, primaries)
+	// Statements see the catalog only once it has been applied.
 	d.catalog.Store(catalog)
 	d.primaries = primaries
-	d.options.Apply(catalog, primaries)
 	d.options.OnChange()
 }
 
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -36,6 +36,10 @@
 	// rosterInterval is how often the list of instances is read from the store. Peers report new
 	// instances sooner.
 	rosterInterval = 30 * time.Second
+	// instanceCountWait is how long after the start the first configuration waits for the number of instances; the store
+	// supplies both at about the same time.
+	instanceCountWait         = 150 * time.Millisecond
+	instanceCountPollInterval = 5 * time.Millisecond
 )
 
 // Instance is the running proxy of this process: it holds all components and the listeners.
@@ -44,6 +48,7 @@
 	settings    atomic.Pointer[settings.Settings]
 	ctx         context.Context
 	cancel      context.CancelFunc
+	startedAt   time.Time
 	initialized chan struct{}
 	trimDone    chan struct{}
 	node        *peer.Node
@@ -74,7 +79,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{options: o, ctx: ctx, cancel: cancel, initialized: make(chan struct{}), trimDone: make(chan struct{})}
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{})}
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
@@ -196,6 +201,7 @@
 // applyCatalog configures the databases and, once the instance is initialized, the coordinators. primaries maps each database
 // to the endpoint that is registered as its primary.
 func (i *Instance) applyCatalog(catalog *config.Catalog, primaries map[string]string) {
+	i.awaitInstanceCount()
 	i.databases.Configure(catalog, primaries, i.instanceCount())
 	select {
 	case <-i.initialized:
@@ -205,6 +211,16 @@
 	}
 }
 
+// awaitInstanceCount waits, until instanceCountWait after the start, for the number of instances. Without it this instance would
+// open connections of its own to every endpoint, at the same time as all others after a restart.
+func (i *Instance) awaitInstanceCount() {
+	for i.instanceCount() == 0 && i.options.Clock.Now().Sub(i.startedAt) < instanceCountWait {
+		if clock.Wait(i.ctx, i.options.Clock, instanceCountPollInterval) != nil {
+			return
+		}
+	}
+}
+
 // instanceCount returns the number of instances, or 0 if it is not known yet.
 func (i *Instance) instanceCount() int {
 	select {
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -56,7 +56,11 @@
 // the borrowers over the holders.
 func (l lending) holdersToAsk(e config.Endpoint) []member.Instance {
 	i := l.instance
-	databaseConfig, ok := i.directory.Catalog().Database(e.Database)
+	catalog := i.directory.Catalog()
+	if catalog == nil {
+		return nil
+	}
+	databaseConfig, ok := catalog.Database(e.Database)
 	if !ok {
 		return nil
 	}
