--- a/loan/conn.go
+++ b/loan/conn.go
@@ -53,8 +53,8 @@
 	retired bool
 }
 
-// newConn returns a connection to an endpoint through the holder at an address, over a stream on which the loan was requested. The reader goroutine
-// ends with the stream.
+// newConn returns a connection to an endpoint through the holder at an address, over a stream on which the loan was requested.
+// The reader goroutine ends with the stream.
 func (d Dialer) newConn(stream peer.Stream, holder, endpoint string) *Conn {
 	c := &Conn{
 		stream: stream, clock: d.Clock, holder: holder, endpoint: endpoint, health: d.Health, onSilence: d.OnSilence,
--- a/member/announce.go
+++ b/member/announce.go
@@ -9,8 +9,8 @@
 	"siskincove/peer/wire"
 )
 
-// Announce sends a heartbeat to every peer that takes part in the placement and waits for the replies. extend, if not nil, adds further data to each
-// heartbeat.
+// Announce sends a heartbeat to every peer that takes part in the placement and waits for the replies. extend, if not nil,
+// adds further data to each heartbeat.
 func (d *Driver) Announce(ctx context.Context, extend func(h *wire.Heartbeat)) {
 	var wait sync.WaitGroup
 	for _, i := range d.PlacedPeers() {
