--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -74,7 +74,7 @@
 		"directory/directory.go", "	if configuration.Version <= d.configuration.Version {\n		return\n	}\n", "", "./directory", ".",
 	},
 	"loan of connections to an endpoint that the instance does not hold": {
-		"loan/loan.go", "	if !ok {\n		return verdict.New(verdict.NotRun, verdict.Unreachable, \"instance does not hold", "	if false && !ok {\n		return verdict.New(verdict.NotRun, verdict.Unreachable, \"instance does not hold", "./loan", "TestRefused",
+		"loan/loan.go", "	if !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "	if false && !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "./loan", "TestRefused",
 	},
 	"window not reduced for a full endpoint": {
 		"limit/window.go", "w.size, w.at = max(w.width(now)*windowCut, windowFloor), now", "w.at = now", "./limit", "TestWindow",
