dispatch, connection: identify the workspace of a caller's key

Change: config.Workspace with hashed keys, checked when a session opens and before each statement that may reach an endpoint; connection.Target and Demand name the workspace of a connection; interfaces dispatch.Freshness and Allotments, not yet implemented; frames for both. The field user of events is gone, since callers put their key there.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -70,10 +70,10 @@
 		return false
 	}
 	_ = c.codec.SetReadDeadline(time.Time{})
-	session, refusal := c.server.options.Dispatcher.Open(c.server.ctx, parameters.Database)
+	session, refusal := c.server.options.Dispatcher.Open(c.server.ctx, parameters)
 	if refusal != nil {
 		c.server.options.Logger.Log(event.CallerRefused, log.Fields{
-			"database": parameters.Database, "user": parameters.User, "reason": string(refusal.Reason), "cause": refusal.Message,
+			"database": parameters.Database, "reason": string(refusal.Reason), "cause": refusal.Message,
 		})
 		_ = c.codec.Refuse(refusal)
 		return false
--- a/config/catalog.go
+++ b/config/catalog.go
@@ -4,14 +4,17 @@
 
 // Catalog indexes the objects of a checked set by name. It is immutable.
 type Catalog struct {
-	Set         Set
-	services    map[string]Service
-	databases   map[string]Database
-	endpoints   map[string]Endpoint
-	routes      map[string]Route
-	allowances  map[string]Allowance
-	limits      map[string]Limit
-	callers     map[string]Caller
+	Set        Set
+	services   map[string]Service
+	databases  map[string]Database
+	endpoints  map[string]Endpoint
+	routes     map[string]Route
+	allowances map[string]Allowance
+	limits     map[string]Limit
+	callers    map[string]Caller
+	workspaces map[string]Workspace
+	// keys maps the hash of each key to the name of the workspace that holds it.
+	keys        map[KeyHash]string
 	members     map[string][]Endpoint
 	idleTimeout time.Duration
 }
@@ -28,11 +31,18 @@
 		allowances: index(s.Allowances, func(o Allowance) string { return o.Name }),
 		limits:     index(s.Limits, func(o Limit) string { return o.Name }),
 		callers:    index(s.Callers, func(o Caller) string { return o.Name }),
+		workspaces: index(s.Workspaces, func(o Workspace) string { return o.Name }),
+		keys:       make(map[KeyHash]string),
 		members:    make(map[string][]Endpoint),
 	}
 	for _, e := range s.Endpoints {
 		c.members[e.Database] = append(c.members[e.Database], e)
 	}
+	for _, w := range s.Workspaces {
+		for _, key := range w.Keys {
+			c.keys[key] = w.Name
+		}
+	}
 	return c
 }
 
@@ -77,3 +87,12 @@
 
 // Members returns the endpoints of a database, ordered by name.
 func (c *Catalog) Members(database string) []Endpoint { return c.members[database] }
+
+// Workspace returns the workspace with the given name.
+func (c *Catalog) Workspace(name string) (Workspace, bool) { o, ok := c.workspaces[name]; return o, ok }
+
+// HasWorkspaces reports whether callers need the key of a workspace.
+func (c *Catalog) HasWorkspaces() bool { return len(c.workspaces) > 0 }
+
+// KeyOwner returns the workspace that holds a key.
+func (c *Catalog) KeyOwner(key KeyHash) (Workspace, bool) { return c.Workspace(c.keys[key]) }
--- a/config/kind.go
+++ b/config/kind.go
@@ -18,4 +18,6 @@
 	KindLimit Kind = "limit"
 	// KindCaller is a client that may connect.
 	KindCaller Kind = "caller"
+	// KindWorkspace is a customer whose callers share keys and an allotment.
+	KindWorkspace Kind = "workspace"
 )
--- a/config/route.go
+++ b/config/route.go
@@ -13,6 +13,8 @@
 	Limit string `toml:"limit" json:"limit,omitempty"`
 	// Fallback is the name of the route whose allowance applies when this route's allowance cannot be met.
 	Fallback string `toml:"fallback" json:"fallback,omitempty"`
+	// Anonymous admits callers without the key of a workspace, where workspaces are configured.
+	Anonymous bool `toml:"anonymous" json:"anonymous,omitempty"`
 }
 
 const (
--- a/config/set.go
+++ b/config/set.go
@@ -19,6 +19,7 @@
 	Allowances []Allowance `toml:"allowance" json:"allowance"`
 	Limits     []Limit     `toml:"limit" json:"limit"`
 	Callers    []Caller    `toml:"caller" json:"caller"`
+	Workspaces []Workspace `toml:"workspace" json:"workspace,omitempty"`
 }
 
 // Sorted returns a copy whose objects are ordered by name.
@@ -31,6 +32,7 @@
 		Allowances: sorted(s.Allowances, func(o Allowance) string { return o.Name }),
 		Limits:     sorted(s.Limits, func(o Limit) string { return o.Name }),
 		Callers:    sorted(s.Callers, func(o Caller) string { return o.Name }),
+		Workspaces: sorted(s.Workspaces, func(o Workspace) string { return o.Name }),
 	}
 }
 
--- a/connection/capacity.go
+++ b/connection/capacity.go
@@ -53,10 +53,11 @@
 	p.updateCapacityLocked()
 }
 
-// updateCapacity applies the window's growth since the last exchange.
-func (p *Pool) updateCapacity() {
+// prepareFor records a demand and applies the window's growth since the last exchange.
+func (p *Pool) prepareFor(d Demand) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lastWorkspace = d.Workspace
 	p.updateCapacityLocked()
 }
 
--- a/connection/capacity_test.go
+++ b/connection/capacity_test.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"siskincove/clock"
-	"siskincove/config"
 	"siskincove/event"
 	"siskincove/limit"
 	"siskincove/statement"
@@ -22,11 +21,11 @@
 	err    error
 }
 
-func (f *fixedEndpoint) Dial(context.Context, config.Endpoint, time.Duration) (Conn, error) {
+func (f *fixedEndpoint) Dial(context.Context, Target, time.Duration) (Conn, error) {
 	return &fixedConn{fakeConn: fakeConn{broken: make(chan struct{})}, endpoint: f}, nil
 }
 
-func (f *fixedEndpoint) DialOver(ctx context.Context, e config.Endpoint, _ net.Conn) (Conn, error) {
+func (f *fixedEndpoint) DialOver(ctx context.Context, e Target, _ net.Conn) (Conn, error) {
 	return f.Dial(ctx, e, 0)
 }
 
@@ -105,7 +104,7 @@
 // countAcquirable acquires connections until the pool refuses and returns how many it got.
 func (p *Pool) countAcquirable() int {
 	for n := 0; ; n++ {
-		_, err := p.Acquire(context.Background(), limit.Class{Name: "main"}, time.Now().Add(3*minDialTime), nil)
+		_, err := p.Acquire(context.Background(), Demand{Class: limit.Class{Name: "main"}, Deadline: time.Now().Add(3 * minDialTime)})
 		if err != nil {
 			return n
 		}
@@ -143,7 +142,7 @@
 	p := New(Options{Dialer: f, Clock: manual, Logger: event.Discard(), Limit: 1})
 	const work, pause = 10 * time.Millisecond, time.Minute
 	for range 100 {
-		h, err := p.Acquire(context.Background(), limit.Class{}, manual.Now().Add(time.Second), nil)
+		h, err := p.Acquire(context.Background(), Demand{Deadline: manual.Now().Add(time.Second)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -40,11 +40,11 @@
 
 // Dialer opens connections to endpoints.
 type Dialer interface {
-	// Dial connects to an endpoint and verifies its identity. connectTimeout bounds the wait for the first answer from the
+	// Dial connects to an endpoint on behalf of a workspace and verifies its identity. connectTimeout bounds the wait for the first answer from the
 	// endpoint's address. Errors are verdict errors with NotRun.
-	Dial(ctx context.Context, e config.Endpoint, connectTimeout time.Duration) (Conn, error)
+	Dial(ctx context.Context, target Target, connectTimeout time.Duration) (Conn, error)
 	// DialOver does the same over an existing link to the endpoint. It closes the link on failure.
-	DialOver(ctx context.Context, e config.Endpoint, link net.Conn) (Conn, error)
+	DialOver(ctx context.Context, target Target, link net.Conn) (Conn, error)
 }
 
 // Detour returns a link to an endpoint through another instance, for use while the endpoint can't be reached directly.
--- a/connection/connect.go
+++ b/connection/connect.go
@@ -28,18 +28,19 @@
 )
 
 // connect opens a connection directly, or through another instance first if the direct path failed recently.
-func (p *Pool) connect(ctx context.Context, limits dialLimits) (Conn, error) {
+func (p *Pool) connect(ctx context.Context, workspace string, limits dialLimits) (Conn, error) {
+	target := Target{Endpoint: p.options.Endpoint, Workspace: workspace}
 	p.mu.Lock()
 	preferDetour := p.options.Detour != nil && p.options.Clock.Now().Before(p.unreachableUntil)
 	p.mu.Unlock()
 	if preferDetour {
-		if conn, err := p.dialDetour(ctx, limits); err == nil {
+		if conn, err := p.dialDetour(ctx, target, limits); err == nil {
 			return conn, nil
 		}
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, limits.total)
 	defer cancel()
-	conn, err := p.options.Dialer.Dial(dialCtx, p.options.Endpoint, limits.connect)
+	conn, err := p.options.Dialer.Dial(dialCtx, target, limits.connect)
 	if isNetworkFailure(err) && ctx.Err() == nil {
 		p.mu.Lock()
 		p.unreachableUntil = p.options.Clock.Now().Add(directRetryDelay)
@@ -89,14 +90,14 @@
 }
 
 // dialDetour opens a connection through another instance.
-func (p *Pool) dialDetour(ctx context.Context, limits dialLimits) (Conn, error) {
+func (p *Pool) dialDetour(ctx context.Context, target Target, limits dialLimits) (Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, limits.total)
 	defer cancel()
 	link, err := p.options.Detour(ctx, p.options.Endpoint)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := p.options.Dialer.DialOver(ctx, p.options.Endpoint, link)
+	conn, err := p.options.Dialer.DialOver(ctx, target, link)
 	if err == nil {
 		p.options.Logger.Log(event.DetourTaken, log.Fields{"endpoint": p.options.Endpoint.Name, "by": link.RemoteAddr().String()})
 		p.mu.Lock()
--- /dev/null
+++ b/connection/demand.go
@@ -0,0 +1,27 @@
+package connection
+
+import (
+	"time"
+
+	"siskincove/config"
+	"siskincove/limit"
+)
+
+// Target is an endpoint to connect to, and the workspace on whose behalf.
+type Target struct {
+	Endpoint config.Endpoint
+	// Workspace is the workspace that the endpoint is told, empty for the connections of the instances themselves and of
+	// callers without a workspace. It can't change while the connection is open.
+	Workspace string
+}
+
+// Demand is what a statement or transaction needs of a pool.
+type Demand struct {
+	// Workspace is the workspace that the connection must belong to, empty for none.
+	Workspace string
+	// Class is the class in which the demand waits for a slot, until Deadline.
+	Class    limit.Class
+	Deadline time.Time
+	// Settings are the session's; a connection that has them already is preferred.
+	Settings map[string]string
+}
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -79,7 +79,9 @@
 	// idleInTx is the number of connections in transactions that await their next statement. They take no slot of the
 	// endpoint.
 	idleInTx int
-	closed   bool
+	// lastWorkspace is the workspace of the last demand, for which the pool reconnects in the background.
+	lastWorkspace string
+	closed        bool
 	// redialDone is closed when the last attempt to connect in the background has ended.
 	redialDone chan struct{}
 }
@@ -170,44 +172,44 @@
 	return p.redialDone
 }
 
-// Acquire returns a connection, preferring one that has the given settings. It fails at once while the endpoint can't be
+// Acquire returns a connection of the demand's workspace, preferring one that has the demand's settings. It fails at once while the endpoint can't be
 // reached. Errors are verdict errors with NotRun.
-func (p *Pool) Acquire(ctx context.Context, class limit.Class, deadline time.Time, settings map[string]string) (*PooledConn, error) {
-	p.updateCapacity()
+func (p *Pool) Acquire(ctx context.Context, d Demand) (*PooledConn, error) {
+	p.prepareFor(d)
 	if err := p.checkReachable(); err != nil {
 		return nil, err
 	}
-	if err := p.queue.Admit(ctx, class, deadline); err != nil {
+	if err := p.queue.Admit(ctx, d.Class, d.Deadline); err != nil {
 		return nil, err
 	}
-	h := p.takeIdle(settings)
+	h := p.takeIdle(d)
 	if h == nil {
 		var err error
-		if h, err = p.openOrTakeIdle(ctx, deadline, settings); err != nil {
+		if h, err = p.openOrTakeIdle(ctx, d); err != nil {
 			p.queue.Release(0)
 			return nil, err
 		}
 	}
 	if c, ok := h.Conn.(ClassSetter); ok {
-		c.SetClass(class)
+		c.SetClass(d.Class)
 	}
 	return h, nil
 }
 
 // openOrTakeIdle waits until a connection may be opened and opens it, unless another was released in the meantime.
-func (p *Pool) openOrTakeIdle(ctx context.Context, deadline time.Time, settings map[string]string) (*PooledConn, error) {
+func (p *Pool) openOrTakeIdle(ctx context.Context, d Demand) (*PooledConn, error) {
 	select {
 	case p.dialSlots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up")
-	case <-p.options.Clock.After(deadline.Sub(p.options.Clock.Now()) - minDialTime):
+	case <-p.options.Clock.After(d.Deadline.Sub(p.options.Clock.Now()) - minDialTime):
 		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
 	}
 	defer func() { <-p.dialSlots }()
-	if h := p.takeIdle(settings); h != nil {
+	if h := p.takeIdle(d); h != nil {
 		return h, nil
 	}
-	return p.dial(ctx, deadline)
+	return p.dial(ctx, d.Workspace, d.Deadline)
 }
 
 // Trim closes connections that have been idle for too long, but keeps one.
@@ -222,7 +224,7 @@
 }
 
 // takeIdle returns an idle connection that is not broken, or nil if there is none.
-func (p *Pool) takeIdle(settings map[string]string) *PooledConn {
+func (p *Pool) takeIdle(d Demand) *PooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -232,22 +234,28 @@
 		}
 	}
 	p.idle = kept
-	if len(kept) == 0 {
-		return nil
-	}
-	best := len(kept) - 1
+	best := -1
 	for i := len(kept) - 1; i >= 0; i-- {
-		if maps.Equal(kept[i].settings, settings) {
+		if kept[i].workspace != d.Workspace {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
+		if maps.Equal(kept[i].settings, d.Settings) {
 			best = i
 			break
 		}
 	}
+	if best < 0 {
+		return nil
+	}
 	h := kept[best]
 	p.idle = append(kept[:best], kept[best+1:]...)
 	return h
 }
 
-func (p *Pool) dial(ctx context.Context, deadline time.Time) (*PooledConn, error) {
+func (p *Pool) dial(ctx context.Context, workspace string, deadline time.Time) (*PooledConn, error) {
 	now := p.options.Clock.Now()
 	p.mu.Lock()
 	failed, retryAfter, limits := p.circuit.Failed(), p.circuit.Remaining(now), p.limits()
@@ -259,7 +267,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Overload, "deadline passed before a connection was opened")
 	}
 	bounded := limits.until(deadline.Sub(now))
-	conn, err := p.connect(ctx, bounded)
+	conn, err := p.connect(ctx, workspace, bounded)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
@@ -271,7 +279,7 @@
 		return nil, err
 	}
 	p.recordDialSuccess(conn)
-	return &PooledConn{Conn: conn, pool: p}, nil
+	return &PooledConn{Conn: conn, pool: p, workspace: workspace}, nil
 }
 
 // keepIdle stores a connection for the next statement, or closes it if the pool is closed. p.mu must be held.
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -60,7 +60,7 @@
 	d.silent = silent
 }
 
-func (d *fakeDialer) Dial(ctx context.Context, _ config.Endpoint, connectTimeout time.Duration) (Conn, error) {
+func (d *fakeDialer) Dial(ctx context.Context, _ Target, connectTimeout time.Duration) (Conn, error) {
 	d.mu.Lock()
 	d.attempts++
 	if d.silent {
@@ -85,7 +85,7 @@
 }
 
 // DialOver returns a connection over any link.
-func (d *fakeDialer) DialOver(context.Context, config.Endpoint, net.Conn) (Conn, error) {
+func (d *fakeDialer) DialOver(context.Context, Target, net.Conn) (Conn, error) {
 	return &fakeConn{broken: make(chan struct{})}, nil
 }
 
@@ -104,7 +104,7 @@
 
 func (p *Pool) mustAcquire(t *testing.T, settings map[string]string) *PooledConn {
 	t.Helper()
-	h, err := p.Acquire(context.Background(), limit.Class{Name: "main"}, time.Now().Add(time.Second), settings)
+	h, err := p.Acquire(context.Background(), Demand{Class: limit.Class{Name: "main"}, Deadline: time.Now().Add(time.Second), Settings: settings})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -154,7 +154,7 @@
 func TestLimit(t *testing.T) {
 	p := newPool(&fakeDialer{}, 1)
 	held := p.mustAcquire(t, nil)
-	_, err := p.Acquire(context.Background(), limit.Class{}, time.Now().Add(20*time.Millisecond), nil)
+	_, err := p.Acquire(context.Background(), Demand{Deadline: time.Now().Add(20 * time.Millisecond)})
 	if got := verdict.From(err); got.Verdict != verdict.NotRun || got.Reason != verdict.Overload {
 		t.Errorf("got %v", err)
 	}
@@ -171,7 +171,7 @@
 		d := &fakeDialer{fail: true}
 		p := newPool(d, 2)
 		for range 20 {
-			_, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil)
+			_, _ = p.Acquire(context.Background(), Demand{Deadline: time.Now().Add(time.Second)})
 		}
 		if d.attempts != failuresToOpen {
 			t.Errorf("%d attempts to connect, want %d", d.attempts, failuresToOpen)
@@ -180,7 +180,7 @@
 			t.Errorf("%d connections are in use, want 0", p.Used())
 		}
 		time.Sleep(60 * time.Millisecond)
-		_, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil)
+		_, _ = p.Acquire(context.Background(), Demand{Deadline: time.Now().Add(time.Second)})
 		<-p.Done()
 		p.mustAcquire(t, nil)
 	})
@@ -203,7 +203,7 @@
 			time.Sleep(10 * time.Millisecond)
 			wait.Go(func() {
 				started := time.Now()
-				_, err := p.Acquire(ctx, limit.Class{Name: "main"}, started.Add(780*time.Millisecond), nil)
+				_, err := p.Acquire(ctx, Demand{Class: limit.Class{Name: "main"}, Deadline: started.Add(780 * time.Millisecond)})
 				if got := verdict.From(err).Reason; got != verdict.Unreachable {
 					t.Errorf("statement %d: got %v", n, err)
 				}
@@ -215,7 +215,7 @@
 		wait.Wait()
 		d.setSilent(false)
 		time.Sleep(maxRedialPause)
-		_, _ = p.Acquire(ctx, limit.Class{Name: "main"}, time.Now().Add(time.Second), nil)
+		_, _ = p.Acquire(ctx, Demand{Class: limit.Class{Name: "main"}, Deadline: time.Now().Add(time.Second)})
 		<-p.Done()
 		p.mustAcquire(t, nil)
 		cancel()
@@ -230,7 +230,7 @@
 		held := p.mustAcquire(t, nil)
 		d.fail = true
 		for range failuresToOpen {
-			_, _ = p.Acquire(t.Context(), limit.Class{}, time.Now().Add(time.Second), nil)
+			_, _ = p.Acquire(t.Context(), Demand{Deadline: time.Now().Add(time.Second)})
 		}
 		p.Resize(1, 0)
 		time.AfterFunc(20*time.Millisecond, func() { p.Release(held, true, time.Millisecond) })
@@ -246,9 +246,9 @@
 		d := &fakeDialer{}
 		p := newPool(d, 2)
 		d.setSilent(true)
-		_, _ = p.Acquire(t.Context(), limit.Class{}, time.Now().Add(time.Second), nil)
+		_, _ = p.Acquire(t.Context(), Demand{Deadline: time.Now().Add(time.Second)})
 		time.Sleep(maxRedialPause)
-		_, _ = p.Acquire(t.Context(), limit.Class{}, time.Now().Add(time.Second), nil)
+		_, _ = p.Acquire(t.Context(), Demand{Deadline: time.Now().Add(time.Second)})
 		closed := time.Now()
 		p.Close()
 		<-p.Done()
@@ -318,7 +318,7 @@
 				return near, nil
 			}}).withFullWindow()
 			for range 3 {
-				_, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil)
+				_, _ = p.Acquire(context.Background(), Demand{Deadline: time.Now().Add(time.Second)})
 				<-p.Done()
 			}
 			if detours != test.detours {
@@ -333,11 +333,11 @@
 	err error
 }
 
-func (f failingDialer) Dial(context.Context, config.Endpoint, time.Duration) (Conn, error) {
+func (f failingDialer) Dial(context.Context, Target, time.Duration) (Conn, error) {
 	return nil, f.err
 }
 
-func (failingDialer) DialOver(context.Context, config.Endpoint, net.Conn) (Conn, error) {
+func (failingDialer) DialOver(context.Context, Target, net.Conn) (Conn, error) {
 	return &fakeConn{broken: make(chan struct{})}, nil
 }
 
@@ -345,10 +345,10 @@
 // time.
 func TestDialWaitIsBounded(t *testing.T) {
 	p := newPool(&fakeDialer{delay: 500 * time.Millisecond}, 3)
-	go func() { _, _ = p.Acquire(context.Background(), limit.Class{}, time.Now().Add(time.Second), nil) }()
+	go func() { _, _ = p.Acquire(context.Background(), Demand{Deadline: time.Now().Add(time.Second)}) }()
 	time.Sleep(50 * time.Millisecond)
 	started := time.Now()
-	_, err := p.Acquire(context.Background(), limit.Class{}, started.Add(150*time.Millisecond), nil)
+	_, err := p.Acquire(context.Background(), Demand{Deadline: started.Add(150 * time.Millisecond)})
 	if took := time.Since(started); err == nil || took > 150*time.Millisecond {
 		t.Errorf("got %v after %s of 150 ms", err, took)
 	}
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -14,9 +14,11 @@
 // PooledConn is a connection acquired from a Pool by one session, with the known state of that connection.
 type PooledConn struct {
 	Conn
-	pool     *Pool
-	settings map[string]string
-	prepared map[string]bool
+	pool *Pool
+	// workspace is the workspace that the connection was opened for, empty for none.
+	workspace string
+	settings  map[string]string
+	prepared  map[string]bool
 	// uncertain is set when the settings may differ from the recorded ones, as after the rollback of a transaction that
 	// changed them.
 	uncertain bool
--- a/connection/redial.go
+++ b/connection/redial.go
@@ -64,15 +64,15 @@
 	}
 	defer func() { <-p.dialSlots }()
 	p.mu.Lock()
-	limits := p.limits()
+	limits, workspace := p.limits(), p.lastWorkspace
 	p.mu.Unlock()
-	conn, err := p.connect(ctx, limits)
+	conn, err := p.connect(ctx, workspace, limits)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case err == nil:
 		p.recordDialSuccess(conn)
-		p.keepIdle(&PooledConn{Conn: conn, pool: p})
+		p.keepIdle(&PooledConn{Conn: conn, pool: p, workspace: workspace})
 	case ctx.Err() == nil:
 		p.recordDialFailure(err, true)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -42,15 +42,15 @@
 }
 
 // Dial returns a connection to a scripted endpoint.
-func (e *endpoints) Dial(_ context.Context, target config.Endpoint, _ time.Duration) (connection.Conn, error) {
+func (e *endpoints) Dial(_ context.Context, target connection.Target, _ time.Duration) (connection.Conn, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.dials++
-	return &scripted{endpoints: e, name: target.Name, broken: make(chan struct{})}, nil
+	return &scripted{endpoints: e, name: target.Endpoint.Name, broken: make(chan struct{})}, nil
 }
 
 // DialOver is not used by these tests.
-func (e *endpoints) DialOver(context.Context, config.Endpoint, net.Conn) (connection.Conn, error) {
+func (e *endpoints) DialOver(context.Context, connection.Target, net.Conn) (connection.Conn, error) {
 	return nil, errCut
 }
 
@@ -177,7 +177,7 @@
 		cancel()
 		<-d.Done()
 	})
-	s, refused := d.Open(ctx, route)
+	s, refused := d.Open(ctx, statement.StartupParameters{Database: route})
 	if refused != nil {
 		t.Fatal(refused)
 	}
@@ -385,7 +385,7 @@
 // TestOpen checks that a name without a route is refused.
 func TestOpen(t *testing.T) {
 	s, _ := open(t, "main", nil)
-	_, refused := s.dispatcher.Open(context.Background(), "nobody")
+	_, refused := s.dispatcher.Open(context.Background(), statement.StartupParameters{Database: "nobody"})
 	if refused == nil || refused.Reason != verdict.Unrouted {
 		t.Errorf("refused with %v, want the reason unrouted", refused)
 	}
@@ -482,8 +482,8 @@
 	whileDialing func()
 }
 
-func (d slowDialer) Dial(ctx context.Context, e config.Endpoint, timeout time.Duration) (connection.Conn, error) {
-	if e.Name == "p" {
+func (d slowDialer) Dial(ctx context.Context, e connection.Target, timeout time.Duration) (connection.Conn, error) {
+	if e.Endpoint.Name == "p" {
 		d.whileDialing()
 	}
 	return d.endpoints.Dial(ctx, e, timeout)
@@ -510,7 +510,7 @@
 		cancel()
 		<-d.Done()
 	}()
-	s, refused := d.Open(ctx, "main")
+	s, refused := d.Open(ctx, statement.StartupParameters{Database: "main"})
 	if refused != nil {
 		t.Fatal(refused)
 	}
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -52,7 +52,7 @@
 				})
 				registry.Configure(c, map[string]string{"db": "p"}, 1)
 				d := New(ctx, Options{Domain: "north/a", Catalogs: catalogs{c}, Databases: registry, Clock: clock.System{}, Logger: logger})
-				s, refused := d.Open(ctx, "main")
+				s, refused := d.Open(ctx, statement.StartupParameters{Database: "main"})
 				if refused != nil {
 					t.Fatal(refused)
 				}
--- a/dispatch/options.go
+++ b/dispatch/options.go
@@ -21,4 +21,8 @@
 	Databases *database.Registry
 	Clock     clock.Service
 	Logger    *event.Logger
+	// Freshness tells whether the configuration shows which keys are valid; nil if keys are never withdrawn.
+	Freshness Freshness
+	// Allotments limits the operations of workspaces; nil for no limits.
+	Allotments Allotments
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -44,20 +44,28 @@
 	prepared   map[string]preparedStatement
 	token      session.Token
 	tx         *transaction
+	key        config.KeyHash
+	// workspace is the workspace that held the key at the last check, zero for none.
+	workspace config.Workspace
 }
 
 // Open starts a session on the route that a caller connects to, or returns why it can't. While there is no
-// configuration yet, as after a start, it waits for one.
-func (d *Dispatcher) Open(ctx context.Context, name string) (*Session, *verdict.Error) {
+// configuration yet, as after a start, or no proof that it shows which keys are valid, it waits for one.
+func (d *Dispatcher) Open(ctx context.Context, p statement.StartupParameters) (*Session, *verdict.Error) {
+	salt := strconv.FormatUint(d.sessionCount.Add(1), 36)
+	s := &Session{dispatcher: d, routeName: p.Database, salt: salt, key: config.HashKey(p.User)}
 	deadline := d.now().Add(openTimeout)
-	for d.options.Catalogs.Catalog() == nil && d.now().Before(deadline) && ctx.Err() == nil {
+	for {
+		refused := s.authorize()
+		if refused == nil {
+			return s, nil
+		}
+		waits := refused.Reason == verdict.Unconfigured || refused.Reason == verdict.Unproven
+		if !waits || !d.now().Before(deadline) || ctx.Err() != nil {
+			return nil, refused
+		}
 		_ = clock.Wait(ctx, d.options.Clock, openPollInterval)
 	}
-	if _, _, refused := d.route(name); refused != nil {
-		return nil, refused
-	}
-	salt := strconv.FormatUint(d.sessionCount.Add(1), 36)
-	return &Session{dispatcher: d, routeName: name, salt: salt}, nil
 }
 
 // State returns the session's transaction state.
@@ -84,6 +92,11 @@
 	if s.state == statement.Failed && r.Kind != statement.Commit && r.Kind != statement.Rollback {
 		return s.malformed("transaction has failed and can only be committed or rolled back")
 	}
+	if needsAuthorization(r.Kind) {
+		if refused := s.authorize(); refused != nil {
+			return s.refuseUnauthorized(r, refused)
+		}
+	}
 	switch r.Kind {
 	case statement.Begin, statement.BeginRead:
 		return s.begin(r)
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -21,6 +21,9 @@
 	if refused != nil {
 		return statement.Refusal(refused, s.state)
 	}
+	if refused := w.takeOperation(ctx); refused != nil {
+		return w.refuse(j.request, refused)
+	}
 	for {
 		choice, refused := w.nextEndpoint(ctx)
 		if refused != nil {
@@ -104,7 +107,9 @@
 	if !ok {
 		return nil, nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint is no longer registered")
 	}
-	conn, err := pool.Acquire(ctx, w.class, w.deadline, w.session.settings)
+	conn, err := pool.Acquire(ctx, connection.Demand{
+		Workspace: w.workspace.Name, Class: w.class, Deadline: w.deadline, Settings: w.session.settings,
+	})
 	if err == nil && !w.database.AcceptsWork(c.Endpoint.Name) {
 		// The endpoint is leaving, and its time for new work ended during the wait for a connection.
 		pool.Release(conn, true, 0)
@@ -188,6 +193,9 @@
 		"request": r.ID, "kind": r.Kind.String(), "route": w.route.Name, "endpoint": w.chosenEndpoint, "choice": w.chosenRule, "tries": w.attempts,
 		"took": took.String(), "position": a.Position.String(),
 	}
+	if w.workspace.Name != "" {
+		fields["workspace"] = w.workspace.Name
+	}
 	if w.chosenAfter != (endpoint.Position{}).String() {
 		fields["after"] = w.chosenAfter
 	}
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -69,6 +69,9 @@
 	if refused != nil {
 		return s.failTransaction(statement.Refusal(refused, statement.Failed))
 	}
+	if refused := w.takeOperation(ctx); refused != nil {
+		return s.failTransaction(w.refuse(j.request, refused))
+	}
 	for {
 		choice, refused := w.nextEndpoint(ctx)
 		if refused != nil {
--- a/dispatch/workitem.go
+++ b/dispatch/workitem.go
@@ -49,13 +49,15 @@
 
 // workItem tracks the routing of a statement, or of a transaction by its first statement, over its attempts.
 type workItem struct {
-	session  *Session
-	route    config.Route
-	database *database.Database
-	class    limit.Class
-	query    group.Query
-	started  time.Time
-	deadline time.Time
+	session *Session
+	// workspace is the session's, zero for none.
+	workspace config.Workspace
+	route     config.Route
+	database  *database.Database
+	class     limit.Class
+	query     group.Query
+	started   time.Time
+	deadline  time.Time
 	// attemptTimeout bounds one attempt of a read. latencyBudget is half of the route's target latency; it bounds an
 	// attempt of a read too, unless the endpoint is known to be slow, so that another endpoint can still answer within
 	// the target.
@@ -94,7 +96,7 @@
 	token, _ := s.token.Position(route.Database)
 	allowance, _ := catalog.Allowance(route.Allowance)
 	return &workItem{
-		session: s, route: route, database: db, class: queueClass(priority),
+		session: s, workspace: s.workspace, route: route, database: db, class: queueClass(priority),
 		query: group.Query{
 			PrimaryOnly: write || route.Reads == config.ReadsPrimary, Token: token, MaxAge: allowance.Age.Std(),
 			Domain: d.options.Domain, Salt: s.salt,
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -40,7 +40,8 @@
 }
 
 // Dial borrows a connection from the first reachable holder, and connects directly within connectTimeout if there is none.
-func (d Dialer) Dial(ctx context.Context, e config.Endpoint, connectTimeout time.Duration) (connection.Conn, error) {
+func (d Dialer) Dial(ctx context.Context, target connection.Target, connectTimeout time.Duration) (connection.Conn, error) {
+	e := target.Endpoint
 	asked := 0
 	for _, holder := range d.Holders(e) {
 		if !d.Health.MayAsk(holder.Address, e.Name) {
@@ -52,7 +53,7 @@
 		stream, err := d.open(ctx, holder.Address)
 		if err == nil {
 			err = stream.Send(&wire.Frame{Body: &wire.Frame_Loan{Loan: &wire.Loan{
-				Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation,
+				Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace,
 			}}})
 		}
 		if err == nil {
@@ -64,7 +65,7 @@
 			break
 		}
 	}
-	return d.Direct.Dial(ctx, e, connectTimeout)
+	return d.Direct.Dial(ctx, target, connectTimeout)
 }
 
 // open opens a stream whose lifetime is bounded by the dialer's Context; ctx bounds only the opening.
@@ -92,6 +93,6 @@
 }
 
 // DialOver opens a connection over link, without a holder, and verifies that link leads to the expected endpoint.
-func (d Dialer) DialOver(ctx context.Context, e config.Endpoint, link net.Conn) (connection.Conn, error) {
-	return d.Direct.DialOver(ctx, e, link)
+func (d Dialer) DialOver(ctx context.Context, target connection.Target, link net.Conn) (connection.Conn, error) {
+	return d.Direct.DialOver(ctx, target, link)
 }
--- a/loan/health_test.go
+++ b/loan/health_test.go
@@ -12,6 +12,7 @@
 
 	"siskincove/clock"
 	"siskincove/config"
+	"siskincove/connection"
 	"siskincove/event"
 	"siskincove/member"
 	"siskincove/peer"
@@ -96,7 +97,7 @@
 				late := 0
 				for n := range 20 {
 					// Each statement is for another endpoint; what one learns of a holder serves the others.
-					conn, err := dialer.Dial(ctx, config.Endpoint{Name: fmt.Sprintf("e%d", n), Database: "d"}, time.Second)
+					conn, err := dialer.Dial(ctx, connection.Target{Endpoint: config.Endpoint{Name: fmt.Sprintf("e%d", n), Database: "d"}}, time.Second)
 					if err != nil {
 						t.Fatal(err)
 					}
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -188,7 +188,9 @@
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.Leaving, "instance does not hold connections to %s", l.request.GetEndpoint())
 	}
-	conn, err := pool.Acquire(ctx, class, deadline, l.settings)
+	conn, err := pool.Acquire(ctx, connection.Demand{
+		Workspace: l.request.GetWorkspace(), Class: class, Deadline: deadline, Settings: l.settings,
+	})
 	if err != nil {
 		return err
 	}
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -34,7 +34,7 @@
 	silent bool
 }
 
-func (f *fakeEndpoint) Dial(context.Context, config.Endpoint, time.Duration) (connection.Conn, error) {
+func (f *fakeEndpoint) Dial(context.Context, connection.Target, time.Duration) (connection.Conn, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.dialed++
@@ -43,7 +43,7 @@
 	return &fakeConn{endpoint: f, number: f.dialed, broken: make(chan struct{})}, nil
 }
 
-func (f *fakeEndpoint) DialOver(ctx context.Context, e config.Endpoint, _ net.Conn) (connection.Conn, error) {
+func (f *fakeEndpoint) DialOver(ctx context.Context, e connection.Target, _ net.Conn) (connection.Conn, error) {
 	return f.Dial(ctx, e, 0)
 }
 
@@ -136,7 +136,7 @@
 		Context: h.ctx, Clock: clock.System{}, Logger: event.Discard(), Peers: h, Direct: h.endpoint, OnUnreachable: func(string) {}, OnSilence: func() {}, Health: NewHealth(clock.System{}),
 		Holders: func(config.Endpoint) []member.Instance { return []member.Instance{{ID: "holder", Address: "holder"}} },
 	}
-	c, err := dialer.Dial(h.ctx, config.Endpoint{Name: "e", Database: "d"}, time.Second)
+	c, err := dialer.Dial(h.ctx, connection.Target{Endpoint: config.Endpoint{Name: "e", Database: "d"}}, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"siskincove/config"
 	"siskincove/connection"
 	"siskincove/statement"
 	"siskincove/verdict"
@@ -174,9 +173,9 @@
 type Dialer struct{ Group *Group }
 
 // Dial opens a connection; the handshake occupies a slot.
-func (d Dialer) Dial(ctx context.Context, target config.Endpoint, connectTimeout time.Duration) (connection.Conn, error) {
+func (d Dialer) Dial(ctx context.Context, target connection.Target, connectTimeout time.Duration) (connection.Conn, error) {
 	for _, e := range d.Group.Endpoints {
-		if e.Name != target.Name {
+		if e.Name != target.Endpoint.Name {
 			continue
 		}
 		if e.isSilent() {
@@ -195,7 +194,7 @@
 		}
 		return &conn{endpoint: e, endpointDown: down, closed: make(chan struct{})}, nil
 	}
-	return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "unknown endpoint %s", target.Name)
+	return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "unknown endpoint %s", target.Endpoint.Name)
 }
 
 // awaitNothing waits for a connection to a silent endpoint until it times out.
@@ -207,7 +206,7 @@
 }
 
 // DialOver always fails, since connections over other instances are not modelled.
-func (d Dialer) DialOver(context.Context, config.Endpoint, net.Conn) (connection.Conn, error) {
+func (d Dialer) DialOver(context.Context, connection.Target, net.Conn) (connection.Conn, error) {
 	return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "dialing over another instance is not modelled")
 }
 
--- a/simulation/holders_test.go
+++ b/simulation/holders_test.go
@@ -39,7 +39,7 @@
 	pool := h.pools[n%len(h.pools)]
 	for range statements {
 		deadline := time.Now().Add(780 * time.Millisecond)
-		conn, err := pool.Acquire(ctx, class, deadline, nil)
+		conn, err := pool.Acquire(ctx, connection.Demand{Class: class, Deadline: deadline})
 		if err != nil {
 			return false
 		}
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -126,7 +126,7 @@
 
 // Serve runs a request in a new session.
 func (p *Proxy) Serve(ctx context.Context, instance int, r Request) (bool, time.Duration) {
-	s, refused := p.dispatchers[instance].Open(ctx, r.Class.Route)
+	s, refused := p.dispatchers[instance].Open(ctx, statement.StartupParameters{Database: r.Class.Route})
 	if refused != nil {
 		return false, refused.RetryAfter
 	}
@@ -220,7 +220,7 @@
 		bounded, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		var err error
-		if pooled, err = (Dialer{Group: n.group}).Dial(bounded, config.Endpoint{Name: target}, n.timeout); err != nil {
+		if pooled, err = (Dialer{Group: n.group}).Dial(bounded, connection.Target{Endpoint: config.Endpoint{Name: target}}, n.timeout); err != nil {
 			return false, nil
 		}
 	}
--- a/statement/request.go
+++ b/statement/request.go
@@ -19,6 +19,7 @@
 type StartupParameters struct {
 	// Database is the name that the caller connects to.
 	Database string
-	// User is the name that the caller presents.
+	// User is the name that the caller presents, or the key of its workspace where workspaces are configured. It must not be
+	// logged.
 	User string
 }
--- a/succession/probe.go
+++ b/succession/probe.go
@@ -132,7 +132,7 @@
 func (p *prober) dial(e config.Endpoint, c *endpointConn) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.Dial(ctx, e, dialTimeout)
+	conn, err := p.dialer.Dial(ctx, connection.Target{Endpoint: e}, dialTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	close(c.dialDone)
--- a/succession/probe_test.go
+++ b/succession/probe_test.go
@@ -24,7 +24,7 @@
 	dials     atomic.Int32
 }
 
-func (remote *remoteEndpoint) Dial(ctx context.Context, _ config.Endpoint, _ time.Duration) (connection.Conn, error) {
+func (remote *remoteEndpoint) Dial(ctx context.Context, _ connection.Target, _ time.Duration) (connection.Conn, error) {
 	remote.dials.Add(1)
 	if remote.refusing.Load() {
 		return nil, syscall.ECONNREFUSED
@@ -36,7 +36,7 @@
 	return &remoteConn{endpoint: remote, broken: make(chan struct{})}, nil
 }
 
-func (remote *remoteEndpoint) DialOver(ctx context.Context, e config.Endpoint, _ net.Conn) (connection.Conn, error) {
+func (remote *remoteEndpoint) DialOver(ctx context.Context, e connection.Target, _ net.Conn) (connection.Conn, error) {
 	return remote.Dial(ctx, e, 0)
 }
 
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -43,6 +43,12 @@
 	Unprepared Reason = "unprepared"
 	// Unrouted means that no route has the name to which the caller connects.
 	Unrouted Reason = "unrouted"
+	// Unauthorized: the caller's key belongs to no workspace.
+	Unauthorized Reason = "unauthorized"
+	// Allotment: the workspace has used its allotment of operations.
+	Allotment Reason = "allotment"
+	// Unproven: the instance has not confirmed recently that its configuration, which holds the keys, is the newest.
+	Unproven Reason = "unproven"
 	// Misrouted means that another endpoint answers at the address.
 	Misrouted Reason = "misrouted"
 	// TooManyConnections means that the endpoint admits no further connection.
