connection, database, loan: pool connections by workspace

Cause: a connection names its workspace in START and can't change it, but pools took any number of idle connections of other workspaces as room for none, so nearly each statement opened one. Change: where workspaces are configured each endpoint has a few holders, which all instances including themselves borrow from, in an order that depends on the workspace. A pool reserves a place for each connection before it opens one, and at the limit closes the least recently used idle one; a released connection goes to the first statement of its workspace that waits.

--- a/connection/capacity.go
+++ b/connection/capacity.go
@@ -45,19 +45,19 @@
 	}
 }
 
-// addIdleInTx changes the number of connections that are idle in a transaction.
-func (p *Pool) addIdleInTx(delta int) {
+// addIdleInTx changes the number of a workspace's connections that are idle in a transaction.
+func (p *Pool) addIdleInTx(workspace string, delta int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idleInTx += delta
+	p.usage.addIdleInTx(workspace, delta)
 	p.updateCapacityLocked()
 }
 
-// prepareFor records a demand and applies the window's growth since the last exchange.
-func (p *Pool) prepareFor(d Demand) {
+// growWindow applies the window's growth since the last exchange.
+func (p *Pool) growWindow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastWorkspace = d.Workspace
 	p.updateCapacityLocked()
 }
 
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -19,6 +18,10 @@
 // bursts of requests.
 const idleTimeout = 2 * time.Second
 
+// workspaceIdleTimeout is the same for a pool with connections of several workspaces, where it concerns those beyond the last
+// one of a workspace: the limit bounds them, and opening one again takes a slot.
+const workspaceIdleTimeout = 15 * time.Second
+
 // idleRoundTrips is the minimum time to keep unused connections, in round trips. Opening a connection takes three.
 const idleRoundTrips = 40
 
@@ -45,6 +48,8 @@
 	InFlight int
 	// Borrows is set if the dialer borrows connections that other instances hold.
 	Borrows bool
+	// ByWorkspace is set if the pool has connections of several workspaces.
+	ByWorkspace bool
 	// Detour, if set, is used while the endpoint can't be reached directly.
 	Detour Detour
 	// Context bounds the attempts to connect that are not made for one statement; nil means no bound.
@@ -63,9 +68,17 @@
 	// the endpoint for a while, so many opened at once would occupy all slots.
 	dialSlots chan struct{}
 
-	mu      sync.Mutex
-	idle    []*PooledConn
-	circuit limit.Circuit
+	mu sync.Mutex
+	// idle are the connections that are not in use, in the order of their release.
+	idle []*PooledConn
+	// usage counts the connections and waiting statements.
+	usage usage
+	// waiters are the statements that wait for a connection of their workspace, in order of arrival.
+	waiters []*waiter
+	// placeFreed is closed and replaced when a connection is closed or becomes idle.
+	placeFreed chan struct{}
+	evictions  evictionLog
+	circuit    limit.Circuit
 	// unreachableUntil is until when the direct path is assumed to fail.
 	unreachableUntil time.Time
 	// roundTrip is the round-trip time of the last connection opened, 0 if unknown.
@@ -79,9 +92,9 @@
 	// idleInTx is the number of connections in transactions that await their next statement. They take no slot of the
 	// endpoint.
 	idleInTx int
-	// lastWorkspace is the workspace of the last demand, for which the pool reconnects in the background.
-	lastWorkspace string
-	closed        bool
+	// openTime is the mean time that opening a connection takes, 0 if unknown.
+	openTime time.Duration
+	closed   bool
 	// redialDone is closed when the last attempt to connect in the background has ended.
 	redialDone chan struct{}
 }
@@ -92,8 +105,8 @@
 		o.Context = context.Background()
 	}
 	p := &Pool{
-		options: o, queue: queue.New(1, o.Clock), dialSlots: make(chan struct{}, maxConcurrentDials), maxDials: 1,
-		limit: o.Limit, window: limit.NewWindow(windowLimit(o.Limit, o.InFlight), o.Clock.Now()), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
+		options: o, queue: queue.New(1, o.Clock), dialSlots: make(chan struct{}, maxConcurrentDials), maxDials: initialDials(o),
+		usage: newUsage(), placeFreed: make(chan struct{}), limit: o.Limit, window: limit.NewWindow(windowLimit(o.Limit, o.InFlight), o.Clock.Now()), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
 	}
 	close(p.redialDone)
 	p.ctx, p.cancel = context.WithCancel(o.Context)
@@ -103,6 +116,15 @@
 	return p
 }
 
+// initialDials returns how many connections may be opened at once while the round-trip time is unknown. Borrowed ones of
+// several workspaces come from several holders, and one that does not answer must not delay the others.
+func initialDials(o Options) int {
+	if o.Borrows && o.ByWorkspace {
+		return maxConcurrentDials
+	}
+	return 1
+}
+
 // recordRoundTrip stores the round-trip time and raises maxDials for a distant endpoint. p.mu must be held.
 func (p *Pool) recordRoundTrip(roundTrip time.Duration) {
 	if roundTrip == 0 {
@@ -122,6 +144,12 @@
 // Borrows reports whether the connections are held by other instances.
 func (p *Pool) Borrows() bool { return p.options.Borrows }
 
+// Serves reports whether the pool has connections of the kind that options describe: its own or borrowed ones, and of one
+// workspace or several.
+func (p *Pool) Serves(o Options) bool {
+	return p.options.Borrows == o.Borrows && p.options.ByWorkspace == o.ByWorkspace
+}
+
 // Used returns the number of acquired connections.
 func (p *Pool) Used() int { return p.queue.Used() }
 
@@ -132,6 +160,7 @@
 	p.limit = limit
 	p.window = p.window.WithLimit(windowLimit(limit, inFlight))
 	p.updateCapacityLocked()
+	p.closeExcess()
 }
 
 // windowLimit returns the greatest size of the window for a number of connections and of statements in flight.
@@ -159,10 +188,9 @@
 }
 
 func (p *Pool) closeIdleLocked() {
-	for _, h := range p.idle {
-		h.Close()
+	for len(p.idle) > 0 {
+		p.closeIdleAt(0)
 	}
-	p.idle = nil
 }
 
 // Done returns a channel that is closed once the last attempt to connect in the background has ended.
@@ -172,23 +200,20 @@
 	return p.redialDone
 }
 
-// Acquire returns a connection of the demand's workspace, preferring one that has the demand's settings. It fails at once while the endpoint can't be
-// reached. Errors are verdict errors with NotRun.
+// Acquire returns a connection of the demand's workspace, preferring one that has the demand's settings. It fails at once while
+// the endpoint can't be reached. Errors are verdict errors with NotRun.
 func (p *Pool) Acquire(ctx context.Context, d Demand) (*PooledConn, error) {
-	p.prepareFor(d)
-	if err := p.checkReachable(); err != nil {
+	p.growWindow()
+	if err := p.checkReachable(d.Workspace); err != nil {
 		return nil, err
 	}
 	if err := p.queue.Admit(ctx, d.Class, d.Deadline); err != nil {
 		return nil, err
 	}
-	h := p.takeIdle(d)
-	if h == nil {
-		var err error
-		if h, err = p.openOrTakeIdle(ctx, d); err != nil {
-			p.queue.Release(0)
-			return nil, err
-		}
+	h, err := p.takeOrOpen(ctx, d)
+	if err != nil {
+		p.queue.Release(0)
+		return nil, err
 	}
 	if c, ok := h.Conn.(ClassSetter); ok {
 		c.SetClass(d.Class)
@@ -196,63 +221,39 @@
 	return h, nil
 }
 
-// openOrTakeIdle waits until a connection may be opened and opens it, unless another was released in the meantime.
-func (p *Pool) openOrTakeIdle(ctx context.Context, d Demand) (*PooledConn, error) {
-	select {
-	case p.dialSlots <- struct{}{}:
-	case <-ctx.Done():
-		return nil, verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up")
-	case <-p.options.Clock.After(d.Deadline.Sub(p.options.Clock.Now()) - minDialTime):
-		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
-	}
-	defer func() { <-p.dialSlots }()
-	if h := p.takeIdle(d); h != nil {
-		return h, nil
-	}
-	return p.dial(ctx, d.Workspace, d.Deadline)
-}
-
-// Trim closes connections that have been idle for too long, but keeps one.
+// Trim closes connections that have been idle for too long.
 func (p *Pool) Trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
-	for len(p.idle) > 1 && now.Sub(p.idle[0].idleSince) > max(idleTimeout, idleRoundTrips*p.roundTrip) {
-		p.idle[0].Close()
-		p.idle = p.idle[1:]
-	}
-}
-
-// takeIdle returns an idle connection that is not broken, or nil if there is none.
-func (p *Pool) takeIdle(d Demand) *PooledConn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := p.idle[:0]
-	for _, h := range p.idle {
-		if !h.isBroken() {
-			kept = append(kept, h)
+	for i := 0; i < len(p.idle); {
+		if now.Sub(p.idle[i].idleSince) <= p.idleTimeout() {
+			return
 		}
-	}
-	p.idle = kept
-	best := -1
-	for i := len(kept) - 1; i >= 0; i-- {
-		if kept[i].workspace != d.Workspace {
+		if p.keepsIdle(p.idle[i]) {
+			i++
 			continue
 		}
-		if best < 0 {
-			best = i
-		}
-		if maps.Equal(kept[i].settings, d.Settings) {
-			best = i
-			break
-		}
+		p.closeIdleAt(i)
 	}
-	if best < 0 {
-		return nil
+}
+
+// idleTimeout returns after what time an idle connection counts as unused. p.mu must be held.
+func (p *Pool) idleTimeout() time.Duration {
+	if p.options.ByWorkspace {
+		return workspaceIdleTimeout
+	}
+	return max(idleTimeout, idleRoundTrips*p.roundTrip)
+}
+
+// keepsIdle reports whether a connection is kept though it has not been used for a while: the last one of the pool, or of its
+// workspace where the limit divides the connections among workspaces. A borrowed connection is opened again at no cost. p.mu
+// must be held.
+func (p *Pool) keepsIdle(h *PooledConn) bool {
+	if p.options.ByWorkspace {
+		return !p.options.Borrows && p.usage.of(h.workspace).open == 1
 	}
-	h := kept[best]
-	p.idle = append(kept[:best], kept[best+1:]...)
-	return h
+	return len(p.idle) == 1
 }
 
 func (p *Pool) dial(ctx context.Context, workspace string, deadline time.Time) (*PooledConn, error) {
@@ -272,24 +273,33 @@
 	defer p.mu.Unlock()
 	switch {
 	case err == nil:
+		p.recordOpenTime(p.options.Clock.Now().Sub(now))
 	case ctx.Err() != nil:
-		return nil, verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up")
+		return nil, errGaveUp()
 	default:
-		p.recordDialFailure(err, bounded.connect == limits.connect)
+		p.recordDialFailure(workspace, err, bounded.connect == limits.connect)
 		return nil, err
 	}
 	p.recordDialSuccess(conn)
 	return &PooledConn{Conn: conn, pool: p, workspace: workspace}, nil
 }
 
-// keepIdle stores a connection for the next statement, or closes it if the pool is closed. p.mu must be held.
+// keepIdle passes a connection to the first statement that waits for one of its workspace, or stores it. It closes the
+// connection if the pool is closed. p.mu must be held.
 func (p *Pool) keepIdle(h *PooledConn) {
 	if p.closed {
-		h.Close()
+		p.closeInUse(h)
+		return
+	}
+	if p.handOver(h) {
 		return
 	}
+	p.usage.addInUse(h.workspace, -1)
 	h.idleSince = p.options.Clock.Now()
 	p.idle = append(p.idle, h)
+	p.countIdle(1)
+	p.closeExcess()
+	p.notifyPlaceFreed()
 }
 
 // Release returns a connection that was in use for the time took. The connection is closed if it is broken or must not
@@ -300,7 +310,7 @@
 	took, h.idleInTxTotal = max(took-h.idleInTxTotal, 0), 0
 	p.mu.Lock()
 	if !reuse || h.isBroken() {
-		h.Close()
+		p.closeInUse(h)
 	} else {
 		p.keepIdle(h)
 	}
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -59,11 +59,11 @@
 	now := h.pool.options.Clock.Now()
 	if idle {
 		h.idleInTxSince = now
-		h.pool.addIdleInTx(1)
+		h.pool.addIdleInTx(h.workspace, 1)
 		return
 	}
 	h.idleInTxTotal += now.Sub(h.idleInTxSince)
-	h.pool.addIdleInTx(-1)
+	h.pool.addIdleInTx(h.workspace, -1)
 }
 
 // SyncSettings returns the steps that change the connection's settings to those of a session, and records the new
--- a/connection/redial.go
+++ b/connection/redial.go
@@ -14,21 +14,21 @@
 // length of an outage.
 const maxRedialPause = 250 * time.Millisecond
 
-// checkReachable returns an error if the last attempts to connect to the endpoint failed and no connection is left that works.
-// Statements then need not wait for an attempt: one is made in the background when it is due.
-func (p *Pool) checkReachable() error {
+// checkReachable returns an error if the last attempts to connect to the endpoint failed and no connection of the workspace is
+// left that works. Statements then need not wait for an attempt: one is made in the background when it is due.
+func (p *Pool) checkReachable(workspace string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Clock.Now()
-	if !p.circuit.Failed() || len(p.idle) > 0 {
+	if !p.circuit.Failed() || p.hasIdle(workspace) {
 		return nil
 	}
-	if silent := now.Before(p.unreachableUntil); !silent && p.queue.Used() > 0 {
+	if silent := now.Before(p.unreachableUntil); !silent && p.usage.of(workspace).inUse > 0 {
 		// The endpoint answers, and its refusal of more connections does not concern those in use.
 		return nil
 	}
 	if p.circuit.Allows(now) {
-		p.startRedial()
+		p.startRedial(workspace)
 	}
 	return unreachable(max(p.circuit.Remaining(now), p.limits().connect))
 }
@@ -37,8 +37,8 @@
 	return verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint can't be reached").WithRetryAfter(retryAfter)
 }
 
-// startRedial attempts to connect in the background, unless an attempt is under way. p.mu must be held.
-func (p *Pool) startRedial() {
+// startRedial attempts to connect on behalf of a workspace in the background, unless an attempt is under way. p.mu must be held.
+func (p *Pool) startRedial(workspace string) {
 	select {
 	case <-p.redialDone:
 	default:
@@ -51,12 +51,12 @@
 	p.redialDone = done
 	go func() {
 		defer close(done)
-		p.redial(p.ctx)
+		p.redial(p.ctx, workspace)
 	}()
 }
 
-// redial opens a connection and stores it as idle.
-func (p *Pool) redial(ctx context.Context) {
+// redial opens a connection and stores it as idle, unless the pool has reached its limit.
+func (p *Pool) redial(ctx context.Context, workspace string) {
 	select {
 	case p.dialSlots <- struct{}{}:
 	case <-ctx.Done():
@@ -64,23 +64,28 @@
 	}
 	defer func() { <-p.dialSlots }()
 	p.mu.Lock()
-	limits, workspace := p.limits(), p.lastWorkspace
+	limits, reserved := p.limits(), p.reserve(workspace)
 	p.mu.Unlock()
+	if !reserved {
+		return
+	}
 	conn, err := p.connect(ctx, workspace, limits)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case err == nil:
+	if err == nil {
 		p.recordDialSuccess(conn)
 		p.keepIdle(&PooledConn{Conn: conn, pool: p, workspace: workspace})
-	case ctx.Err() == nil:
-		p.recordDialFailure(err, true)
+		return
+	}
+	p.freePlace(workspace)
+	if ctx.Err() == nil {
+		p.recordDialFailure(workspace, err, true)
 	}
 }
 
 // recordDialFailure updates the circuit after a failed attempt to connect. If the endpoint had the full time to answer and did
 // not, the next attempt is started at once, over a detour. p.mu must be held.
-func (p *Pool) recordDialFailure(err error, fullTime bool) {
+func (p *Pool) recordDialFailure(workspace string, err error, fullTime bool) {
 	now := p.options.Clock.Now()
 	p.options.Logger.Log(event.ConnectionFailed, log.Fields{
 		"endpoint": p.options.Endpoint.Name, "address": p.options.Endpoint.Address, "error": err.Error(),
@@ -92,7 +97,7 @@
 	first := !p.circuit.Failed()
 	p.circuit = p.circuit.WithSilence(now)
 	if first && p.options.Detour != nil {
-		p.startRedial()
+		p.startRedial(workspace)
 	}
 }
 
@@ -100,5 +105,6 @@
 func (p *Pool) recordDialSuccess(conn Conn) {
 	p.circuit = p.circuit.WithSuccess()
 	p.recordRoundTrip(conn.RoundTrip())
+	p.countOpened()
 	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": p.options.Endpoint.Name})
 }
--- a/database/database.go
+++ b/database/database.go
@@ -23,6 +23,8 @@
 	view    group.View
 	members []config.Endpoint
 	pools   map[string]*connection.Pool
+	// held are the pools of this instance's own connections to endpoints whose connections statements borrow by workspace.
+	held map[string]*connection.Pool
 	// leavingSince is when an endpoint was first known to be leaving.
 	leavingSince map[string]time.Time
 	// departures lists the endpoints that left and may hold commits that no other replica has.
@@ -40,8 +42,9 @@
 
 func newDatabase(name string, o Options) *Database {
 	return &Database{
-		name: name, options: o, pools: make(map[string]*connection.Pool), leavingSince: make(map[string]time.Time),
-		changed: make(chan struct{}),
+		name: name, options: o, pools: make(map[string]*connection.Pool), held: make(map[string]*connection.Pool),
+		leavingSince: make(map[string]time.Time),
+		changed:      make(chan struct{}),
 	}
 }
 
@@ -119,6 +122,17 @@
 	return p, ok
 }
 
+// Held returns this instance's own connections to an endpoint, and false if it has none.
+func (d *Database) Held(endpoint string) (*connection.Pool, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p, ok := d.held[endpoint]; ok {
+		return p, true
+	}
+	p, ok := d.pools[endpoint]
+	return p, ok && !p.Borrows()
+}
+
 // update changes the view and notifies waiters as described at Changed. If another endpoint leads, or none does any longer,
 // it logs that with the reason why.
 func (d *Database) update(why string, change func(v group.View, now time.Time) group.View) {
@@ -213,34 +227,70 @@
 	}
 }
 
-// updatePool creates or resizes an endpoint's pool. The pool is replaced if the endpoint was restarted or moved to another
-// address, or if this instance starts or stops borrowing connections to it.
+// updatePool creates, resizes or replaces an endpoint's pools.
 func (d *Database) updatePool(e config.Endpoint, share Share) {
-	o := connection.Options{
+	d.removeReplaced(e)
+	own := connection.Options{
 		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: share.Limit, InFlight: share.InFlight,
-		Detour: d.options.Detour, Context: d.options.Context,
+		ByWorkspace: share.ByWorkspace, Detour: d.options.Detour, Context: d.options.Context,
 	}
-	if d.options.Lending != nil && share.Holders > 0 && !d.options.Lending.Holds(e, share.Holders) {
-		o.Borrows, o.Dialer, o.Limit, o.InFlight = true, d.options.Lending.Dialer(), maxBorrowed, 0
+	if d.options.Lending == nil || share.Holders == 0 {
+		d.setPool(d.pools, own, share)
+		d.closeHeld(e.Name)
+		return
 	}
-	if p, ok := d.pools[e.Name]; ok {
-		if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address && p.Borrows() == o.Borrows {
+	holds := d.options.Lending.Holds(e, share.Holders)
+	borrowed := own
+	borrowed.Borrows, borrowed.Limit, borrowed.InFlight = true, maxBorrowed, 0
+	switch {
+	case share.ByWorkspace:
+		borrowed.Dialer, borrowed.Detour = d.options.Lending.WorkspaceDialer(), nil
+		if holds {
+			d.setPool(d.held, own, share)
+		} else {
+			d.closeHeld(e.Name)
+		}
+		d.setPool(d.pools, borrowed, share)
+		return
+	case holds:
+		d.setPool(d.pools, own, share)
+	default:
+		borrowed.Dialer = d.options.Lending.Dialer()
+		d.setPool(d.pools, borrowed, share)
+	}
+	d.closeHeld(e.Name)
+}
+
+// setPool creates or resizes a pool. The pool is replaced if this instance starts or stops borrowing connections to the endpoint
+// or dividing them by workspace.
+func (d *Database) setPool(pools map[string]*connection.Pool, o connection.Options, share Share) {
+	e := o.Endpoint
+	if p, ok := pools[e.Name]; ok {
+		if p.Serves(o) {
 			p.Resize(o.Limit, o.InFlight)
 			return
 		}
-		d.replacePool(e, p)
+		p.Close()
 	}
 	d.options.Logger.Log(event.ConnectionsAllocated, log.Fields{
 		"endpoint": e.Name, "limit": o.Limit, "borrows": o.Borrows, "holders": share.Holders,
 	})
-	d.pools[e.Name] = connection.New(o)
+	pools[e.Name] = connection.New(o)
 }
 
-// replacePool closes an endpoint's pool. What was observed of the endpoint is discarded too, unless the endpoint is the
-// same and only the change between own and borrowed connections requires a new pool.
-func (d *Database) replacePool(e config.Endpoint, p *connection.Pool) {
-	if p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address {
+// closeHeld closes this instance's own connections to an endpoint whose connections it only borrows from now on.
+func (d *Database) closeHeld(endpoint string) {
+	if p, ok := d.held[endpoint]; ok {
 		p.Close()
+		delete(d.held, endpoint)
+	}
+}
+
+// removeReplaced closes the pools of an endpoint that was restarted or moved to another address and discards what was observed of
+// it.
+func (d *Database) removeReplaced(e config.Endpoint) {
+	p, ok := d.pools[e.Name]
+	if !ok || p.Endpoint().Incarnation == e.Incarnation && p.Endpoint().Address == e.Address {
 		return
 	}
 	if p.Endpoint().Incarnation != e.Incarnation {
@@ -260,10 +310,11 @@
 	}
 }
 
-// removePool closes an endpoint's pool and discards what was observed of the endpoint.
+// removePool closes an endpoint's pools and discards what was observed of the endpoint.
 func (d *Database) removePool(name string, p *connection.Pool) {
 	p.Close()
 	delete(d.pools, name)
+	d.closeHeld(name)
 	delete(d.leavingSince, name)
 	d.view = d.view.Without(name)
 }
@@ -275,6 +326,9 @@
 	for _, p := range d.pools {
 		p.Trim()
 	}
+	for _, p := range d.held {
+		p.Trim()
+	}
 }
 
 func (d *Database) close() {
--- a/database/registry.go
+++ b/database/registry.go
@@ -36,6 +36,9 @@
 	Holds(e config.Endpoint, holderCount int) bool
 	// Dialer returns a dialer that borrows connections from the holders.
 	Dialer() connection.Dialer
+	// WorkspaceDialer returns a dialer that borrows connections from the holders of a workspace's connections, which may
+	// include this instance. It does not connect to an endpoint itself.
+	WorkspaceDialer() connection.Dialer
 }
 
 // maxNoticeDelay is how long after an endpoint's notice of leaving reached the store this instance may learn of it: one
@@ -54,6 +57,9 @@
 	// connectionsPerHolder is the approximate number of connections of each holder. It is above an endpoint's number of
 	// slots, so that no slot stays free for lack of a connection.
 	connectionsPerHolder = 8
+	// connectionsPerWorkspaceHolder is the same where each connection belongs to a workspace: enough that the workspaces with
+	// much load keep theirs beside those that come and go.
+	connectionsPerWorkspaceHolder = 18
 	// maxInstancesPerSlot is how many instances per slot may connect to an endpoint. If each of them sends one statement,
 	// that many statements per slot are in flight, and an endpoint lets about eight wait for a slot.
 	maxInstancesPerSlot = 8
@@ -124,7 +130,7 @@
 	for _, d := range r.All() {
 		declared, _ := catalog.Database(d.name)
 		d.configure(catalog.Members(d.name), claims[d.name], func(e config.Endpoint) Share {
-			return Divide(declared.Connections, e.Slots, instances)
+			return ShareOf(catalog, declared.Connections, e, instances)
 		})
 	}
 }
@@ -138,6 +144,16 @@
 	Limit int
 	// InFlight bounds the statements that such an instance has in flight at the endpoint, 0 for no bound but Limit.
 	InFlight int
+	// ByWorkspace is set if each connection belongs to a workspace, so that holders borrow too.
+	ByWorkspace bool
+}
+
+// ShareOf returns the division of an endpoint's connections among a number of instances, 0 while that is unknown.
+func ShareOf(catalog *config.Catalog, connections int, e config.Endpoint, instances int) Share {
+	if catalog.HasWorkspaces() {
+		return DivideByWorkspace(connections, e.Slots, instances)
+	}
+	return Divide(connections, e.Slots, instances)
 }
 
 // Divide divides an endpoint's connections among a number of instances, 0 while that is unknown. slots is 0 if the
@@ -161,3 +177,25 @@
 	}
 	return share
 }
+
+// DivideByWorkspace divides an endpoint's connections among holders where each connection belongs to a workspace. There are few
+// holders, so that a workspace's statements find its connections. The endpoint may count those of a holder that lost power for
+// some seconds more, while those of its successor are opened.
+func DivideByWorkspace(connections, slots, instances int) Share {
+	share := Divide(connections, slots, instances)
+	share.ByWorkspace = true
+	if instances <= minHolders {
+		return share
+	}
+	usable := max(connections-minConnectionReserve, 1)
+	holders := max(usable/connectionsPerWorkspaceHolder-1, min(minHolders, usable))
+	if slots > 0 {
+		holders = min(holders, max(maxHoldersPerSlot*slots, minHolders))
+	}
+	holders = min(holders, instances)
+	share.Holders, share.Limit, share.InFlight = holders, max(usable/(holders+1), 1), 0
+	if slots > 0 {
+		share.InFlight = (inFlightPerSlot*slots + holders - 1) / holders
+	}
+	return share
+}
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -13,8 +13,8 @@
 	"siskincove/peer/wire"
 )
 
-// lending implements database.Lending: if an endpoint has too few connections or slots for all instances, some instances,
-// the holders, connect to it, and the others, the borrowers, use the holders' connections. The holders are instances in
+// lending implements database.Lending: if an endpoint has too few connections or slots for all instances, or its connections
+// belong to workspaces, some instances, the holders, connect to it, and the others, the borrowers, use the holders' connections. The holders are instances in
 // the endpoint's failure domain if there are any.
 type lending struct{ instance *Instance }
 
@@ -37,10 +37,17 @@
 
 // Dialer returns a dialer that borrows connections from the holders.
 func (l lending) Dialer() connection.Dialer {
+	d := l.WorkspaceDialer().(loan.Dialer)
+	d.Holders, d.Direct = l.holdersToAsk, l.instance.options.Dialer
+	return d
+}
+
+// WorkspaceDialer returns a dialer that borrows connections from the holders of a workspace's connections.
+func (l lending) WorkspaceDialer() connection.Dialer {
 	i := l.instance
 	return loan.Dialer{
-		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.holdersToAsk, Health: i.holderHealth,
-		Direct: i.options.Dialer, OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders,
+		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.workspaceHolders, Health: i.holderHealth,
+		OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders,
 	}
 }
 
@@ -54,7 +61,18 @@
 
 // holdersToAsk returns the holders to ask for a connection. The first one depends on this instance's id, which spreads
 // the borrowers over the holders.
-func (l lending) holdersToAsk(e config.Endpoint) []member.Instance {
+func (l lending) holdersToAsk(target connection.Target) []member.Instance {
+	return rotated(l.holders(target.Endpoint), func(n int) int { return int(xxhash.Sum64String(l.instance.options.Settings.Instance.ID) % uint64(n)) })
+}
+
+// workspaceHolders returns the holders to ask for a connection of a workspace. The order depends on the workspace only, so that
+// its statements meet at one holder and each holder serves some of the workspaces.
+func (l lending) workspaceHolders(target connection.Target) []member.Instance {
+	return member.Rank(target.Workspace+"/"+target.Endpoint.Name, l.holders(target.Endpoint))
+}
+
+// holders returns the holders of an endpoint's connections.
+func (l lending) holders(e config.Endpoint) []member.Instance {
 	i := l.instance
 	catalog := i.directory.Catalog()
 	if catalog == nil {
@@ -64,8 +82,7 @@
 	if !ok {
 		return nil
 	}
-	all := l.rankedHolders(e, database.Divide(databaseConfig.Connections, e.Slots, i.instanceCount()).Holders)
-	return rotated(all, func(n int) int { return int(xxhash.Sum64String(i.options.Settings.Instance.ID) % uint64(n)) })
+	return l.rankedHolders(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount()).Holders)
 }
 
 func (i *Instance) newLender() *loan.Lender {
@@ -79,8 +96,8 @@
 	if !ok {
 		return nil, false
 	}
-	pool, ok := d.Pool(request.GetEndpoint())
-	if !ok || !d.AcceptsWork(request.GetEndpoint()) || pool.Borrows() || pool.Endpoint().Incarnation != request.GetIncarnation() {
+	pool, ok := d.Held(request.GetEndpoint())
+	if !ok || !d.AcceptsWork(request.GetEndpoint()) || pool.Endpoint().Incarnation != request.GetIncarnation() {
 		return nil, false
 	}
 	return pool, true
--- a/loan/health_test.go
+++ b/loan/health_test.go
@@ -90,7 +90,7 @@
 				dialer := Dialer{
 					Context: ctx, Clock: clock.System{}, Logger: event.Discard(), Peers: p, OnUnreachable: func(string) {}, OnSilence: func() {},
 					Health: NewHealth(clock.System{}),
-					Holders: func(config.Endpoint) []member.Instance {
+					Holders: func(connection.Target) []member.Instance {
 						return []member.Instance{{ID: "h1", Address: "h1"}, {ID: "h2", Address: "h2"}, {ID: "h3", Address: "h3"}}
 					},
 				}
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -134,7 +134,7 @@
 	t.Helper()
 	dialer := Dialer{
 		Context: h.ctx, Clock: clock.System{}, Logger: event.Discard(), Peers: h, Direct: h.endpoint, OnUnreachable: func(string) {}, OnSilence: func() {}, Health: NewHealth(clock.System{}),
-		Holders: func(config.Endpoint) []member.Instance { return []member.Instance{{ID: "holder", Address: "holder"}} },
+		Holders: func(connection.Target) []member.Instance { return []member.Instance{{ID: "holder", Address: "holder"}} },
 	}
 	c, err := dialer.Dial(h.ctx, connection.Target{Endpoint: config.Endpoint{Name: "e", Database: "d"}}, time.Second)
 	if err != nil {
