freshness, directory, dispatch: serve keyed requests only under a proof of the newest configuration

Cause: an instance that the store turned away, or that was frozen, went on to serve requests of withdrawn keys for any time. Change: keys.withdrawal (strict-revocation) makes each statement that may reach an endpoint need a proof, younger than 0.95 of the bound, that no newer configuration had been acknowledged. Proofs come from answers of the store and, with their age, from replies of peers; who asks whom is decided by freshness.Decide. Without a proof statements are refused as not run and the instance is not ready; idle sessions are redirected while no peer answers either. The check comes before the lookup of the catalog and again after waits.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -100,8 +100,9 @@
 	if c.shouldEnd() {
 		return incoming{}, errShutdown
 	}
-	if idle := c.session.IdleLimit(); idle > 0 {
-		_ = c.codec.SetReadDeadline(time.Now().Add(idle))
+	idle, since := c.session.IdleLimit(), time.Now()
+	if idle > 0 {
+		_ = c.codec.SetReadDeadline(since.Add(idle))
 	} else {
 		_ = c.codec.SetReadDeadline(time.Time{})
 	}
@@ -117,7 +118,7 @@
 		return incoming{request: r, refusal: refusal}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.shouldEnd():
 		return incoming{}, errShutdown
-	case errors.Is(err, os.ErrDeadlineExceeded) && c.session.State() == statement.Open && !c.server.reached(draining):
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.session.State() == statement.Open && !c.server.reached(draining) && time.Since(since) >= idle:
 		return incoming{}, errIdle
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return c.next()
@@ -128,7 +129,8 @@
 
 // shouldEnd reports whether the session has to end, given that no request is in flight.
 func (c *callerConn) shouldEnd() bool {
-	return c.server.reached(closing) || c.server.reached(draining) && c.session.State() == statement.Idle
+	ending := c.server.reached(draining) || c.server.redirecting.Load()
+	return c.server.reached(closing) || ending && c.session.State() == statement.Idle
 }
 
 func (c *callerConn) answer(in incoming) error {
--- a/caller/server.go
+++ b/caller/server.go
@@ -51,6 +51,9 @@
 	goroutines     sync.WaitGroup
 	done           chan struct{}
 	phase          atomic.Int32
+	// redirecting is set while sessions without an open transaction have to end, so that their callers reconnect to other
+	// instances.
+	redirecting atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[*callerConn]bool
@@ -132,6 +135,16 @@
 // does not wait.
 func (s *Server) Close() { s.setPhase(closing) }
 
+// Redirect tells each session to end as soon as it has no request in flight and no open transaction, as long as it is on, also
+// those that open meanwhile. It does not wait.
+func (s *Server) Redirect(on bool) {
+	if s.redirecting.Swap(on) == on || !on {
+		return
+	}
+	s.options.Logger.Log(event.SessionsClosing, log.Fields{"count": s.Sessions()})
+	s.forEach((*callerConn).wake)
+}
+
 // CancelRequests cancels the requests in flight; each is still answered.
 func (s *Server) CancelRequests() { s.cancelRequests() }
 
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -32,6 +32,9 @@
 	ShouldFollow func() bool
 	// OnChange is called after a newer configuration or other endpoints were applied. It must not block or use the directory.
 	OnChange func()
+	// OnConfirmed, if set, is called when the store has answered that no configuration was newer than one of the operator's
+	// versions, with that version, the time at which the question was sent, and the era of the store.
+	OnConfirmed func(version uint64, sent time.Time, era uint64)
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each new catalog and with the name of the endpoint that is registered as primary of each
@@ -41,11 +44,18 @@
 
 // Directory holds the current configuration and endpoints and keeps them up to date.
 type Directory struct {
-	options    Options
-	catalog    atomic.Pointer[config.Catalog]
+	options Options
+	catalog atomic.Pointer[config.Catalog]
+	// inForce is the operator's version of catalog. It is stored after catalog.
+	inForce    atomic.Uint64
 	goroutines sync.WaitGroup
 	done       chan struct{}
 
+	// confirmMu is held by Confirm; feedMu protects feed, the latest position up to which the store has answered.
+	confirmMu sync.Mutex
+	feedMu    sync.Mutex
+	feed      feed
+
 	mu            sync.Mutex
 	configuration Configuration
 	// configurationRow is the row from which configuration was decoded.
@@ -79,6 +89,10 @@
 // Catalog returns the current catalog, or nil until both a configuration and the endpoints are known.
 func (d *Directory) Catalog() *config.Catalog { return d.catalog.Load() }
 
+// InForce returns the version that the operator gave the configuration of the current catalog, 0 for none. A later call of Catalog
+// returns the catalog of this version or of a later one.
+func (d *Directory) InForce() uint64 { return d.inForce.Load() }
+
 // ConfigurationVersion returns the version that the operator gave the current configuration, 0 for none.
 func (d *Directory) ConfigurationVersion() uint64 {
 	d.mu.Lock()
@@ -98,23 +112,25 @@
 }
 
 // updateConfiguration applies the configuration row unless the current configuration has the same or a later version. The
-// versions of rows do not count, since the store may be restored from a copy with an older row.
-func (d *Directory) updateConfiguration(row store.Row, source string) {
+// versions of rows do not count, since the store may be restored from a copy with an older row. It returns the operator's version
+// of the row, 0 if it can't be decoded.
+func (d *Directory) updateConfiguration(row store.Row, source string) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	configuration, err := d.options.Decoder.Configuration(row.Value)
 	if err != nil {
 		d.options.Logger.Log(event.RevisionReadFailed, log.Fields{"version": row.Version, "from": source, "error": err.Error()})
-		return
+		return 0
 	}
 	if configuration.Version <= d.configuration.Version {
-		return
+		return configuration.Version
 	}
 	d.configurationRow, d.configuration = row, configuration
 	d.options.Logger.Log(event.ConfigurationApplied, log.Fields{
 		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes),
 	})
 	d.apply()
+	return configuration.Version
 }
 
 // updateEndpoints applies the endpoint rows that were read at a version of the store, unless those of the same or a later
@@ -179,6 +195,7 @@
 	d.options.Apply(catalog, primaries)
 	// Statements see the catalog only once it has been applied.
 	d.catalog.Store(catalog)
+	d.inForce.Store(d.configuration.Version)
 	d.primaries = primaries
 	d.options.OnChange()
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -47,7 +47,7 @@
 // ShouldFollow reports true. Other instances learn of changes from peers.
 func (d *Directory) followConfiguration(ctx context.Context) {
 	table, key := d.options.Decoder.ConfigurationRow()
-	after, loaded := store.Version(0), false
+	position, loaded := feed{}, false
 	backoff := retryMin
 	for ctx.Err() == nil {
 		var err error
@@ -57,10 +57,10 @@
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
-			after, err = d.followChanges(ctx, table, key, after)
+			position, err = d.followChanges(ctx, table, key, position, followWait)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		default:
-			after, err = d.readConfiguration(ctx, table, key)
+			position, err = d.readConfiguration(ctx, table, key)
 			loaded = err == nil
 		}
 		d.logAvailability(configurationReads, err)
@@ -76,40 +76,90 @@
 	}
 }
 
-// readConfiguration reads and applies the configuration row. It returns the version of the store at which it was read.
-func (d *Directory) readConfiguration(ctx context.Context, table, key string) (store.Version, error) {
+// feed is a position in the changes of the configuration's table.
+type feed struct {
+	// after is the version of the store up to which all changes have been seen.
+	after store.Version
+	// version is the operator's version of the configuration as of then, 0 if it is not known.
+	version uint64
+}
+
+// readConfiguration reads and applies the configuration row. It returns the position at which it was read.
+func (d *Directory) readConfiguration(ctx context.Context, table, key string) (feed, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sent := d.options.Clock.Now()
 	page, err := d.options.Rows.Range(ctx, table, "", key, "")
 	if err != nil {
-		return 0, err
+		return feed{}, err
 	}
+	position := feed{after: page.Version}
 	for _, row := range page.Rows {
 		if row.Key.Key == key {
-			d.updateConfiguration(row, sourceStore)
+			position.version = d.updateConfiguration(row, sourceStore)
 		}
 	}
-	return page.Version, nil
+	d.recordPosition(position, sent)
+	return position, nil
 }
 
-// followChanges waits for changes after a version of the store and applies those of the configuration row. It returns the
-// version up to which it has seen all changes.
-func (d *Directory) followChanges(ctx context.Context, table, key string, after store.Version) (store.Version, error) {
-	callCtx, cancel := context.WithTimeout(ctx, followWait+followGrace)
+// followChanges waits for at most wait for changes after a position and applies those of the configuration row. It returns the
+// position up to which it has seen all changes.
+func (d *Directory) followChanges(ctx context.Context, table, key string, from feed, wait time.Duration) (feed, error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+followGrace)
 	defer cancel()
-	changes, err := d.options.Rows.Follow(callCtx, table, after, followWait)
+	sent := d.options.Clock.Now()
+	changes, err := d.options.Rows.Follow(callCtx, table, from.after, wait)
 	if err != nil {
-		return after, err
+		return from, err
 	}
+	position := feed{after: changes.Version, version: from.version}
 	for _, c := range changes.Changes {
-		if c.Row.Key.Key == key && !c.Deleted {
-			d.updateConfiguration(c.Row, sourceStore)
+		switch {
+		case c.Row.Key.Key != key:
+		case c.Deleted:
+			position.version = 0
+		default:
+			position.version = d.updateConfiguration(c.Row, sourceStore)
 		}
 	}
-	if len(changes.Changes) > 0 {
+	d.recordPosition(position, sent)
+	if len(changes.Changes) > 0 && wait > 0 {
 		_ = clock.Wait(ctx, d.options.Clock, changeDelay)
 	}
-	return changes.Version, nil
+	return position, nil
+}
+
+// recordPosition records the position that the store has answered to a question sent at a time. If its configuration is known, the
+// answer confirms that none was newer when the question was sent.
+func (d *Directory) recordPosition(position feed, sent time.Time) {
+	d.feedMu.Lock()
+	if position.after >= d.feed.after {
+		d.feed = position
+	}
+	d.feedMu.Unlock()
+	if position.version > 0 && d.options.OnConfirmed != nil {
+		d.options.OnConfirmed(position.version, sent, position.after.Era())
+	}
+}
+
+// Confirm asks the store, without waiting for changes, whether the configuration is the newest, and applies a newer one. Calls do
+// not overlap, so that each one asks only for what the previous one did not see.
+func (d *Directory) Confirm(ctx context.Context) error {
+	d.confirmMu.Lock()
+	defer d.confirmMu.Unlock()
+	d.feedMu.Lock()
+	from := d.feed
+	d.feedMu.Unlock()
+	table, key := d.options.Decoder.ConfigurationRow()
+	if from.version > 0 {
+		_, err := d.followChanges(ctx, table, key, from, 0)
+		if !errors.Is(err, store.ErrCompacted) {
+			return err
+		}
+	}
+	_, err := d.readConfiguration(ctx, table, key)
+	return err
 }
 
 // pollEndpoints reads the endpoint table while this instance polls for its failure domain or knows no endpoints yet.
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -44,6 +44,10 @@
 		w.recordFailure(j.request, c, err, statement.Answer{}, acquireStarted)
 		return statement.Answer{}, false
 	}
+	if refused := w.reauthorize(); refused != nil {
+		pool.Release(conn, true, 0)
+		return statement.Refusal(refused, statement.Idle), true
+	}
 	sent := w.session.dispatcher.now()
 	a, err := w.exchangeAndRelease(ctx, j, c, conn, pool)
 	if err != nil && a == nil {
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -15,7 +15,8 @@
 // Freshness tells whether the configuration in force is known to have been the newest until recently, so that it shows
 // which keys are valid.
 type Freshness interface {
-	// Check returns nil if the configuration shows which keys are valid at the time of the call, and otherwise why not.
+	// Check returns nil if any configuration that is looked up after the call shows which keys are valid at the time of the call,
+	// and otherwise why not.
 	Check() *verdict.Error
 }
 
@@ -39,11 +40,14 @@
 // authorize checks the session's key against the configuration in force and records the workspace that holds it. Inside a
 // transaction that workspace must be the one that began it.
 func (s *Session) authorize() *verdict.Error {
+	// The check comes first: a proof that arrives between the lookup and the check would say nothing about the configuration that
+	// was looked up.
+	unproven := s.dispatcher.unproven()
 	route, catalog, refused := s.dispatcher.route(s.routeName)
 	if refused != nil {
 		return refused
 	}
-	w, refused := s.dispatcher.identify(catalog, route, s.key)
+	w, refused := identify(catalog, route, s.key, unproven)
 	if refused != nil {
 		return refused
 	}
@@ -54,8 +58,29 @@
 	return nil
 }
 
-// identify returns the workspace that holds a key, the zero Workspace for callers that need none.
-func (d *Dispatcher) identify(catalog *config.Catalog, route config.Route, key config.KeyHash) (config.Workspace, *verdict.Error) {
+// reauthorize checks the session's key again after a statement has waited for a connection or slot.
+func (w *workItem) reauthorize() *verdict.Error {
+	s := w.session
+	if refused := s.authorize(); refused != nil {
+		return refused
+	}
+	if s.workspace.Name != w.workspace.Name {
+		return verdict.New(verdict.NotRun, verdict.Unauthorized, "the key belongs to another workspace since the statement began")
+	}
+	return nil
+}
+
+// unproven returns why the configuration may not show which keys are valid, nil if it does.
+func (d *Dispatcher) unproven() *verdict.Error {
+	if d.options.Freshness == nil {
+		return nil
+	}
+	return d.options.Freshness.Check()
+}
+
+// identify returns the workspace that holds a key, the zero Workspace for callers that need none. unproven is why the catalog may
+// not show which keys are valid, nil if it does.
+func identify(catalog *config.Catalog, route config.Route, key config.KeyHash, unproven *verdict.Error) (config.Workspace, *verdict.Error) {
 	if !catalog.HasWorkspaces() {
 		return config.Workspace{}, nil
 	}
@@ -65,10 +90,8 @@
 		return config.Workspace{}, nil
 	case !ok:
 		return config.Workspace{}, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
-	case d.options.Freshness == nil:
-		return w, nil
 	default:
-		return w, d.options.Freshness.Check()
+		return w, unproven
 	}
 }
 
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,8 @@
 	ConfigurationApplied = define(313, log.InfoLevel, "directory", "configuration applied", "The operator's configuration of this version is in use; from tells whether the store or a peer supplied it.")
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
+	ProofLost            = define(325, log.WarnLevel, "freshness", "no proof of the newest configuration", "Statements whose callers present keys are refused, as their keys may have been withdrawn: neither the store nor a peer has confirmed recently enough that the configuration of this version is the newest. age is that of the last proof; isolated is set if no peer answers either, and idle sessions are then asked to reconnect.")
+	ProofRegained        = define(326, log.InfoLevel, "freshness", "newest configuration proven again", "Statements with keys are served again; age is the time since the configuration was known to be the newest.")
 	StoreRestored        = define(316, log.WarnLevel, "directory", "store restored from a copy", "The store lost what was written in its last seconds; era counts the restores. The instance registers itself again if its row is missing.")
 )
 
--- /dev/null
+++ b/freshness/keeper.go
@@ -0,0 +1,338 @@
+package freshness
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"siskincove/clock"
+	"siskincove/event"
+	"siskincove/verdict"
+)
+
+const (
+	// usedDuration is how long after a statement that needed a proof an instance counts as used.
+	usedDuration = 10 * time.Second
+	// startWait is how long after the start an instance waits for a first reply of a peer, which may know of a configuration that
+	// a restored store lacks.
+	startWait = 300 * time.Millisecond
+	// isolatedAfter is the time without a reply of any peer from which an instance counts as isolated.
+	isolatedAfter = 2 * time.Second
+	// storeTimeout and peerTimeout bound one question.
+	storeTimeout = 700 * time.Millisecond
+	peerTimeout  = 200 * time.Millisecond
+	// retryAfter is when a refused caller should try again.
+	retryAfter = 500 * time.Millisecond
+)
+
+var ages = metrics.NewHistogram("siskincove_proof_age_seconds")
+
+// Sources are whom a Keeper asks.
+type Sources interface {
+	// Rank returns this instance's place, from 0, among the instances of its failure domain that ask the store.
+	Rank() int
+	// Peers returns the addresses of the peers to ask, in order.
+	Peers() []string
+	// AskPeer asks the peer at an address; proofs in its answer are passed to Keeper.Record.
+	AskPeer(ctx context.Context, address string) error
+	// AskStore asks the store; the proof that its answer gives is passed to Keeper.RecordRead.
+	AskStore(ctx context.Context) error
+}
+
+// Options configure a Keeper.
+type Options struct {
+	Clock  clock.Service
+	Logger *event.Logger
+	// Withdrawal returns the time after the acknowledgement of a configuration from which no request of a key that it withdraws
+	// may run, 0 if no proofs are needed.
+	Withdrawal func() time.Duration
+	// InForce returns the operator's version of the configuration in force, 0 for none.
+	InForce func() uint64
+	Sources Sources
+	// OnIsolated is called when the instance has no valid proof and no peer answers, so that others may serve its callers, and
+	// when that ends. Calls do not overlap.
+	OnIsolated func(isolated bool)
+}
+
+// Keeper keeps the latest proof up to date.
+type Keeper struct {
+	options   Options
+	startedAt time.Time
+	ledger    atomic.Pointer[Ledger]
+	// usedAt, heardAt and storeAskedAt are the times, in ns since startedAt, of the last statement that needed a proof, the last
+	// reply of a peer, and the last question to the store; negative for none.
+	usedAt, heardAt, storeAskedAt atomic.Int64
+	// woken holds a value after Wake until the next decision.
+	woken chan struct{}
+	done  chan struct{}
+	asks  sync.WaitGroup
+
+	// mu serializes changes of ledger and protects the fields below.
+	mu                 sync.Mutex
+	askingStore        bool
+	askingPeers        bool
+	peersAskedAt       time.Time
+	fruitless          int
+	refusing, isolated bool
+}
+
+// New returns a keeper, which asks for proofs between Start and the end of Start's context.
+func New(o Options) *Keeper {
+	k := &Keeper{options: o, startedAt: o.Clock.Now(), woken: make(chan struct{}, 1), done: make(chan struct{})}
+	k.ledger.Store(&Ledger{})
+	for _, at := range []*atomic.Int64{&k.usedAt, &k.heardAt, &k.storeAskedAt} {
+		at.Store(-1)
+	}
+	return k
+}
+
+// Start starts to ask for proofs until ctx ends.
+func (k *Keeper) Start(ctx context.Context) {
+	go func() {
+		defer close(k.done)
+		k.run(ctx)
+		k.asks.Wait()
+	}()
+}
+
+// Done returns a channel that is closed when the keeper's goroutines have ended.
+func (k *Keeper) Done() <-chan struct{} { return k.done }
+
+// Wake makes the keeper decide anew, as after a change of the configuration or the settings.
+func (k *Keeper) Wake() {
+	select {
+	case k.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Check returns nil if a statement that has been read may run with the keys of any configuration that is looked up after the call,
+// and otherwise why not.
+func (k *Keeper) Check() *verdict.Error {
+	withdrawal := k.options.Withdrawal()
+	if withdrawal == 0 {
+		return nil
+	}
+	now := k.options.Clock.Now()
+	mark(&k.usedAt, now.Sub(k.startedAt))
+	proof, proven := k.usable(now)
+	if proven && proof.Age(now) < NewLimits(withdrawal).Serve {
+		return nil
+	}
+	k.Wake()
+	return verdict.New(verdict.NotRun, verdict.Unproven, "no proof that the configuration is the newest%s", describe(proof, proven, now)).WithRetryAfter(retryAfter)
+}
+
+func describe(p Proof, proven bool, now time.Time) string {
+	if !proven {
+		return ""
+	}
+	return fmt.Sprintf(" since %s ago", p.Age(now).Round(time.Millisecond))
+}
+
+// Ready reports whether the instance is able to serve callers for some time.
+func (k *Keeper) Ready() bool {
+	withdrawal := k.options.Withdrawal()
+	if withdrawal == 0 {
+		return true
+	}
+	now := k.options.Clock.Now()
+	proof, proven := k.usable(now)
+	return proven && proof.Age(now) < NewLimits(withdrawal).Ready
+}
+
+// Claim returns the latest proof and its age for a peer, and false if there is none or none is needed. The version of the
+// configuration in force is at least that of the proof if it is read after the call.
+func (k *Keeper) Claim() (Proof, time.Duration, bool) {
+	if k.options.Withdrawal() == 0 {
+		return Proof{}, 0, false
+	}
+	now := k.options.Clock.Now()
+	proof, proven := k.usable(now)
+	return proof, proof.Age(now), proven
+}
+
+// usable returns the proof that is valid for the configuration in force.
+func (k *Keeper) usable(now time.Time) (Proof, bool) {
+	if k.heardAt.Load() < 0 && now.Sub(k.startedAt) < startWait {
+		return Proof{}, false
+	}
+	return k.ledger.Load().Usable(k.options.InForce())
+}
+
+// RecordReply records that a peer has answered.
+func (k *Keeper) RecordReply() { mark(&k.heardAt, k.options.Clock.Now().Sub(k.startedAt)) }
+
+// Record records a proof that a peer's reply contained. Its time is when this instance sent the request, less the age that the
+// peer stated.
+func (k *Keeper) Record(p Proof) {
+	k.change(func(l Ledger, inForce uint64, _ time.Time) Ledger { return l.With(p, inForce) })
+}
+
+// RecordRead records the proof by an answer of the store in an era to a question that was sent at the proof's time.
+func (k *Keeper) RecordRead(p Proof, era uint64) {
+	mark(&k.storeAskedAt, p.At.Sub(k.startedAt))
+	k.change(func(l Ledger, inForce uint64, now time.Time) Ledger { return l.WithRead(p, era, inForce, now) })
+}
+
+func (k *Keeper) change(next func(l Ledger, inForce uint64, now time.Time) Ledger) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, inForce := k.options.Clock.Now(), k.options.InForce()
+	before := k.ledger.Load()
+	after := next(*before, inForce, now)
+	old, known := before.Usable(inForce)
+	if latest, _ := after.Usable(inForce); known && latest.At.After(old.At) {
+		ages.Update(old.Age(now).Seconds())
+	}
+	k.ledger.Store(&after)
+	if k.refusing {
+		k.Wake()
+	}
+}
+
+// mark moves a time forward.
+func mark(at *atomic.Int64, to time.Duration) {
+	for old := at.Load(); int64(to) > old && !at.CompareAndSwap(old, int64(to)); old = at.Load() {
+		continue
+	}
+}
+
+// run asks for proofs until ctx ends.
+func (k *Keeper) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		withdrawal := k.options.Withdrawal()
+		if withdrawal == 0 {
+			select {
+			case <-ctx.Done():
+			case <-k.woken:
+			}
+			continue
+		}
+		s := k.situation(NewLimits(withdrawal))
+		k.observe(s)
+		switch decision := Decide(s); decision.Target {
+		case Store:
+			k.askStore(ctx)
+		case Peers:
+			k.askPeers(ctx)
+		default:
+			select {
+			case <-ctx.Done():
+			case <-k.woken:
+			case <-k.options.Clock.After(decision.Wait):
+			}
+		}
+	}
+}
+
+// situation returns the current input of Decide.
+func (k *Keeper) situation(limits Limits) Situation {
+	now := k.options.Clock.Now()
+	proof, proven := k.usable(now)
+	s := Situation{
+		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Rank: k.options.Sources.Rank(),
+		Used: k.within(&k.usedAt, now, usedDuration),
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s.Store = Inquiry{Open: k.askingStore, Since: now.Sub(k.startedAt) - time.Duration(k.storeAskedAt.Load())}
+	s.Peers = Inquiry{Open: k.askingPeers, Since: now.Sub(k.peersAskedAt)}
+	s.Fruitless = k.fruitless
+	return s
+}
+
+// within reports whether a marked time is not longer ago than d.
+func (k *Keeper) within(at *atomic.Int64, now time.Time, d time.Duration) bool {
+	marked := at.Load()
+	return marked >= 0 && now.Sub(k.startedAt)-time.Duration(marked) <= d
+}
+
+// observe logs when the instance starts or stops refusing statements, and reports when it becomes isolated or stops to be.
+func (k *Keeper) observe(s Situation) {
+	k.mu.Lock()
+	refused, wasIsolated := k.refusing, k.isolated
+	k.refusing = !s.Starting && (!s.Proven || s.Age >= s.Limits.Serve)
+	k.isolated = k.refusing && !k.within(&k.heardAt, k.options.Clock.Now(), isolatedAfter)
+	refuses, isolated := k.refusing, k.isolated
+	k.mu.Unlock()
+	switch fields := (log.Fields{"age": s.Age.String(), "version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}); {
+	case refuses && (!refused || isolated != wasIsolated):
+		k.options.Logger.Log(event.ProofLost, fields)
+	case refused && !refuses:
+		k.options.Logger.Log(event.ProofRegained, fields)
+	}
+	if isolated != wasIsolated {
+		k.options.OnIsolated(isolated)
+	}
+}
+
+// askStore asks the store in the background.
+func (k *Keeper) askStore(ctx context.Context) {
+	mark(&k.storeAskedAt, k.options.Clock.Now().Sub(k.startedAt))
+	k.setAsking(&k.askingStore, true)
+	k.asks.Go(func() {
+		defer k.Wake()
+		defer k.setAsking(&k.askingStore, false)
+		defer k.options.Logger.Contain("freshness")
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		count(Store, k.options.Sources.AskStore(ctx) == nil)
+	})
+}
+
+// askPeers asks one peer after the other in the background, until one has a recent proof.
+func (k *Keeper) askPeers(ctx context.Context) {
+	k.mu.Lock()
+	k.askingPeers, k.peersAskedAt = true, k.options.Clock.Now()
+	k.mu.Unlock()
+	k.asks.Go(func() {
+		defer k.Wake()
+		defer k.setAsking(&k.askingPeers, false)
+		defer k.options.Logger.Contain("freshness")
+		found := false
+		for _, address := range k.options.Sources.Peers() {
+			if found = k.askPeer(ctx, address); found {
+				break
+			}
+		}
+		count(Peers, found)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.fruitless++; found {
+			k.fruitless = 0
+		}
+	})
+}
+
+// askPeer asks a peer and reports whether there is a recent proof then.
+func (k *Keeper) askPeer(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if k.options.Sources.AskPeer(ctx, address) != nil {
+		return false
+	}
+	now := k.options.Clock.Now()
+	proof, proven := k.usable(now)
+	return proven && proof.Age(now) < askAge
+}
+
+func (k *Keeper) setAsking(asking *bool, value bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	*asking = value
+}
+
+// count counts the questions to a target by whether they brought a proof.
+func count(t Target, found bool) {
+	outcome := "none"
+	if found {
+		outcome = "proof"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`siskincove_proof_asks_total{from=%q,outcome=%q}`, t, outcome)).Inc()
+}
--- /dev/null
+++ b/freshness/policy.go
@@ -0,0 +1,139 @@
+package freshness
+
+import "time"
+
+const (
+	// limitShare is the age of a proof, as a share of the withdrawal bound, from which no statement runs.
+	limitShare = 0.95
+	// readyShare is the age of a proof, as a share of the limit, from which no further callers are wanted: the platform needs two
+	// checks of readiness, a second apart, to stop sending them.
+	readyShare = 0.8
+	// idleShare is the age of a proof, as a share of the limit, from which an instance without callers asks for a newer one.
+	idleShare = 0.5
+	// askAge is the age from which an instance asks its peers.
+	askAge = 1200 * time.Millisecond
+	// storeInterval is the time between two questions to the store of the instance that asks it for its failure domain.
+	storeInterval = 800 * time.Millisecond
+	// standInAge is the age from which the next instance of a failure domain asks the store too, and standInStep how much older the
+	// proof is before each further one does.
+	standInAge  = 1600 * time.Millisecond
+	standInStep = 250 * time.Millisecond
+	// askPause and maxAskPause bound the time between two rounds of questions to peers, doubled while they bring nothing.
+	askPause    = 100 * time.Millisecond
+	maxAskPause = 800 * time.Millisecond
+	// maxWait is the longest time until the next decision.
+	maxWait = time.Second
+)
+
+// Limits are the ages of a proof that follow from the withdrawal bound.
+type Limits struct {
+	// Serve is the age from which statements are refused, Ready the one from which the instance is not ready for callers.
+	Serve, Ready time.Duration
+}
+
+// NewLimits returns the limits for the time after which no request of a withdrawn key may run.
+func NewLimits(withdrawal time.Duration) Limits {
+	serve := share(withdrawal, limitShare)
+	return Limits{Serve: serve, Ready: share(serve, readyShare)}
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(part * float64(d)) }
+
+// Target is whom to ask for a proof.
+type Target int
+
+const (
+	// Nobody is to be asked yet.
+	Nobody Target = iota
+	// Peers are to be asked one after the other, until one has a recent proof.
+	Peers
+	// Store is to be asked.
+	Store
+)
+
+// String returns the target's name in metrics.
+func (t Target) String() string { return [...]string{"nobody", "peers", "store"}[t] }
+
+// Inquiry is the state of the questions to one target.
+type Inquiry struct {
+	// Open is set while a question is not answered yet.
+	Open bool
+	// Since is the time since the last question was asked.
+	Since time.Duration
+}
+
+// Situation is what the choice of whom to ask depends on.
+type Situation struct {
+	// Starting is set until a configuration is in force, which is read from the store or taken from a peer.
+	Starting bool
+	// Proven is set if there is a proof, whose age is Age.
+	Proven bool
+	Age    time.Duration
+	Limits Limits
+	// Used is set if callers have needed a proof recently.
+	Used bool
+	// Rank is this instance's place, from 0, among those of its failure domain.
+	Rank  int
+	Store Inquiry
+	Peers Inquiry
+	// Fruitless counts the latest rounds of questions to peers that brought no recent proof.
+	Fruitless int
+}
+
+// Decision is whom to ask now, or if that is Nobody, when to decide again.
+type Decision struct {
+	Target Target
+	Wait   time.Duration
+}
+
+// Decide returns whom to ask. One instance of each failure domain asks the store at a steady pace; the others ask it when their
+// proof is too old although they have asked their peers, each one later and more rarely than the one that ranks before it, so that
+// a store that answers nobody is not asked by all.
+func Decide(s Situation) Decision {
+	if s.Starting {
+		return Decision{Wait: askPause}
+	}
+	store, peers := s.untilStore(), s.untilPeers()
+	switch {
+	case store <= 0:
+		return Decision{Target: Store}
+	case peers <= 0:
+		return Decision{Target: Peers}
+	default:
+		return Decision{Wait: min(store, peers, maxWait)}
+	}
+}
+
+// untilStore returns the time until the store is to be asked.
+func (s Situation) untilStore() time.Duration {
+	pause := storeInterval*time.Duration(s.Rank+1) - s.Store.Since
+	switch {
+	case s.Store.Open:
+		return maxWait
+	case s.Rank == 0:
+		return pause
+	default:
+		return max(pause, s.untilAge(min(standInAge+time.Duration(s.Rank-1)*standInStep, s.Limits.Ready)))
+	}
+}
+
+// untilPeers returns the time until the peers are to be asked.
+func (s Situation) untilPeers() time.Duration {
+	age := askAge
+	if !s.Used {
+		age = max(age, share(s.Limits.Serve, idleShare))
+	}
+	if s.Peers.Open {
+		return maxWait
+	}
+	pause := min(askPause<<min(s.Fruitless, 3), maxAskPause)
+	return max(pause-s.Peers.Since, s.untilAge(age))
+}
+
+// untilAge returns the time until the proof has an age; without a proof, none.
+func (s Situation) untilAge(age time.Duration) time.Duration {
+	if !s.Proven {
+		return 0
+	}
+	return age - s.Age
+}
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -20,6 +20,9 @@
 // is interested, and a reply the leads of those in which the sender of the request is.
 func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
+	if request != nil {
+		i.addConfirmed(h)
+	}
 	v := i.directory.Versions()
 	i.observeEra(v.Endpoints.Era())
 	h.Configuration, h.Endpoints = v.Configuration, uint64(v.Endpoints)
@@ -45,6 +48,7 @@
 // sent the heartbeat that h answers; otherwise it is zero.
 func (i *Instance) handleHeartbeat(h *wire.Heartbeat, sentAt time.Time) {
 	<-i.initialized
+	i.recordConfirmed(h, sentAt)
 	for _, lead := range h.GetLeads() {
 		if d, ok := i.databases.Get(lead.GetDatabase()); ok {
 			i.recordLead(d, lead, sentAt)
@@ -66,7 +70,7 @@
 		return
 	}
 	for _, acceptsChanges := range []bool{true, false} {
-		offer, err := i.inquire(address, ownVersions, acceptsChanges)
+		offer, err := i.inquire(i.ctx, address, ownVersions, acceptsChanges)
 		if err != nil {
 			i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
 			return
@@ -77,10 +81,11 @@
 	}
 }
 
-// inquire asks a peer for what is newer than the given versions.
-func (i *Instance) inquire(address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
-	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
+// inquire asks a peer for what is newer than the given versions. It records the proof in the answer.
+func (i *Instance) inquire(ctx context.Context, address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	sentAt := i.options.Clock.Now()
 	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
 		Configuration: than.Configuration, Endpoints: uint64(than.Endpoints), Changes: acceptsChanges,
 	}}})
@@ -88,6 +93,7 @@
 		return directory.Offer{}, err
 	}
 	received := reply.GetOffer()
+	i.recordOffered(received, sentAt)
 	out := directory.Offer{
 		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: store.Version(received.GetVersion()),
 		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
@@ -125,6 +131,7 @@
 	for _, row := range offer.Endpoints {
 		answer.Endpoints = append(answer.Endpoints, toRow(row))
 	}
+	i.addOffered(answer)
 	return stream.Send(&wire.Frame{Body: &wire.Frame_Offer{Offer: answer}}) == nil
 }
 
--- a/hosted/health.go
+++ b/hosted/health.go
@@ -31,14 +31,16 @@
 
 // Status is the JSON response of /status.
 type Status struct {
-	Instance      string          `json:"instance"`
-	Domain        string          `json:"domain"`
-	Ready         bool            `json:"ready"`
-	Configuration uint64          `json:"configuration"`
-	Endpoints     uint64          `json:"endpoints"`
-	Sessions      int             `json:"sessions"`
-	Peers         int             `json:"peers"`
-	Leads         []PrimaryStatus `json:"leads"`
+	Instance      string `json:"instance"`
+	Domain        string `json:"domain"`
+	Ready         bool   `json:"ready"`
+	Configuration uint64 `json:"configuration"`
+	Endpoints     uint64 `json:"endpoints"`
+	Sessions      int    `json:"sessions"`
+	Peers         int    `json:"peers"`
+	// ProofAge is the time since the configuration was known to be the newest, in ms; only if proofs are needed.
+	ProofAge int64           `json:"proofage,omitempty"`
+	Leads    []PrimaryStatus `json:"leads"`
 }
 
 // PrimaryStatus is the endpoint that an instance considers the primary of a database.
@@ -86,10 +88,10 @@
 
 func (h *health) setShuttingDown() { h.shuttingDown.Store(true) }
 
-// ready reports whether the instance accepts callers: it has a configuration and is not shutting down. It logs the first
-// time that this is so.
+// ready reports whether the instance accepts callers: it has a configuration, which is proven to be the newest
+// if that is needed, and is not shutting down. It logs the first time that this is so.
 func (h *health) ready() bool {
-	ready := !h.shuttingDown.Load() && h.instance.directory.Catalog() != nil
+	ready := !h.shuttingDown.Load() && h.instance.directory.Catalog() != nil && h.instance.freshness.Ready()
 	if ready && h.readyLogged.CompareAndSwap(false, true) {
 		h.instance.options.Logger.Log(event.Ready, log.Fields{"instance": h.instance.options.Settings.Instance.ID})
 	}
@@ -116,6 +118,9 @@
 		Instance: i.options.Settings.Instance.ID, Domain: i.options.Settings.Instance.Domain, Ready: h.ready(),
 		Configuration: v.Configuration, Endpoints: uint64(v.Endpoints), Sessions: i.callers.Sessions(), Peers: len(i.members.Instances()),
 	}
+	if _, age, proven := i.freshness.Claim(); proven {
+		out.ProofAge = age.Milliseconds()
+	}
 	now := i.options.Clock.Now()
 	for _, d := range i.databases.All() {
 		lead, _ := d.View().Lead()
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -16,6 +16,7 @@
 	"siskincove/directory"
 	"siskincove/dispatch"
 	"siskincove/event"
+	"siskincove/freshness"
 	"siskincove/loan"
 	"siskincove/member"
 	"siskincove/peer"
@@ -30,6 +31,8 @@
 	// followersPerDomain is how many instances of a failure domain follow the changes of the configuration. One may be cut
 	// off from the store.
 	followersPerDomain = 2
+	// followerTask is the prefix under which instances are ranked for following the configuration.
+	followerTask = "follower/"
 	// heartbeatPeriod is the time between two rounds of heartbeats, which also carry the directory's versions and proofs of
 	// which endpoints lead.
 	heartbeatPeriod = 700 * time.Millisecond
@@ -55,6 +58,7 @@
 	members     *member.Driver
 	roster      *member.Roster
 	directory   *directory.Directory
+	freshness   *freshness.Keeper
 	databases   *database.Registry
 	dispatcher  *dispatch.Dispatcher
 	lender      *loan.Lender
@@ -106,17 +110,19 @@
 	i.redistributor = startRedistributor(i.ctx, o.Clock, i.redistribute)
 	// The list of instances is requested before the configuration, which needs the number of instances.
 	i.startMembers()
+	i.freshness = i.newFreshness()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, OnChange: i.push,
+		ShouldFollow: i.isFollower, OnChange: i.push, OnConfirmed: i.recordConfirmation,
 	})
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
-		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
+		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger, Freshness: i.freshness,
 	})
 	i.startCoordinators()
 	i.callers = caller.New(i.ctx, l.callers, caller.Options{
 		Protocol: o.Protocol, Dispatcher: i.dispatcher, Clock: o.Clock, Logger: o.Logger,
 	})
+	i.freshness.Start(i.ctx)
 	i.health = newHealth(i.ctx, l, i)
 }
 
@@ -175,7 +181,7 @@
 func (i *Instance) isPoller() bool { return i.actsForDomain("poller/", pollersPerDomain) }
 
 // isFollower reports whether this instance follows the changes of the configuration for its failure domain.
-func (i *Instance) isFollower() bool { return i.actsForDomain("follower/", followersPerDomain) }
+func (i *Instance) isFollower() bool { return i.actsForDomain(followerTask, followersPerDomain) }
 
 // actsForDomain reports whether this instance is one of count instances that have a task for its failure domain. The ranking
 // depends only on the prefix, the domain and the known instances, so that instances with the same view of the others agree without
@@ -196,6 +202,7 @@
 	select {
 	case <-i.initialized:
 		i.members.Push()
+		i.freshness.Wake()
 	default:
 		// The first heartbeats follow at once.
 	}
@@ -256,6 +263,7 @@
 	<-i.members.Done()
 	<-i.redistributor.done
 	<-i.directory.Done()
+	<-i.freshness.Done()
 	<-i.node.Done()
 	<-i.health.done
 	<-i.trimDone
--- a/hosted/reload.go
+++ b/hosted/reload.go
@@ -6,11 +6,12 @@
 	"siskincove/settings"
 )
 
-// Reload applies changed settings to the running instance. Only changes of the regions, the seeds and the drain time
-// of endpoints have an effect.
+// Reload applies changed settings to the running instance. Only changes of the regions, the seeds, the drain time of
+// endpoints and the withdrawal of keys have an effect.
 func (i *Instance) Reload(next settings.Settings) {
 	i.settings.Store(&next)
 	i.directory.Reapply()
+	i.freshness.Wake()
 }
 
 // endpointDrainTime returns for how long a leaving endpoint may still get new work after its notice.
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -16,7 +16,7 @@
 	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
 	{"config", "peer", "certificate", "queue", "standin/history", "logs"},
-	{"settings", "connection", "group", "directory"},
+	{"settings", "connection", "group", "directory", "freshness"},
 	{"route", "member", "pool", "revision", "database", "platform/protocol", "platform/records"},
 	{"failover", "entry", "dispatch", "succession", "coordinator", "loan"},
 	{"instance", "caller", "platform/promotion", "simulation"},
@@ -34,6 +34,7 @@
 var pureFiles = []string{
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
+	"freshness/proof.go", "freshness/ledger.go", "freshness/policy.go",
 }
 
 func layerIndex(path string) int {
