limit: serve what can be on time before what can't, flows of a class by turns

Cause: the queue for an endpoint's slots knows only the time limit of a statement, which is three times the target latency and more. Under a burst each request waits nearly its whole time limit, so nearly all are answered, late. One workspace, or one zone's instances, could fill the queue of a class for all others. Change: limit.Request has a target and a flow; a lane each for requests that can be on time and for those that can't (a tenth of the weight), fair queueing between flows, estimates of the wait by lane and flow. Steps.aim and Loan.borrower carry both to holders.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -34,8 +34,8 @@
 
 // ClassSetter is implemented by connections whose exchanges are queued at another instance.
 type ClassSetter interface {
-	// SetClass sets the class under which the following exchanges are queued.
-	SetClass(class limit.Class)
+	// SetClass sets the class under which the following exchanges are queued, and until when their answers are on time.
+	SetClass(class limit.Class, target time.Time)
 }
 
 // Dialer opens connections to endpoints.
--- a/connection/demand.go
+++ b/connection/demand.go
@@ -19,9 +19,12 @@
 type Demand struct {
 	// Workspace is the workspace that the connection must belong to, empty for none.
 	Workspace string
-	// Class is the class in which the demand waits for a slot, until Deadline.
+	// Class is the class in which the demand waits for a slot, until Deadline at most, and Flow the flow within it.
 	Class    limit.Class
+	Flow     string
 	Deadline time.Time
+	// Target is until when the answer is on time, zero for Deadline.
+	Target time.Time
 	// Settings are the session's; a connection that has them already is preferred.
 	Settings map[string]string
 }
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -179,7 +179,7 @@
 	if err := p.checkReachable(); err != nil {
 		return nil, err
 	}
-	if err := p.queue.Admit(ctx, d.Class, d.Deadline); err != nil {
+	if err := p.queue.Admit(ctx, limit.Request{Class: d.Class, Flow: d.Flow, Target: d.Target, Deadline: d.Deadline}); err != nil {
 		return nil, err
 	}
 	h := p.takeIdle(d)
@@ -191,7 +191,7 @@
 		}
 	}
 	if c, ok := h.Conn.(ClassSetter); ok {
-		c.SetClass(d.Class)
+		c.SetClass(d.Class, d.Target)
 	}
 	return h, nil
 }
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -108,7 +108,8 @@
 		return nil, nil, verdict.New(verdict.NotRun, verdict.Unreachable, "endpoint is no longer registered")
 	}
 	conn, err := pool.Acquire(ctx, connection.Demand{
-		Workspace: w.workspace.Name, Class: w.class, Deadline: w.deadline, Settings: w.session.settings,
+		Workspace: w.workspace.Name, Class: w.class, Flow: w.workspace.Name, Target: w.started.Add(w.targetLatency), Deadline: w.deadline,
+		Settings: w.session.settings,
 	})
 	if err == nil && !w.database.AcceptsWork(c.Endpoint.Name) {
 		// The endpoint is leaving, and its time for new work ended during the wait for a connection.
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -39,7 +39,7 @@
 func (l lending) Dialer() connection.Dialer {
 	i := l.instance
 	return loan.Dialer{
-		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.holdersToAsk, Health: i.holderHealth,
+		Context: i.ctx, Self: i.options.Settings.Instance.ID, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.holdersToAsk, Health: i.holderHealth,
 		Direct: i.options.Dialer, OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders,
 	}
 }
--- a/limit/admission.go
+++ b/limit/admission.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -13,33 +15,21 @@
 	minRetryAfter = 10 * time.Millisecond
 )
 
-// Admission shares the slots of one endpoint among classes by weighted fair queueing. It is not safe for concurrent
-// use.
+// Admission shares the slots of one endpoint among classes by weighted fair queueing. Requests that can be answered on time
+// go before those of their class that can't. It is not safe for concurrent use.
 type Admission struct {
 	slots       int
 	used        int
 	serviceTime time.Duration
 	virtualTime float64
-	queues      map[string]*queue
-	waiting     int
-}
-
-// queue holds the waiting requests of a class. virtualFinish is the virtual finish time of its last granted request, as in
-// weighted fair queueing.
-type queue struct {
-	class         Class
-	virtualFinish float64
-	waiters       []waiter
-}
-
-type waiter struct {
-	ticket   Ticket
-	deadline time.Time
+	// lanes are in the order of their creation.
+	lanes   []*lane
+	waiting int
 }
 
 // NewAdmission returns an Admission for a number of slots.
 func NewAdmission(slots int) *Admission {
-	return &Admission{slots: max(slots, 1), serviceTime: initialServiceTime, queues: make(map[string]*queue)}
+	return &Admission{slots: max(slots, 1), serviceTime: initialServiceTime}
 }
 
 // Waiting returns the number of waiting requests.
@@ -58,24 +48,38 @@
 	return a.grantFreeSlots(now)
 }
 
-// Arrive decides on a request that must have finished by deadline.
-func (a *Admission) Arrive(ticket Ticket, class Class, deadline, now time.Time) Outcome {
-	q := a.queue(class.withDefaults())
+// Arrive decides on a request.
+func (a *Admission) Arrive(ticket Ticket, r Request, now time.Time) Outcome {
+	r = r.withDefaults()
 	if a.used < a.slots && a.waiting == 0 {
-		a.grant(q)
+		a.grant(a.lane(r.Class, false))
 		return Outcome{Ticket: ticket, Decision: Granted}
 	}
-	wait := a.estimateWait(q, len(q.waiters)+1)
-	slack := deadline.Sub(now) - wait - a.serviceTime
-	if len(q.waiters) >= q.class.Queue || slack < 0 {
-		return Outcome{Ticket: ticket, Decision: Refused, RetryAfter: retryAfter(wait, slack)}
+	return a.enqueue(waiter{ticket: ticket, request: r}, now)
+}
+
+// enqueue adds a request to the first lane in which it is expected to be answered in time, or refuses it.
+func (a *Admission) enqueue(w waiter, now time.Time) Outcome {
+	out := Outcome{Ticket: w.ticket, Decision: Refused, RetryAfter: minRetryAfter}
+	for _, late := range []bool{false, true} {
+		l := a.lane(w.request.Class, late)
+		wait := a.estimateWait(l, l.position(w.request.Flow))
+		slack := l.deadline(w.request).Sub(now) - wait - a.serviceTime
+		if l.waiting < l.class.Queue && slack >= 0 {
+			a.push(l, w)
+			return Outcome{Ticket: w.ticket, Decision: Queued}
+		}
+		out.RetryAfter = max(out.RetryAfter, retryAfter(wait, slack))
 	}
-	if len(q.waiters) == 0 {
-		q.virtualFinish = max(q.virtualFinish, a.virtualTime)
+	return out
+}
+
+func (a *Admission) push(l *lane, w waiter) {
+	if l.waiting == 0 {
+		l.virtualFinish = max(l.virtualFinish, a.virtualTime)
 	}
-	q.waiters = append(q.waiters, waiter{ticket: ticket, deadline: deadline})
+	l.push(w)
 	a.waiting++
-	return Outcome{Ticket: ticket, Decision: Queued}
 }
 
 // retryAfter returns the time until the requests ahead will have got a slot, or half of it if the request was refused only
@@ -88,33 +92,35 @@
 	return max(wait/2, minRetryAfter)
 }
 
-func (a *Admission) queue(class Class) *queue {
-	q, ok := a.queues[class.Name]
-	if !ok {
-		q = &queue{}
-		a.queues[class.Name] = q
+func (a *Admission) lane(class Class, late bool) *lane {
+	for _, l := range a.lanes {
+		if l.class.Name == class.Name && l.late == late {
+			l.class = class
+			return l
+		}
 	}
-	q.class = class
-	return q
+	l := &lane{class: class, late: late, flows: make(map[string]*flow)}
+	a.lanes = append(a.lanes, l)
+	return l
 }
 
-// grant takes a slot for a request of a queue and advances the virtual times.
-func (a *Admission) grant(q *queue) {
+// grant takes a slot for a request of a lane and advances the virtual times.
+func (a *Admission) grant(l *lane) {
 	a.used++
-	q.virtualFinish = max(q.virtualFinish, a.virtualTime)
-	a.virtualTime = q.virtualFinish
-	q.virtualFinish += 1 / float64(q.class.Weight)
+	l.virtualFinish = max(l.virtualFinish, a.virtualTime)
+	a.virtualTime = l.virtualFinish
+	l.virtualFinish += 1 / l.weight()
 }
 
-// estimateWait returns the time until the n-th request of a queue gets a slot, from the class's share of the slots.
-func (a *Admission) estimateWait(q *queue, n int) time.Duration {
-	weights := 0
-	for _, other := range a.queues {
-		if len(other.waiters) > 0 || other == q {
-			weights += other.class.Weight
+// estimateWait returns the time until the n-th request of a lane gets a slot, from the lane's share of the slots.
+func (a *Admission) estimateWait(l *lane, n int) time.Duration {
+	weights := 0.0
+	for _, other := range a.lanes {
+		if other.waiting > 0 || other == l {
+			weights += other.weight()
 		}
 	}
-	share := float64(q.class.Weight) / float64(weights) * float64(a.slots)
+	share := l.weight() / weights * float64(a.slots)
 	return time.Duration(float64(n) * float64(a.serviceTime) / share)
 }
 
@@ -133,60 +139,63 @@
 func (a *Admission) grantFreeSlots(now time.Time) []Outcome {
 	out := a.Expire(now)
 	for a.used < a.slots {
-		q := a.nextQueue()
-		if q == nil {
+		l := a.nextLane()
+		if l == nil {
 			return out
 		}
-		w := q.waiters[0]
-		q.waiters = q.waiters[1:]
+		w := l.pop()
 		a.waiting--
-		a.grant(q)
+		a.grant(l)
 		out = append(out, Outcome{Ticket: w.ticket, Decision: Granted})
 	}
 	return out
 }
 
-// nextQueue returns the non-empty queue with the least virtual finish time, nil if none waits.
-func (a *Admission) nextQueue() *queue {
-	var best *queue
-	for _, q := range a.queues {
-		if len(q.waiters) == 0 {
+// nextLane returns the non-empty lane with the least virtual finish time, nil if none waits.
+func (a *Admission) nextLane() *lane {
+	var best *lane
+	for _, l := range a.lanes {
+		if l.waiting == 0 {
 			continue
 		}
-		if best == nil || q.virtualFinish < best.virtualFinish || q.virtualFinish == best.virtualFinish && q.class.Name < best.class.Name {
-			best = q
+		if best == nil || cmp.Or(cmp.Compare(l.virtualFinish, best.virtualFinish), cmp.Compare(best.weight(), l.weight()), cmp.Compare(l.class.Name, best.class.Name)) < 0 {
+			best = l
 		}
 	}
 	return best
 }
 
-// Expire refuses waiting requests that could not finish by their deadline even if they started now.
+// Expire moves waiting requests that can no longer be answered on time behind those that can, and refuses those that could
+// not finish by their deadline even if they started now.
 func (a *Admission) Expire(now time.Time) []Outcome {
+	if a.waiting == 0 {
+		return nil
+	}
 	var out []Outcome
-	for _, q := range a.queues {
-		kept := q.waiters[:0]
-		for _, w := range q.waiters {
-			if w.deadline.Sub(now) >= a.serviceTime {
-				kept = append(kept, w)
+	for _, l := range a.lanes {
+		expired := l.remove(func(w waiter) bool { return l.deadline(w.request).Sub(now) < a.serviceTime })
+		a.waiting -= len(expired)
+		slices.SortFunc(expired, func(v, w waiter) int { return cmp.Compare(v.ticket, w.ticket) })
+		for _, w := range expired {
+			if l.late {
+				out = append(out, Outcome{Ticket: w.ticket, Decision: Refused, RetryAfter: max(a.serviceTime, minRetryAfter)})
 				continue
 			}
-			a.waiting--
-			out = append(out, Outcome{Ticket: w.ticket, Decision: Refused, RetryAfter: max(a.serviceTime, minRetryAfter)})
+			if o := a.enqueue(w, now); o.Decision == Refused {
+				out = append(out, o)
+			}
 		}
-		q.waiters = kept
 	}
 	return out
 }
 
 // Cancel removes a request whose caller has gone, and reports whether it was queued.
 func (a *Admission) Cancel(ticket Ticket) bool {
-	for _, q := range a.queues {
-		for i, w := range q.waiters {
-			if w.ticket == ticket {
-				q.waiters = append(q.waiters[:i], q.waiters[i+1:]...)
-				a.waiting--
-				return true
-			}
+	for _, l := range a.lanes {
+		removed := l.remove(func(w waiter) bool { return w.ticket == ticket })
+		if len(removed) > 0 {
+			a.waiting--
+			return true
 		}
 	}
 	return false
--- a/limit/admission_test.go
+++ b/limit/admission_test.go
@@ -38,7 +38,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
 				deadline := now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline")) * time.Millisecond)
-				o := a.Arrive(ticket, classes[rapid.IntRange(0, 1).Draw(t, "class")], deadline, now)
+				o := a.Arrive(ticket, Request{Class: classes[rapid.IntRange(0, 1).Draw(t, "class")], Deadline: deadline}, now)
 				queued[ticket] = true
 				if o.Decision != Queued {
 					record([]Outcome{o})
@@ -64,10 +64,10 @@
 	a := NewAdmission(1)
 	farDeadline := epoch.Add(time.Hour)
 	main, history := Class{Name: "main", Weight: 4}, Class{Name: "history", Weight: 1}
-	a.Arrive(0, main, farDeadline, epoch)
+	a.Arrive(0, Request{Class: main, Deadline: farDeadline}, epoch)
 	for n := range Ticket(50) {
-		a.Arrive(100+n, history, farDeadline, epoch)
-		a.Arrive(200+n, main, farDeadline, epoch)
+		a.Arrive(100+n, Request{Class: history, Deadline: farDeadline}, epoch)
+		a.Arrive(200+n, Request{Class: main, Deadline: farDeadline}, epoch)
 	}
 	historyGrants := 0
 	for range 25 {
@@ -152,7 +152,7 @@
 }
 
 func (a *admissionControl) arrive(n int, now time.Time) bool {
-	return a.admission.Arrive(Ticket(n), Class{Name: "main", Queue: 1000}, now.Add(a.deadline), now).Decision == Granted
+	return a.admission.Arrive(Ticket(n), Request{Class: Class{Name: "main", Queue: 1000}, Deadline: now.Add(a.deadline)}, now).Decision == Granted
 }
 
 func (a *admissionControl) release(now time.Time) []int {
@@ -237,7 +237,7 @@
 	a := NewAdmission(1)
 	class := Class{Name: "main", Queue: 100}
 	use := func(took time.Duration) {
-		if o := a.Arrive(1, class, epoch.Add(time.Second), epoch); o.Decision != Granted {
+		if o := a.Arrive(1, Request{Class: class, Deadline: epoch.Add(time.Second)}, epoch); o.Decision != Granted {
 			t.Fatalf("no free slot: %v", o.Decision)
 		}
 		a.Release(took, epoch)
@@ -252,8 +252,8 @@
 	if after := a.ServiceTime(); after != before {
 		t.Errorf("mean service time %s after 100 slots were freed unused, %s before", after, before)
 	}
-	a.Arrive(2, class, epoch.Add(time.Second), epoch)
-	if o := a.Arrive(3, class, epoch.Add(service), epoch); o.Decision != Refused {
+	a.Arrive(2, Request{Class: class, Deadline: epoch.Add(time.Second)}, epoch)
+	if o := a.Arrive(3, Request{Class: class, Deadline: epoch.Add(service)}, epoch); o.Decision != Refused {
 		t.Errorf("a request that can't be served in time was not refused: %v", o.Decision)
 	}
 }
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -36,6 +36,7 @@
 	results chan *wire.Results
 	broken  chan struct{}
 	class   limit.Class
+	target  time.Time
 	// holder is the holder's address, and endpoint the name of the endpoint.
 	holder   string
 	endpoint string
@@ -74,8 +75,9 @@
 // Close closes the connection; the holder then rolls back an open transaction.
 func (c *Conn) Close() { c.fail(errClosed) }
 
-// SetClass sets the admission class in which later exchanges wait for one of the holder's connections.
-func (c *Conn) SetClass(class limit.Class) { c.class = class }
+// SetClass sets the admission class in which later exchanges wait for one of the holder's connections, and until when their
+// answers are on time.
+func (c *Conn) SetClass(class limit.Class, target time.Time) { c.class, c.target = class, target }
 
 func (c *Conn) fail(err error) {
 	c.mu.Lock()
@@ -191,10 +193,15 @@
 		return nil, err
 	}
 	c.answered.Store(false)
-	remaining := deadline.Sub(c.clock.Now())
+	now := c.clock.Now()
+	remaining := deadline.Sub(now)
+	aim := remaining
+	if !c.target.IsZero() {
+		aim = c.target.Sub(now)
+	}
 	stop := context.AfterFunc(ctx, func() { c.fail(ctx.Err()) })
 	defer stop()
-	err := c.stream.Send(&wire.Frame{Body: &wire.Frame_Steps{Steps: toSteps(steps, remaining, c.class)}})
+	err := c.stream.Send(&wire.Frame{Body: &wire.Frame_Steps{Steps: toSteps(steps, remaining, aim, c.class)}})
 	if err != nil {
 		c.failByHolder(err)
 		return nil, c.lastError()
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -24,9 +24,11 @@
 type Dialer struct {
 	// Context bounds the lifetime of borrowed connections.
 	Context context.Context
-	Clock   clock.Service
-	Logger  *event.Logger
-	Peers   peer.Dialer
+	// Self is the id of this instance.
+	Self   string
+	Clock  clock.Service
+	Logger *event.Logger
+	Peers  peer.Dialer
 	// Holders returns the instances that may lend connections to an endpoint, in the order in which to ask them.
 	Holders func(e config.Endpoint) []member.Instance
 	// Health is shared by all dialers of an instance.
@@ -53,7 +55,7 @@
 		stream, err := d.open(ctx, holder.Address)
 		if err == nil {
 			err = stream.Send(&wire.Frame{Body: &wire.Frame_Loan{Loan: &wire.Loan{
-				Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace,
+				Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace, Borrower: d.Self,
 			}}})
 		}
 		if err == nil {
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -1,6 +1,7 @@
 package loan
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -51,6 +52,10 @@
 	settingsChanged bool
 }
 
+// flow returns the flow in which the loan's statements wait: those of its workspace, or else of the borrower, share the slots
+// evenly with others.
+func (l *loan) flow() string { return cmp.Or(l.request.GetWorkspace(), l.request.GetBorrower()) }
+
 func (l *loan) send(r *wire.Results) error {
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
@@ -154,8 +159,14 @@
 	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
 	deadline := now.Add(remaining - margin)
 	if l.conn == nil {
-		class := limit.Class{Name: request.GetClass(), Weight: int(request.GetWeight())}
-		if err := l.acquire(ctx, class, deadline); err != nil {
+		demand := connection.Demand{
+			Workspace: l.request.GetWorkspace(), Settings: l.settings, Deadline: deadline, Flow: l.flow(),
+			Class: limit.Class{Name: request.GetClass(), Weight: int(request.GetWeight())},
+		}
+		if aim := request.GetAim(); aim != 0 {
+			demand.Target = now.Add(time.Duration(aim)*time.Microsecond - margin)
+		}
+		if err := l.acquire(ctx, demand); err != nil {
 			l.lender.options.Logger.Log(event.LoanRefused, log.Fields{
 				"endpoint": l.request.GetEndpoint(), "request": requestID(steps), "error": err.Error(), "remaining": remaining.String(),
 			})
@@ -183,14 +194,12 @@
 }
 
 // acquire takes a connection from the endpoint's pool. Its errors have the verdict verdict.NotRun.
-func (l *loan) acquire(ctx context.Context, class limit.Class, deadline time.Time) error {
+func (l *loan) acquire(ctx context.Context, demand connection.Demand) error {
 	pool, ok := l.lender.options.Pool(l.request)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.Leaving, "instance does not hold connections to %s", l.request.GetEndpoint())
 	}
-	conn, err := pool.Acquire(ctx, connection.Demand{
-		Workspace: l.request.GetWorkspace(), Class: class, Deadline: deadline, Settings: l.settings,
-	})
+	conn, err := pool.Acquire(ctx, demand)
 	if err != nil {
 		return err
 	}
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -141,7 +141,7 @@
 		t.Fatal(err)
 	}
 	conn := c.(*Conn)
-	conn.SetClass(limit.Class{Name: "1", Weight: 1})
+	conn.SetClass(limit.Class{Name: "1", Weight: 1}, time.Time{})
 	t.Cleanup(conn.Close)
 	return conn
 }
--- a/pool/serve.go
+++ b/pool/serve.go
@@ -89,7 +89,7 @@
 	if err := t.check(ctx); err != nil {
 		return err
 	}
-	if err := t.pool.slots.Admit(ctx, t.class, t.pool.now().Add(t.timeLimit)); err != nil {
+	if err := t.pool.slots.Admit(ctx, limit.Request{Class: t.class, Deadline: t.pool.now().Add(t.timeLimit)}); err != nil {
 		return err
 	}
 	t.slotTakenAt = t.pool.now()
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -58,20 +58,20 @@
 }
 
 // Admit waits for a slot. It returns a *verdict.Error if the queue is full, as soon as the request is not expected to finish
-// by the deadline, or when ctx ends.
-func (q *Queue) Admit(ctx context.Context, class limit.Class, deadline time.Time) error {
+// by its deadline, or when ctx ends.
+func (q *Queue) Admit(ctx context.Context, r limit.Request) error {
 	q.mu.Lock()
 	q.lastTicket++
 	ticket := q.lastTicket
 	now := q.clock.Now()
-	outcome := q.admission.Arrive(ticket, class, deadline, now)
+	outcome := q.admission.Arrive(ticket, r, now)
 	if outcome.Decision != limit.Queued {
 		q.mu.Unlock()
 		return outcomeError(outcome)
 	}
 	decided := make(chan limit.Outcome, 1)
 	q.waiting[ticket] = decided
-	checkAfter := deadline.Sub(now) - q.admission.ServiceTime()
+	checkAfter := r.Deadline.Sub(now) - q.admission.ServiceTime()
 	q.mu.Unlock()
 	return q.await(ctx, ticket, decided, checkAfter)
 }
