--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -46,7 +46,7 @@
 func (l lending) WorkspaceDialer() connection.Dialer {
 	i := l.instance
 	return loan.Dialer{
-		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.workspaceHolders, Health: i.holderHealth,
+		Context: i.ctx, Self: i.options.Settings.Instance.ID, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.workspaceHolders, Health: i.holderHealth,
 		OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders,
 	}
 }
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -27,9 +27,11 @@
 type Dialer struct {
 	// Context bounds the lifetime of borrowed connections.
 	Context context.Context
-	Clock   clock.Service
-	Logger  *event.Logger
-	Peers   peer.Dialer
+	// Self is the id of this instance.
+	Self   string
+	Clock  clock.Service
+	Logger *event.Logger
+	Peers  peer.Dialer
 	// Holders returns the instances that may lend connections for a target, in the order in which to ask them.
 	Holders func(target connection.Target) []member.Instance
 	// Health is shared by all dialers of an instance.
@@ -82,7 +84,7 @@
 	stream, err := d.open(bounded, holder.Address)
 	if err == nil {
 		err = stream.Send(&wire.Frame{Body: &wire.Frame_Loan{Loan: &wire.Loan{
-			Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace,
+			Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace, Borrower: d.Self,
 		}}})
 	}
 	if err != nil {
