connection, loan: ask the next holder, spread crowded workspaces, ignore lost answers

Cause: a holder that can't reach an endpoint kept its workspaces from it; statements that an endpoint does not answer filled the few places in flight of a holder and its mean service time. Change: a refusal by a holder that can't reach the endpoint or lends no more makes the borrower ask the next one, and does not count against the endpoint while there is one; a workspace with more statements than a holder may have in flight uses two; where connections belong to workspaces, a statement that later ones have overtaken takes no place in flight and its time doesn't count.

--- a/connection/capacity.go
+++ b/connection/capacity.go
@@ -10,25 +10,44 @@
 	"siskincove/verdict"
 )
 
-// adjustWindow narrows the window if the endpoint had no free slot for a step or did not answer in time. It ignores borrowed
-// connections, since a refusal by the instance that lends them says nothing about the endpoint's slots.
-func (p *Pool) adjustWindow(answers []statement.Answer, err error, deadline time.Time) {
-	if p.options.Borrows {
-		return
-	}
+// beginExchange records that a statement is sent, and returns when.
+func (p *Pool) beginExchange() time.Time {
 	now := p.options.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flight.begin(now)
+	return now
+}
+
+// forgetExchange records that nothing more is known of an exchange.
+func (p *Pool) forgetExchange(sent time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.flight.end(sent, false)
+}
+
+// endExchange narrows the window if the endpoint had no free slot for a step or did not answer in time. It ignores borrowed
+// connections, since a refusal by the instance that lends them says nothing about the endpoint's slots.
+func (p *Pool) endExchange(sent time.Time, answers []statement.Answer, err error, deadline time.Time) {
+	now, serviceTime := p.options.Clock.Now(), p.queue.ServiceTime()
 	reason := ""
 	if err != nil && !now.Before(deadline) {
 		reason = "deadline exceeded"
 	}
+	busy := false
 	for _, a := range answers {
-		if a.Failure != nil && a.Failure.Reason == verdict.Overload {
-			reason = "no free slot"
-		}
+		busy = busy || a.Failure != nil && a.Failure.Reason == verdict.Overload
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if reason != "" {
+	if reason != "" && p.options.ByWorkspace && p.flight.isOvertaken(sent, now, serviceTime) {
+		reason = ""
+	}
+	p.flight.end(sent, err == nil && !busy)
+	if busy {
+		reason = "no free slot"
+	}
+	if reason != "" && !p.options.Borrows {
 		p.shrinkWindow(reason, now)
 	}
 	p.updateCapacityLocked()
@@ -61,10 +80,16 @@
 	p.updateCapacityLocked()
 }
 
-// updateCapacityLocked sets how many connections may be in use: as many as the window allows, plus those idle in a
-// transaction. A window smaller than maxDials is taken as maxDials, because statements to a distant endpoint spend most
-// of their time on the network. p.mu must be held.
+// updateCapacityLocked sets how many connections may be in use: as many as the window allows, plus those that take no slot since
+// they are idle in a transaction or their statement is overtaken. A window smaller than maxDials is taken as maxDials, because
+// statements to a distant endpoint spend most of their time on the network. p.mu must be held.
 func (p *Pool) updateCapacityLocked() {
-	size := max(p.window.Size(p.options.Clock.Now()), p.maxDials)
-	p.queue.Resize(min(size+p.idleInTx, p.limit))
+	now := p.options.Clock.Now()
+	size := max(p.window.Size(now), p.maxDials) + p.idleInTx
+	if p.options.ByWorkspace {
+		// The holders of a workspace's connections are few, so a few statements that the endpoint does not answer would keep all
+		// others from it.
+		size += p.flight.overtaken(now, p.queue.ServiceTime())
+	}
+	p.queue.Resize(min(size, p.limit))
 }
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -89,6 +89,7 @@
 	// allow.
 	limit  int
 	window limit.Window
+	flight flight
 	// idleInTx is the number of connections in transactions that await their next statement. They take no slot of the
 	// endpoint.
 	idleInTx int
@@ -207,7 +208,7 @@
 	if err := p.checkReachable(d.Workspace); err != nil {
 		return nil, err
 	}
-	if err := p.queue.Admit(ctx, d.Class, d.Deadline); err != nil {
+	if err := p.admit(ctx, d); err != nil {
 		return nil, err
 	}
 	h, err := p.takeOrOpen(ctx, d)
@@ -221,6 +222,25 @@
 	return h, nil
 }
 
+// admit waits for a slot.
+func (p *Pool) admit(ctx context.Context, d Demand) error {
+	addQueued := func(delta int) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.usage.addQueued(d.Workspace, delta)
+	}
+	addQueued(1)
+	defer addQueued(-1)
+	return p.queue.Admit(ctx, d.Class, d.Deadline)
+}
+
+// Crowded reports whether a workspace alone has more statements here than may be in flight at the endpoint.
+func (p *Pool) Crowded(workspace string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usage.of(workspace).exceeds(p.window.Limit())
+}
+
 // Trim closes connections that have been idle for too long.
 func (p *Pool) Trim() {
 	p.mu.Lock()
@@ -308,6 +328,10 @@
 	h.setIdleInTx(false)
 	// The queue estimates waiting times from the time that connections spend on statements.
 	took, h.idleInTxTotal = max(took-h.idleInTxTotal, 0), 0
+	if !reuse && p.options.ByWorkspace {
+		// How long an answer did not come says nothing about the time that others take.
+		took = 0
+	}
 	p.mu.Lock()
 	if !reuse || h.isBroken() {
 		p.closeInUse(h)
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -34,16 +34,17 @@
 // Exchange sends the steps and returns their answers as Conn does. The pool adjusts its window to the outcome.
 func (h *PooledConn) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
 	h.setIdleInTx(false)
-	ended := false
+	ended, sent := false, h.pool.beginExchange()
 	defer func() {
 		if !ended {
 			// After a panic it is not known which answers are still to come.
 			h.Close()
+			h.pool.forgetExchange(sent)
 		}
 	}()
 	answers, err := h.Conn.Exchange(ctx, deadline, steps...)
 	ended = true
-	h.pool.adjustWindow(answers, err, deadline)
+	h.pool.endExchange(sent, answers, err, deadline)
 	return answers, err
 }
 
--- a/connection/usage.go
+++ b/connection/usage.go
@@ -5,8 +5,13 @@
 	// open are all connections, including those being opened, inUse those that are not idle, and idleInTx those of them in a
 	// transaction that awaits its next statement.
 	open, inUse, idleInTx int
-	// waiting is the number of statements that wait for a connection.
-	waiting int
+	// queued is the number of statements that wait for a slot, and waiting that of those that have one and wait for a connection.
+	queued, waiting int
+}
+
+// exceeds reports whether the workspace has more statements than may be in flight.
+func (w workspaceUsage) exceeds(inFlight int) bool {
+	return w.queued+w.waiting+w.inUse-w.idleInTx > inFlight
 }
 
 // usage counts the connections of a pool by workspace.
@@ -51,6 +56,13 @@
 	u.set(workspace, w)
 }
 
+// addQueued changes the number of a workspace's statements that wait for a slot.
+func (u *usage) addQueued(workspace string, delta int) {
+	w := u.of(workspace)
+	w.queued += delta
+	u.set(workspace, w)
+}
+
 // addWaiting changes the number of a workspace's statements that wait for a connection.
 func (u *usage) addWaiting(workspace string, delta int) {
 	w := u.of(workspace)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -60,6 +60,8 @@
 	lender      *loan.Lender
 	// holderHealth tracks which holders of borrowed connections answer.
 	holderHealth *loan.Health
+	// spread tells which workspaces use several holders.
+	spread       *loan.Spread
 	coordinators *coordinator.Set[*succession.Coordinator]
 	callers      *caller.Server
 	health       *health
@@ -97,7 +99,7 @@
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
 	})
-	i.holderHealth = loan.NewHealth(o.Clock)
+	i.holderHealth, i.spread = loan.NewHealth(o.Clock), loan.NewSpread(o.Clock)
 	i.databases = database.NewRegistry(database.Options{
 		Context: i.ctx, Dialer: o.Dialer, Clock: o.Clock, Logger: o.Logger, DrainTime: i.endpointDrainTime, Detour: i.detour,
 		Lending: lending{i},
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -38,7 +38,7 @@
 // Dialer returns a dialer that borrows connections from the holders.
 func (l lending) Dialer() connection.Dialer {
 	d := l.WorkspaceDialer().(loan.Dialer)
-	d.Holders, d.Direct = l.holdersToAsk, l.instance.options.Dialer
+	d.Holders, d.Direct, d.Spread = l.holdersToAsk, l.instance.options.Dialer, nil
 	return d
 }
 
@@ -47,7 +47,7 @@
 	i := l.instance
 	return loan.Dialer{
 		Context: i.ctx, Clock: i.options.Clock, Logger: i.options.Logger, Peers: i.node, Holders: l.workspaceHolders, Health: i.holderHealth,
-		OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders,
+		OnUnreachable: i.members.ProbeSoon, OnSilence: i.probeHolders, Spread: i.spread,
 	}
 }
 
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -14,6 +14,7 @@
 	"siskincove/peer"
 	"siskincove/peer/wire"
 	"siskincove/statement"
+	"siskincove/verdict"
 )
 
 var (
@@ -42,6 +43,13 @@
 	health   *Health
 	// onSilence is called after an exchange that the holder did not answer in time.
 	onSilence func()
+	// workspace is the workspace of the loan, and spread is shared by all loans; nil where connections belong to none.
+	workspace string
+	spread    *Spread
+	// otherHolder reports whether another holder may be asked for the same connection; nil if that is of no use.
+	otherHolder func() bool
+	// returnAt is when a loan from another holder than the workspace's first ends, zero for one from the first.
+	returnAt time.Time
 	// answered is set once the holder has sent anything since the last exchange began.
 	answered atomic.Bool
 
@@ -55,10 +63,16 @@
 
 // newConn returns a connection to an endpoint through the holder at an address, over a stream on which the loan was requested.
 // The reader goroutine ends with the stream.
-func (d Dialer) newConn(stream peer.Stream, holder, endpoint string) *Conn {
+func (d Dialer) newConn(stream peer.Stream, holder string, target connection.Target) *Conn {
 	c := &Conn{
-		stream: stream, clock: d.Clock, holder: holder, endpoint: endpoint, health: d.Health, onSilence: d.OnSilence,
-		results: make(chan *wire.Results, 1), broken: make(chan struct{}),
+		stream: stream, clock: d.Clock, holder: holder, endpoint: target.Endpoint.Name, health: d.Health, onSilence: d.OnSilence,
+		results: make(chan *wire.Results, 1), broken: make(chan struct{}), workspace: target.Workspace, spread: d.Spread,
+	}
+	if d.Spread != nil {
+		c.otherHolder = func() bool { return len(d.askable(target)) > 0 }
+		if first := d.Holders(target); len(first) > 0 && first[0].Address != holder {
+			c.returnAt = d.Clock.Now().Add(otherHolderTime)
+		}
 	}
 	c.health.add(holder, c)
 	go c.readLoop()
@@ -208,10 +222,46 @@
 		c.fail(errEndpointLost)
 		return answers, errEndpointLost
 	}
+	c.noteRefusal(answers)
+	c.noteCrowding(r.GetCrowded())
 	c.endExchange(answers[len(answers)-1].State)
 	return answers, nil
 }
 
+// noteRefusal makes the next statement ask another holder if this one could not reach the endpoint or does not lend its
+// connections. While others may be asked, the refusals say nothing about the endpoint.
+func (c *Conn) noteRefusal(answers []statement.Answer) {
+	if c.otherHolder == nil {
+		return
+	}
+	for i, a := range answers {
+		switch {
+		case a.Failure == nil || a.Failure.Verdict != verdict.NotRun:
+			continue
+		case a.Failure.Reason == verdict.Unreachable:
+			c.health.recordUnreachable(c.holder, c.endpoint)
+			c.retire()
+		case a.Failure.Reason != verdict.Leaving:
+			continue
+		}
+		if c.otherHolder() {
+			answers[i].Failure = a.Failure.WithCause(errors.Mark(errors.Wrap(a.Failure, c.holder), connection.ErrLender))
+		}
+	}
+}
+
+// noteCrowding ends the loan after this exchange if the workspace should use another holder.
+func (c *Conn) noteCrowding(crowded bool) {
+	if c.spread == nil {
+		return
+	}
+	now := c.clock.Now()
+	moved := crowded && c.spread.recordCrowding(c.endpoint, c.workspace)
+	if moved || !c.returnAt.IsZero() && !now.Before(c.returnAt) {
+		c.retire()
+	}
+}
+
 // await returns the results, or nil if the connection failed or the remaining time passed before they arrived.
 func (c *Conn) await(remaining time.Duration) *wire.Results {
 	timer := time.NewTimer(remaining)
--- a/loan/dialer.go
+++ b/loan/dialer.go
@@ -20,7 +20,8 @@
 // off from the endpoint's failure domain.
 const maxHoldersAsked = 2
 
-// holderOpenTimeout bounds the time to reach a holder, so that the next one can be asked: two round trips to a distant region.
+// holderOpenTimeout bounds the time to reach a holder where only holders connect, so that the next one can be asked: two round
+// trips to a distant region.
 const holderOpenTimeout = 200 * time.Millisecond
 
 // Dialer borrows connections to endpoints from other instances.
@@ -34,6 +35,8 @@
 	Holders func(target connection.Target) []member.Instance
 	// Health is shared by all dialers of an instance.
 	Health *Health
+	// Spread spreads workspaces with much load over several holders; nil if connections belong to no workspace.
+	Spread *Spread
 	// Direct connects to an endpoint when none of its holders is reachable; nil if nobody may connect beside the holders.
 	Direct connection.Dialer
 	// OnUnreachable is called with the address of a holder that could not be reached.
@@ -66,7 +69,7 @@
 // askable returns the first holders that may be asked, at most maxHoldersAsked.
 func (d Dialer) askable(target connection.Target) []member.Instance {
 	var out []member.Instance
-	for _, holder := range d.Holders(target) {
+	for _, holder := range d.Spread.order(target, d.Holders(target)) {
 		if len(out) < maxHoldersAsked && d.Health.MayAsk(holder.Address, target.Endpoint.Name) {
 			out = append(out, holder)
 		}
@@ -77,20 +80,26 @@
 // borrow requests a connection from a holder. The holder does not answer that; the first exchange shows whether it lends one.
 func (d Dialer) borrow(ctx context.Context, target connection.Target, holder member.Instance) (connection.Conn, error) {
 	e := target.Endpoint
-	bounded, cancel := context.WithTimeout(ctx, holderOpenTimeout)
-	defer cancel()
-	stream, err := d.open(bounded, holder.Address)
+	if d.Direct == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, holderOpenTimeout)
+		defer cancel()
+	}
+	stream, err := d.open(ctx, holder.Address)
 	if err == nil {
 		err = stream.Send(&wire.Frame{Body: &wire.Frame_Loan{Loan: &wire.Loan{
 			Database: e.Database, Endpoint: e.Name, Incarnation: e.Incarnation, Workspace: target.Workspace,
 		}}})
 	}
 	if err != nil {
+		if d.Direct == nil {
+			d.Health.recordUnreachable(holder.Address, e.Name)
+		}
 		d.OnUnreachable(holder.Address)
 		d.Logger.Log(event.HolderUnreachable, log.Fields{"endpoint": e.Name, "holder": holder.ID, "error": err.Error()})
 		return nil, err
 	}
-	return d.newConn(stream, holder.Address, e.Name), nil
+	return d.newConn(stream, holder.Address, target), nil
 }
 
 // open opens a stream whose lifetime is bounded by the dialer's Context; ctx bounds only the opening.
--- a/loan/health.go
+++ b/loan/health.go
@@ -16,6 +16,9 @@
 	// refusalPause is how long a holder is not asked again for an endpoint that it does not hold. Views of the instances
 	// agree again within a few rounds of heartbeats.
 	refusalPause = time.Second
+	// unreachablePause is how long a holder is not asked again for an endpoint that it can't reach. It is as long as the holder's
+	// own longest pause between attempts.
+	unreachablePause = 250 * time.Millisecond
 )
 
 // silence records how long a holder is not to be asked because it did not answer. It is an immutable value.
@@ -37,7 +40,7 @@
 // holderState is what a borrower knows of a holder, and its connections there.
 type holderState struct {
 	silence silence
-	// refusedUntil is until when the holder is not asked for connections to an endpoint that it does not hold.
+	// refusedUntil is until when the holder is not asked for connections to an endpoint that it does not hold or can't reach.
 	refusedUntil map[string]time.Time
 	conns        map[*Conn]struct{}
 }
@@ -67,7 +70,7 @@
 }
 
 // MayAsk reports whether the holder at an address may be asked for a connection to an endpoint: it has neither failed to answer
-// recently nor said that it does not lend connections to that endpoint.
+// recently nor said that it does not lend connections to that endpoint or can't reach it.
 func (h *Health) MayAsk(address, endpoint string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,31 +84,39 @@
 
 // recordRefusal records that the holder at an address does not lend connections to an endpoint: it is leaving, or its view of
 // the instances differs from this one's.
-func (h *Health) recordRefusal(address, endpoint string) {
+func (h *Health) recordRefusal(address, endpoint string) { h.pause(address, endpoint, refusalPause) }
+
+// recordUnreachable records that the holder at an address can't reach an endpoint, which others may.
+func (h *Health) recordUnreachable(address, endpoint string) {
+	h.pause(address, endpoint, unreachablePause)
+}
+
+// pause records that the holder at an address is not to be asked for connections to an endpoint for a while.
+func (h *Health) pause(address, endpoint string, pause time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s, ok := h.holders[address]
-	if !ok {
-		return
-	}
 	now := h.clock.Now()
+	maps.DeleteFunc(h.holders, func(_ string, s *holderState) bool { return len(s.conns) == 0 && !s.active(now) })
+	s := h.stateOf(address)
 	maps.DeleteFunc(s.refusedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
-	if s.refusedUntil == nil {
-		s.refusedUntil = make(map[string]time.Time)
+	s.refusedUntil[endpoint] = now.Add(pause)
+}
+
+// stateOf returns what is known of the holder at an address; h.mu must be held.
+func (h *Health) stateOf(address string) *holderState {
+	s, ok := h.holders[address]
+	if !ok {
+		s = &holderState{refusedUntil: make(map[string]time.Time), conns: make(map[*Conn]struct{})}
+		h.holders[address] = s
 	}
-	s.refusedUntil[endpoint] = now.Add(refusalPause)
+	return s
 }
 
 // add records a connection to the holder at an address.
 func (h *Health) add(address string, c *Conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s, ok := h.holders[address]
-	if !ok {
-		s = &holderState{conns: make(map[*Conn]struct{})}
-		h.holders[address] = s
-	}
-	s.conns[c] = struct{}{}
+	h.stateOf(address).conns[c] = struct{}{}
 }
 
 // remove forgets a connection that was closed.
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -95,7 +95,7 @@
 		}
 	}
 	answers, broken := l.runSteps(ctx, endpointSteps, request)
-	out := &wire.Results{Broken: broken, Retired: l.conn == nil && !l.available()}
+	out := &wire.Results{Broken: broken, Retired: l.conn == nil && !l.available(), Crowded: l.isCrowded()}
 	for _, s := range steps {
 		switch {
 		case isSessionStep(s.Kind):
@@ -228,6 +228,12 @@
 	return holds && !l.lender.isDraining()
 }
 
+// isCrowded reports whether the loan's workspace alone needs more than this holder can serve.
+func (l *loan) isCrowded() bool {
+	pool, ok := l.lender.options.Pool(l.request)
+	return ok && l.request.GetWorkspace() != "" && pool.Crowded(l.request.GetWorkspace())
+}
+
 // release returns the connection to its pool.
 func (l *loan) release(reuse bool) {
 	if l.settingsChanged {
