hosted, loan: choose holders beyond a small failure domain, leave a silent one at once

Cause: with three instances in an endpoint's failure domain five holders' shares were divided among three, all on one side of a partition; a read asked a holder that had not answered again before its silence was recorded.

--- a/database/database.go
+++ b/database/database.go
@@ -239,7 +239,7 @@
 		d.closeHeld(e.Name)
 		return
 	}
-	holds := d.options.Lending.Holds(e, share.Holders)
+	holds := d.options.Lending.Holds(e, share)
 	borrowed := own
 	borrowed.Borrows, borrowed.Limit, borrowed.InFlight = true, maxBorrowed, 0
 	switch {
--- a/database/registry.go
+++ b/database/registry.go
@@ -32,8 +32,8 @@
 // Lending tells which instances are an endpoint's holders: the ones that connect to it and lend their connections to the
 // other instances. An endpoint has holders if it has too few connections or slots for all instances.
 type Lending interface {
-	// Holds reports whether this instance is one of the holderCount holders.
-	Holds(e config.Endpoint, holderCount int) bool
+	// Holds reports whether this instance is one of the holders for a share.
+	Holds(e config.Endpoint, share Share) bool
 	// Dialer returns a dialer that borrows connections from the holders.
 	Dialer() connection.Dialer
 	// WorkspaceDialer returns a dialer that borrows connections from the holders of a workspace's connections, which may
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,23 +19,43 @@
 // the endpoint's failure domain if there are any.
 type lending struct{ instance *Instance }
 
-// Holds reports whether this instance is one of the holderCount holders of the endpoint's connections.
-func (l lending) Holds(e config.Endpoint, holderCount int) bool {
+// Holds reports whether this instance is one of the holders of the endpoint's connections.
+func (l lending) Holds(e config.Endpoint, share database.Share) bool {
 	own := l.instance.options.Settings.Instance.ID
-	for _, holder := range l.rankedHolders(e, holderCount) {
-		if holder.ID == own {
-			return true
-		}
+	return slices.ContainsFunc(l.sharing(e, share), func(holder member.Instance) bool { return holder.ID == own })
+}
+
+// sharing returns the holders of the endpoint's connections for a division of them.
+func (l lending) sharing(e config.Endpoint, share database.Share) []member.Instance {
+	if share.ByWorkspace {
+		return l.rankedWorkspaceHolders(e, share.Holders)
 	}
-	return false
+	return l.rankedHolders(e, share.Holders)
 }
 
-// rankedHolders returns holderCount holders of the endpoint's connections, or fewer if there are fewer instances. Instances
-// with the same view of the others get the same holders.
+// rankedHolders returns holderCount holders of the endpoint's connections, or fewer if there are fewer instances near the endpoint.
+// Instances with the same view of the others get the same holders.
 func (l lending) rankedHolders(e config.Endpoint, holderCount int) []member.Instance {
 	return l.instance.members.HighestRanked("holder/"+e.Name, e.Domain, holderCount)
 }
 
+// rankedWorkspaceHolders is rankedHolders for connections that belong to workspaces: if the endpoint's failure domain has too few
+// instances, others of its region and then of other regions are holders too, since nobody connects beside them.
+func (l lending) rankedWorkspaceHolders(e config.Endpoint, holderCount int) []member.Instance {
+	out := l.rankedHolders(e, holderCount)
+	for _, domain := range []string{config.Region(e.Domain) + "/", ""} {
+		if len(out) == holderCount {
+			break
+		}
+		for _, candidate := range l.instance.members.HighestRanked("holder/"+e.Name, domain, holderCount) {
+			if len(out) < holderCount && !slices.ContainsFunc(out, func(i member.Instance) bool { return i.ID == candidate.ID }) {
+				out = append(out, candidate)
+			}
+		}
+	}
+	return out
+}
+
 // Dialer returns a dialer that borrows connections from the holders.
 func (l lending) Dialer() connection.Dialer {
 	d := l.WorkspaceDialer().(loan.Dialer)
@@ -82,7 +103,7 @@
 	if !ok {
 		return nil
 	}
-	return l.rankedHolders(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount()).Holders)
+	return l.sharing(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount()))
 }
 
 func (i *Instance) newLender() *loan.Lender {
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -128,6 +128,9 @@
 	}
 	c.err = errors.Mark(errors.Wrap(errDeadline, c.holder), connection.ErrLender)
 	close(c.broken)
+	if c.otherHolder != nil {
+		c.health.recordUnreachable(c.holder, c.endpoint)
+	}
 	time.AfterFunc(answerGrace, func() {
 		_ = c.stream.Close()
 		if c.answered.Load() {
