freshness: one instance asks the store, heads of failure domains ask it

Change: instances are ranked over the deployment; the first asks, the heads of the failure domains ask it, the others their head.

--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -34,8 +34,9 @@
 
 // Sources are whom a Keeper asks.
 type Sources interface {
-	// Rank returns this instance's place, from 0, among the instances of its failure domain that ask the store.
-	Rank() int
+	// Rank returns this instance's place, from 0, among the instances that ask the store, and whether it asks peers of other failure
+	// domains for its own.
+	Rank() (rank int, head bool)
 	// Peers returns the addresses of the peers to ask, in order.
 	Peers() []string
 	// AskPeer asks the peer at an address; proofs in its answer are passed to Keeper.Record.
@@ -220,7 +221,7 @@
 		case Store:
 			k.askStore(ctx)
 		case Peers:
-			k.askPeers(ctx)
+			k.askPeers(ctx, s.recent())
 		default:
 			select {
 			case <-ctx.Done():
@@ -236,9 +237,9 @@
 	now := k.options.Clock.Now()
 	proof, proven := k.usable(now)
 	s := Situation{
-		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Rank: k.options.Sources.Rank(),
-		Used: k.within(&k.usedAt, now, usedDuration),
+		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Used: k.within(&k.usedAt, now, usedDuration),
 	}
+	s.Rank, s.Head = k.options.Sources.Rank()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.Store = Inquiry{Open: k.askingStore, Since: now.Sub(k.startedAt) - time.Duration(k.storeAskedAt.Load())}
@@ -286,8 +287,8 @@
 	})
 }
 
-// askPeers asks one peer after the other in the background, until one has a recent proof.
-func (k *Keeper) askPeers(ctx context.Context) {
+// askPeers asks one peer after the other in the background, until there is a recent proof.
+func (k *Keeper) askPeers(ctx context.Context, recent time.Duration) {
 	k.mu.Lock()
 	k.askingPeers, k.peersAskedAt = true, k.options.Clock.Now()
 	k.mu.Unlock()
@@ -297,7 +298,7 @@
 		defer k.options.Logger.Contain("freshness")
 		found := false
 		for _, address := range k.options.Sources.Peers() {
-			if found = k.askPeer(ctx, address); found {
+			if found = k.askPeer(ctx, address, recent); found {
 				break
 			}
 		}
@@ -311,7 +312,7 @@
 }
 
 // askPeer asks a peer and reports whether there is a recent proof then.
-func (k *Keeper) askPeer(ctx context.Context, address string) bool {
+func (k *Keeper) askPeer(ctx context.Context, address string, recent time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if k.options.Sources.AskPeer(ctx, address) != nil {
@@ -319,7 +320,7 @@
 	}
 	now := k.options.Clock.Now()
 	proof, proven := k.usable(now)
-	return proven && proof.Age(now) < askAge
+	return proven && proof.Age(now) < recent
 }
 
 func (k *Keeper) setAsking(asking *bool, value bool) {
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -10,14 +10,16 @@
 	readyShare = 0.8
 	// idleShare is the age of a proof, as a share of the limit, from which an instance without callers asks for a newer one.
 	idleShare = 0.5
-	// askAge is the age from which an instance asks its peers.
-	askAge = 1200 * time.Millisecond
-	// storeInterval is the time between two questions to the store of the instance that asks it for its failure domain.
+	// headAskAge is the age from which the instance that asks for its failure domain asks its peers, and askAge the one from which
+	// the others of that domain ask it.
+	headAskAge = 1000 * time.Millisecond
+	askAge     = 1400 * time.Millisecond
+	// storeInterval is the time between two questions to the store of the instance that asks it for all.
 	storeInterval = 800 * time.Millisecond
-	// standInAge is the age from which the next instance of a failure domain asks the store too, and standInStep how much older the
-	// proof is before each further one does.
+	// standInAge is the age from which the next instance asks the store too, and standInStep how much older the proof is before each
+	// further one does.
 	standInAge  = 1600 * time.Millisecond
-	standInStep = 250 * time.Millisecond
+	standInStep = 150 * time.Millisecond
 	// askPause and maxAskPause bound the time between two rounds of questions to peers, doubled while they bring nothing.
 	askPause    = 100 * time.Millisecond
 	maxAskPause = 800 * time.Millisecond
@@ -72,8 +74,10 @@
 	Limits Limits
 	// Used is set if callers have needed a proof recently.
 	Used bool
-	// Rank is this instance's place, from 0, among those of its failure domain.
+	// Rank is this instance's place, from 0, among those that ask the store. Head is set if it asks peers of other failure domains
+	// for its own.
 	Rank  int
+	Head  bool
 	Store Inquiry
 	Peers Inquiry
 	// Fruitless counts the latest rounds of questions to peers that brought no recent proof.
@@ -86,9 +90,9 @@
 	Wait   time.Duration
 }
 
-// Decide returns whom to ask. One instance of each failure domain asks the store at a steady pace; the others ask it when their
-// proof is too old although they have asked their peers, each one later and more rarely than the one that ranks before it, so that
-// a store that answers nobody is not asked by all.
+// Decide returns whom to ask. One instance asks the store at a steady pace. The heads of the failure domains ask that one, and the
+// others their head. An instance asks the store too when its proof is too old although it has asked its peers, each one later and more
+// rarely than the one that ranks before it, so that a store that answers nobody is not asked by all.
 func Decide(s Situation) Decision {
 	if s.Starting {
 		return Decision{Wait: askPause}
@@ -119,17 +123,25 @@
 
 // untilPeers returns the time until the peers are to be asked.
 func (s Situation) untilPeers() time.Duration {
-	age := askAge
-	if !s.Used {
-		age = max(age, share(s.Limits.Serve, idleShare))
-	}
 	if s.Peers.Open {
 		return maxWait
 	}
+	age := s.recent()
+	if !s.Used && !s.Head {
+		age = max(age, share(s.Limits.Serve, idleShare))
+	}
 	pause := min(askPause<<min(s.Fruitless, 3), maxAskPause)
 	return max(pause-s.Peers.Since, s.untilAge(age))
 }
 
+// recent returns the age below which a proof needs no newer one.
+func (s Situation) recent() time.Duration {
+	if s.Head {
+		return headAskAge
+	}
+	return askAge
+}
+
 // untilAge returns the time until the proof has an age; without a proof, none.
 func (s Situation) untilAge(age time.Duration) time.Duration {
 	if !s.Proven {
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"siskincove/freshness"
 	"siskincove/member"
 	"siskincove/peer"
@@ -14,10 +12,12 @@
 )
 
 const (
-	// rankedProvers is how many instances of a failure domain are ranked for questions to the store; the others share the last rank.
+	// proverTask is the key under which instances are ranked for asking the store.
+	proverTask = "prover"
+	// rankedProvers is how many instances are ranked; the others share the last rank.
 	rankedProvers = 16
-	// provedDomains is how many other failure domains an instance asks for a proof.
-	provedDomains = 2
+	// askedProvers is how many of the first provers an instance asks.
+	askedProvers = 3
 )
 
 // newFreshness returns the keeper of the proof that the configuration is the newest.
@@ -84,55 +84,45 @@
 	}
 }
 
-// provers implements freshness.Sources: the instances that follow the configuration for their failure domain prove it to the
-// others.
+// provers implements freshness.Sources. The provers are instances ranked over all failure domains, of which the first asks the store.
+// The head of a failure domain is the first of those that follow the configuration there.
 type provers struct{ instance *Instance }
 
-// Rank returns this instance's place among those of its failure domain.
-func (p provers) Rank() int {
+// Rank returns this instance's place among the provers, and whether it is the head of its failure domain.
+func (p provers) Rank() (rank int, head bool) {
 	own := p.instance.options.Settings.Instance
-	all := p.ranked(own.Domain, rankedProvers)
-	if at := slices.IndexFunc(all, func(m member.Instance) bool { return m.ID == own.ID }); at >= 0 {
-		return at
+	isOwn := func(m member.Instance) bool { return m.ID == own.ID }
+	if rank = slices.IndexFunc(p.first(rankedProvers), isOwn); rank < 0 {
+		rank = rankedProvers
 	}
-	return rankedProvers
+	return rank, slices.ContainsFunc(p.followers(1), isOwn)
 }
 
-func (p provers) ranked(domain string, n int) []member.Instance {
-	return p.instance.members.HighestRanked(followerTask+domain, domain, n)
+func (p provers) first(n int) []member.Instance {
+	return p.instance.members.HighestRanked(proverTask, "", n)
 }
 
-// Peers returns the addresses of the followers of this instance's failure domain, and after them the first ones of some other domains.
-func (p provers) Peers() []string {
+func (p provers) followers(n int) []member.Instance {
 	own := p.instance.options.Settings.Instance
-	asked := p.ranked(own.Domain, followersPerDomain)
-	for _, domain := range p.otherDomains() {
-		if len(asked) < followersPerDomain+provedDomains {
-			asked = append(asked, p.ranked(domain, 1)...)
-		}
+	return p.instance.members.HighestRanked(followerTask+own.Domain, own.Domain, n)
+}
+
+// Peers returns the addresses of the followers of this instance's failure domain, to which traffic is free, and of the first provers;
+// for the head of a domain, the provers come first.
+func (p provers) Peers() []string {
+	asked := [][]member.Instance{p.followers(followersPerDomain), p.first(askedProvers)}
+	if _, head := p.Rank(); head {
+		slices.Reverse(asked)
 	}
 	var out []string
-	for _, m := range asked {
-		if m.ID != own.ID && !slices.Contains(out, m.Address) {
+	for _, m := range slices.Concat(asked...) {
+		if m.ID != p.instance.options.Settings.Instance.ID && !slices.Contains(out, m.Address) {
 			out = append(out, m.Address)
 		}
 	}
 	return out
 }
 
-// otherDomains returns the other failure domains in an order that differs between instances.
-func (p provers) otherDomains() []string {
-	own := p.instance.options.Settings.Instance
-	var out []string
-	for domain, region := range p.instance.regions() {
-		if name := region + "/" + domain; name != own.Domain {
-			out = append(out, name)
-		}
-	}
-	slices.Sort(out)
-	return rotated(out, func(n int) int { return int(xxhash.Sum64String(own.ID) % uint64(n)) })
-}
-
 // AskPeer asks a peer for its directory, with which it sends its proof.
 func (p provers) AskPeer(ctx context.Context, address string) error {
 	offer, err := p.instance.inquire(ctx, address, p.instance.directory.Versions(), true)
