--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -21,6 +21,8 @@
 	// startWait is how long after the start an instance waits for a first reply of a peer, which may know of a configuration that
 	// a restored store lacks.
 	startWait = 300 * time.Millisecond
+	// startGrace is how long after the start the first proof may take without being reported as missing.
+	startGrace = 2 * time.Second
 	// isolatedAfter is the time without a reply of any peer from which an instance counts as isolated.
 	isolatedAfter = 2 * time.Second
 	// storeTimeout and peerTimeout bound one question.
@@ -181,6 +183,11 @@
 	k.change(func(l Ledger, inForce uint64, now time.Time) Ledger { return l.WithRead(p, era, inForce, now) })
 }
 
+// RecordEra records the store's era as a peer reports it.
+func (k *Keeper) RecordEra(era uint64) {
+	k.change(func(l Ledger, _ uint64, now time.Time) Ledger { return l.WithEra(era, now) })
+}
+
 func (k *Keeper) change(next func(l Ledger, inForce uint64, now time.Time) Ledger) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -258,11 +265,17 @@
 func (k *Keeper) observe(s Situation) {
 	k.mu.Lock()
 	refused, wasIsolated := k.refusing, k.isolated
-	k.refusing = !s.Starting && (!s.Proven || s.Age >= s.Limits.Serve)
-	k.isolated = k.refusing && !k.within(&k.heardAt, k.options.Clock.Now(), isolatedAfter)
+	now := k.options.Clock.Now()
+	starting := s.Starting || !s.Proven && now.Sub(k.startedAt) < startGrace
+	k.refusing = !starting && (!s.Proven || s.Age >= s.Limits.Serve)
+	k.isolated = k.refusing && !k.within(&k.heardAt, now, isolatedAfter)
 	refuses, isolated := k.refusing, k.isolated
 	k.mu.Unlock()
-	switch fields := (log.Fields{"age": s.Age.String(), "version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}); {
+	fields := log.Fields{"version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}
+	if s.Proven {
+		fields["age"] = s.Age.String()
+	}
+	switch {
 	case refuses && (!refused || isolated != wasIsolated):
 		k.options.Logger.Log(event.ProofLost, fields)
 	case refused && !refuses:
--- a/freshness/ledger.go
+++ b/freshness/ledger.go
@@ -10,9 +10,9 @@
 type Ledger struct {
 	// current is the latest proof of a version that was in force when it was recorded, and next the latest one of a newer version.
 	current, next Proof
-	// era is the store's era in the latest read, and restoredAt when a new one was first seen.
+	// era is the latest era of the store that is known, and restoredAt when a new one was first seen.
 	era        uint64
-	readBefore bool
+	eraKnown   bool
 	restoredAt time.Time
 }
 
@@ -36,13 +36,20 @@
 	return l
 }
 
-// WithRead returns the ledger with a proof by a read of the store in an era, which was answered by now.
-func (l Ledger) WithRead(p Proof, era, inForce uint64, now time.Time) Ledger {
-	if l.readBefore && era > l.era {
+// WithEra returns the ledger after the store's era became known, from an answer of the store or from a peer. A new one means that the
+// store has been restored from a copy.
+func (l Ledger) WithEra(era uint64, now time.Time) Ledger {
+	if l.eraKnown && era > l.era {
 		l.restoredAt = now
 	}
-	l.readBefore, l.era = true, max(l.era, era)
-	if !l.restoredAt.IsZero() && p.At.Before(l.restoredAt.Add(restoreSettle)) {
+	l.eraKnown, l.era = true, max(l.era, era)
+	return l
+}
+
+// WithRead returns the ledger with a proof by a read of the store in an era, which was answered by now.
+func (l Ledger) WithRead(p Proof, era, inForce uint64, now time.Time) Ledger {
+	l = l.WithEra(era, now)
+	if era < l.era || !l.restoredAt.IsZero() && p.At.Before(l.restoredAt.Add(restoreSettle)) {
 		return l
 	}
 	return l.With(p, inForce)
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -2,27 +2,33 @@
 
 import "time"
 
+// Ages of a proof, as shares of the withdrawal bound or of the limit that follows from it.
 const (
-	// limitShare is the age of a proof, as a share of the withdrawal bound, from which no statement runs.
+	// limitShare is the share of the withdrawal bound from which no statement runs.
 	limitShare = 0.95
-	// readyShare is the age of a proof, as a share of the limit, from which no further callers are wanted: the platform needs two
-	// checks of readiness, a second apart, to stop sending them.
+	// readyShare is the share of the limit from which no further callers are wanted: the platform needs two checks of readiness, a
+	// second apart, to stop sending them.
 	readyShare = 0.8
-	// idleShare is the age of a proof, as a share of the limit, from which an instance without callers asks for a newer one.
+	// idleShare is the share of the limit from which an instance without callers asks for a newer proof.
 	idleShare = 0.5
-	// headAskAge is the age from which the instance that asks for its failure domain asks its peers, and askAge the one from which
-	// the others of that domain ask it.
-	headAskAge = 1000 * time.Millisecond
-	askAge     = 1400 * time.Millisecond
-	// storeInterval is the time between two questions to the store of the instance that asks it for all.
-	storeInterval = 800 * time.Millisecond
-	// standInAge is the age from which the next instance asks the store too, and standInStep how much older the proof is before each
+	// headShare is the share of the limit from which the head of a failure domain asks its peers, and askShare the one from which the
+	// others of that domain ask it. An outage of the store is to be bridged for 0.6 of the bound, so they must stay below a third.
+	headShare = 0.2
+	askShare  = 0.3
+	// standInShare is the share of the limit from which the next instance asks the store too, and stepShare what is added before each
 	// further one does.
-	standInAge  = 1600 * time.Millisecond
-	standInStep = 150 * time.Millisecond
+	standInShare = 0.34
+	stepShare    = 0.03
+	// intervalShare is the time between two questions to the store of the instance that asks it for all, as a share of the limit.
+	intervalShare = 0.17
+)
+
+const (
 	// askPause and maxAskPause bound the time between two rounds of questions to peers, doubled while they bring nothing.
 	askPause    = 100 * time.Millisecond
 	maxAskPause = 800 * time.Millisecond
+	// maxDoublings is how often askPause is doubled until it reaches maxAskPause.
+	maxDoublings = 3
 	// maxWait is the longest time until the next decision.
 	maxWait = time.Second
 )
@@ -110,14 +116,14 @@
 
 // untilStore returns the time until the store is to be asked.
 func (s Situation) untilStore() time.Duration {
-	pause := storeInterval*time.Duration(s.Rank+1) - s.Store.Since
+	pause := share(s.Limits.Serve, intervalShare)*time.Duration(s.Rank+1) - s.Store.Since
 	switch {
 	case s.Store.Open:
 		return maxWait
 	case s.Rank == 0:
 		return pause
 	default:
-		return max(pause, s.untilAge(min(standInAge+time.Duration(s.Rank-1)*standInStep, s.Limits.Ready)))
+		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(s.Rank-1), readyShare))))
 	}
 }
 
@@ -130,16 +136,16 @@
 	if !s.Used && !s.Head {
 		age = max(age, share(s.Limits.Serve, idleShare))
 	}
-	pause := min(askPause<<min(s.Fruitless, 3), maxAskPause)
+	pause := min(askPause<<min(s.Fruitless, maxDoublings), maxAskPause)
 	return max(pause-s.Peers.Since, s.untilAge(age))
 }
 
 // recent returns the age below which a proof needs no newer one.
 func (s Situation) recent() time.Duration {
 	if s.Head {
-		return headAskAge
+		return share(s.Limits.Serve, headShare)
 	}
-	return askAge
+	return share(s.Limits.Serve, askShare)
 }
 
 // untilAge returns the time until the proof has an age; without a proof, none.
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -37,7 +37,11 @@
 // Those that read the store see a new era first; the versions in heartbeats tell it to the others.
 func (i *Instance) observeEra(era uint64) {
 	before := i.era.Swap(era)
-	if before == 0 || era <= before {
+	if era <= before {
+		return
+	}
+	i.freshness.RecordEra(era)
+	if before == 0 {
 		return
 	}
 	i.options.Logger.Log(event.StoreRestored, log.Fields{"era": era, "before": before})
