--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -21,6 +21,8 @@
 	// startWait is how long after the start an instance waits for a first reply of a peer, which may know of a configuration that
 	// a restored store lacks.
 	startWait = 300 * time.Millisecond
+	// startGrace is how long after the start the first proof may take without being reported as missing.
+	startGrace = 2 * time.Second
 	// isolatedAfter is the time without a reply of any peer from which an instance counts as isolated.
 	isolatedAfter = 2 * time.Second
 	// storeTimeout and peerTimeout bound one question.
@@ -34,8 +36,9 @@
 
 // Sources are whom a Keeper asks.
 type Sources interface {
-	// Rank returns this instance's place, from 0, among the instances of its failure domain that ask the store.
-	Rank() int
+	// Rank returns this instance's place, from 0, among the instances that ask the store, and whether it asks peers of other failure
+	// domains for its own.
+	Rank() (rank int, head bool)
 	// Peers returns the addresses of the peers to ask, in order.
 	Peers() []string
 	// AskPeer asks the peer at an address; proofs in its answer are passed to Keeper.Record.
@@ -180,6 +183,11 @@
 	k.change(func(l Ledger, inForce uint64, now time.Time) Ledger { return l.WithRead(p, era, inForce, now) })
 }
 
+// RecordEra records the store's era as a peer reports it.
+func (k *Keeper) RecordEra(era uint64) {
+	k.change(func(l Ledger, _ uint64, now time.Time) Ledger { return l.WithEra(era, now) })
+}
+
 func (k *Keeper) change(next func(l Ledger, inForce uint64, now time.Time) Ledger) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -220,7 +228,7 @@
 		case Store:
 			k.askStore(ctx)
 		case Peers:
-			k.askPeers(ctx)
+			k.askPeers(ctx, s.recent())
 		default:
 			select {
 			case <-ctx.Done():
@@ -236,9 +244,9 @@
 	now := k.options.Clock.Now()
 	proof, proven := k.usable(now)
 	s := Situation{
-		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Rank: k.options.Sources.Rank(),
-		Used: k.within(&k.usedAt, now, usedDuration),
+		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Used: k.within(&k.usedAt, now, usedDuration),
 	}
+	s.Rank, s.Head = k.options.Sources.Rank()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.Store = Inquiry{Open: k.askingStore, Since: now.Sub(k.startedAt) - time.Duration(k.storeAskedAt.Load())}
@@ -257,11 +265,17 @@
 func (k *Keeper) observe(s Situation) {
 	k.mu.Lock()
 	refused, wasIsolated := k.refusing, k.isolated
-	k.refusing = !s.Starting && (!s.Proven || s.Age >= s.Limits.Serve)
-	k.isolated = k.refusing && !k.within(&k.heardAt, k.options.Clock.Now(), isolatedAfter)
+	now := k.options.Clock.Now()
+	starting := s.Starting || !s.Proven && now.Sub(k.startedAt) < startGrace
+	k.refusing = !starting && (!s.Proven || s.Age >= s.Limits.Serve)
+	k.isolated = k.refusing && !k.within(&k.heardAt, now, isolatedAfter)
 	refuses, isolated := k.refusing, k.isolated
 	k.mu.Unlock()
-	switch fields := (log.Fields{"age": s.Age.String(), "version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}); {
+	fields := log.Fields{"version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}
+	if s.Proven {
+		fields["age"] = s.Age.String()
+	}
+	switch {
 	case refuses && (!refused || isolated != wasIsolated):
 		k.options.Logger.Log(event.ProofLost, fields)
 	case refused && !refuses:
@@ -286,8 +300,8 @@
 	})
 }
 
-// askPeers asks one peer after the other in the background, until one has a recent proof.
-func (k *Keeper) askPeers(ctx context.Context) {
+// askPeers asks one peer after the other in the background, until there is a recent proof.
+func (k *Keeper) askPeers(ctx context.Context, recent time.Duration) {
 	k.mu.Lock()
 	k.askingPeers, k.peersAskedAt = true, k.options.Clock.Now()
 	k.mu.Unlock()
@@ -297,7 +311,7 @@
 		defer k.options.Logger.Contain("freshness")
 		found := false
 		for _, address := range k.options.Sources.Peers() {
-			if found = k.askPeer(ctx, address); found {
+			if found = k.askPeer(ctx, address, recent); found {
 				break
 			}
 		}
@@ -311,7 +325,7 @@
 }
 
 // askPeer asks a peer and reports whether there is a recent proof then.
-func (k *Keeper) askPeer(ctx context.Context, address string) bool {
+func (k *Keeper) askPeer(ctx context.Context, address string, recent time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if k.options.Sources.AskPeer(ctx, address) != nil {
@@ -319,7 +333,7 @@
 	}
 	now := k.options.Clock.Now()
 	proof, proven := k.usable(now)
-	return proven && proof.Age(now) < askAge
+	return proven && proof.Age(now) < recent
 }
 
 func (k *Keeper) setAsking(asking *bool, value bool) {
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -2,25 +2,33 @@
 
 import "time"
 
+// Ages of a proof, as shares of the withdrawal bound or of the limit that follows from it.
 const (
-	// limitShare is the age of a proof, as a share of the withdrawal bound, from which no statement runs.
+	// limitShare is the share of the withdrawal bound from which no statement runs.
 	limitShare = 0.95
-	// readyShare is the age of a proof, as a share of the limit, from which no further callers are wanted: the platform needs two
-	// checks of readiness, a second apart, to stop sending them.
+	// readyShare is the share of the limit from which no further callers are wanted: the platform needs two checks of readiness, a
+	// second apart, to stop sending them.
 	readyShare = 0.8
-	// idleShare is the age of a proof, as a share of the limit, from which an instance without callers asks for a newer one.
+	// idleShare is the share of the limit from which an instance without callers asks for a newer proof.
 	idleShare = 0.5
-	// askAge is the age from which an instance asks its peers.
-	askAge = 1200 * time.Millisecond
-	// storeInterval is the time between two questions to the store of the instance that asks it for its failure domain.
-	storeInterval = 800 * time.Millisecond
-	// standInAge is the age from which the next instance of a failure domain asks the store too, and standInStep how much older the
-	// proof is before each further one does.
-	standInAge  = 1600 * time.Millisecond
-	standInStep = 250 * time.Millisecond
+	// headShare is the share of the limit from which the head of a failure domain asks its peers, and askShare the one from which the
+	// others of that domain ask it. An outage of the store is to be bridged for 0.6 of the bound, so they must stay below a third.
+	headShare = 0.2
+	askShare  = 0.3
+	// standInShare is the share of the limit from which the next instance asks the store too, and stepShare what is added before each
+	// further one does.
+	standInShare = 0.34
+	stepShare    = 0.03
+	// intervalShare is the time between two questions to the store of the instance that asks it for all, as a share of the limit.
+	intervalShare = 0.17
+)
+
+const (
 	// askPause and maxAskPause bound the time between two rounds of questions to peers, doubled while they bring nothing.
 	askPause    = 100 * time.Millisecond
 	maxAskPause = 800 * time.Millisecond
+	// maxDoublings is how often askPause is doubled until it reaches maxAskPause.
+	maxDoublings = 3
 	// maxWait is the longest time until the next decision.
 	maxWait = time.Second
 )
@@ -72,8 +80,10 @@
 	Limits Limits
 	// Used is set if callers have needed a proof recently.
 	Used bool
-	// Rank is this instance's place, from 0, among those of its failure domain.
+	// Rank is this instance's place, from 0, among those that ask the store. Head is set if it asks peers of other failure domains
+	// for its own.
 	Rank  int
+	Head  bool
 	Store Inquiry
 	Peers Inquiry
 	// Fruitless counts the latest rounds of questions to peers that brought no recent proof.
@@ -86,9 +96,9 @@
 	Wait   time.Duration
 }
 
-// Decide returns whom to ask. One instance of each failure domain asks the store at a steady pace; the others ask it when their
-// proof is too old although they have asked their peers, each one later and more rarely than the one that ranks before it, so that
-// a store that answers nobody is not asked by all.
+// Decide returns whom to ask. One instance asks the store at a steady pace. The heads of the failure domains ask that one, and the
+// others their head. An instance asks the store too when its proof is too old although it has asked its peers, each one later and more
+// rarely than the one that ranks before it, so that a store that answers nobody is not asked by all.
 func Decide(s Situation) Decision {
 	if s.Starting {
 		return Decision{Wait: askPause}
@@ -106,30 +116,38 @@
 
 // untilStore returns the time until the store is to be asked.
 func (s Situation) untilStore() time.Duration {
-	pause := storeInterval*time.Duration(s.Rank+1) - s.Store.Since
+	pause := share(s.Limits.Serve, intervalShare)*time.Duration(s.Rank+1) - s.Store.Since
 	switch {
 	case s.Store.Open:
 		return maxWait
 	case s.Rank == 0:
 		return pause
 	default:
-		return max(pause, s.untilAge(min(standInAge+time.Duration(s.Rank-1)*standInStep, s.Limits.Ready)))
+		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(s.Rank-1), readyShare))))
 	}
 }
 
 // untilPeers returns the time until the peers are to be asked.
 func (s Situation) untilPeers() time.Duration {
-	age := askAge
-	if !s.Used {
-		age = max(age, share(s.Limits.Serve, idleShare))
-	}
 	if s.Peers.Open {
 		return maxWait
 	}
-	pause := min(askPause<<min(s.Fruitless, 3), maxAskPause)
+	age := s.recent()
+	if !s.Used && !s.Head {
+		age = max(age, share(s.Limits.Serve, idleShare))
+	}
+	pause := min(askPause<<min(s.Fruitless, maxDoublings), maxAskPause)
 	return max(pause-s.Peers.Since, s.untilAge(age))
 }
 
+// recent returns the age below which a proof needs no newer one.
+func (s Situation) recent() time.Duration {
+	if s.Head {
+		return share(s.Limits.Serve, headShare)
+	}
+	return share(s.Limits.Serve, askShare)
+}
+
 // untilAge returns the time until the proof has an age; without a proof, none.
 func (s Situation) untilAge(age time.Duration) time.Duration {
 	if !s.Proven {
