meter, hosted: count traffic by purpose and distance

The price of bytes between regions could not be attributed: only the total of all peers was counted. The instance that opened a connection now counts its frames by kind, its bytes to endpoints (statements and probes apart) and its calls and rows at the store; event 114 lists the totals every 10 s.

--- a/cmd/siskincoved/hosted.go
+++ b/cmd/siskincoved/hosted.go
@@ -10,6 +10,7 @@
 	"siskincove/clock"
 	"siskincove/event"
 	"siskincove/hosted"
+	"siskincove/meter"
 	"siskincove/platform/promotion"
 	"siskincove/platform/protocol"
 	"siskincove/platform/records"
@@ -18,6 +19,12 @@
 	"siskincove/store"
 )
 
+// Purposes of the connections to endpoints, in the counts of traffic.
+const (
+	purposeStatements = "statements"
+	purposeProbes     = "probes"
+)
+
 // hostedOptions configure an instance that serves the platform's protocol.
 type hostedOptions struct {
 	settingsFile string
@@ -30,11 +37,14 @@
 	s := o.settings
 	clk := clock.Boot{}
 	rowStore := rows.New(s.Store.Address)
+	traffic := meter.NewTraffic()
 	promoter := promotion.New(s.Promotion.Address, s.Instance.ID)
 	i, err := hosted.New(ctx, hosted.Options{
 		Settings: s, Clock: clk, Logger: o.logger,
-		Rows: store.NewMetered(rowStore), Decoder: records.Decoder{}, Dialer: protocol.Dialer{Clock: clk}, Promoter: promoter,
-		Protocol: func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
+		Rows: store.NewMetered(rowStore, traffic), Decoder: records.Decoder{}, Promoter: promoter, Traffic: traffic,
+		Dialer:      protocol.Dialer{Clock: clk, Traffic: traffic, Purpose: purposeStatements, Domain: s.Instance.Domain},
+		ProbeDialer: protocol.Dialer{Clock: clk, Traffic: traffic, Purpose: purposeProbes, Domain: s.Instance.Domain},
+		Protocol:    func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -10,6 +10,7 @@
 	ForcedStop          = define(103, log.WarnLevel, "daemon", "forced stop", "The drain limit expired or a second signal arrived; the field inflight gives the number of requests or, with the platform's protocol, sessions that were cut off.")
 	CertificateLoaded   = define(105, log.InfoLevel, "certificate", "certificate reloaded", "A new certificate was read from its file and is presented from now on.")
 	CertificateFailed   = define(106, log.ErrorLevel, "certificate", "certificate reload failed", "A certificate, key or authority file is missing, invalid or expired; the last valid one stays in use. Correct the file.")
+	TrafficCounted      = define(114, log.InfoLevel, "daemon", "traffic counted", "What the instance exchanged since its start on the connections that it opened; flows lists for each purpose and distance (domain, region, far) the number of frames, rows or connections and the bytes.")
 	LinesDropped        = define(110, log.WarnLevel, "daemon", "log lines dropped", "More lines were written than the limit allows, or the output blocked; the field count gives the number of dropped lines.")
 	SettingsReloaded    = define(108, log.InfoLevel, "daemon", "settings reloaded", "The settings file was read and is valid: the keys listed under taken are in effect, those under waiting need a restart.")
 	SettingsFailed      = define(109, log.ErrorLevel, "daemon", "settings invalid", "The changed settings file can't be read or has errors; the instance continues with its current settings, but a restart would fail. Correct the file.")
--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -114,7 +114,7 @@
 	clk := clock.Boot{}
 	i, err := New(context.Background(), Options{
 		Settings: s, Clock: clk, Logger: testLogger(), Rows: rows.New(d.store.Address()), Decoder: records.Decoder{},
-		Dialer: protocol.Dialer{Clock: clk}, Promoter: promotion.New(d.promotion.Address(), s.Instance.ID),
+		Dialer: protocol.Dialer{Clock: clk}, ProbeDialer: protocol.Dialer{Clock: clk}, Promoter: promotion.New(d.promotion.Address(), s.Instance.ID),
 		Protocol: func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
 	})
 	if err != nil {
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -51,6 +51,7 @@
 	startedAt   time.Time
 	initialized chan struct{}
 	trimDone    chan struct{}
+	trafficDone chan struct{}
 	node        *peer.Node
 	members     *member.Driver
 	roster      *member.Roster
@@ -79,11 +80,12 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{})}
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
 	go i.trimConnections()
+	go i.logTraffic()
 	i.directory.Reapply()
 	s := o.Settings
 	o.Logger.Log(event.Started, log.Fields{
@@ -96,6 +98,7 @@
 	o, s := i.options, i.options.Settings
 	i.node = peer.New(i.ctx, peer.Options{
 		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
+		Traffic: o.Traffic, Distance: i.distance,
 	})
 	i.holderHealth = loan.NewHealth(o.Clock)
 	i.databases = database.NewRegistry(database.Options{
@@ -140,7 +143,7 @@
 		Self: o.Settings.Instance.ID, Members: i.members, Count: succession.CoordinatorsPerDatabase,
 		Start: func(ctx context.Context, d config.Database, endpoints []config.Endpoint) *succession.Coordinator {
 			return succession.Start(ctx, succession.Options{
-				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.Dialer, Promoter: o.Promoter,
+				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter,
 				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.directory.Refresh,
 				Announce: i.announce,
 			}, d, endpoints)
@@ -259,6 +262,7 @@
 	<-i.node.Done()
 	<-i.health.done
 	<-i.trimDone
+	<-i.trafficDone
 }
 
 // Close stops the instance immediately, without draining, and waits until it has stopped.
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -6,6 +6,7 @@
 	"siskincove/connection"
 	"siskincove/directory"
 	"siskincove/event"
+	"siskincove/meter"
 	"siskincove/settings"
 	"siskincove/store"
 	"siskincove/succession"
@@ -19,6 +20,10 @@
 	Rows     store.Rows
 	Decoder  directory.Decoder
 	Dialer   connection.Dialer
-	Promoter succession.Promoter
-	Protocol caller.Protocol
+	// ProbeDialer opens the connections on which coordinators query endpoints.
+	ProbeDialer connection.Dialer
+	Promoter    succession.Promoter
+	Protocol    caller.Protocol
+	// Traffic, if set, counts what this instance exchanges with others; its totals are logged at intervals.
+	Traffic *meter.Traffic
 }
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,7 +13,8 @@
 
 // importLayers lists the packages from the lowest layer up. A package may import only packages of lower layers.
 var importLayers = [][]string{
-	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
+	{"meter"},
+	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
 	{"config", "peer", "certificate", "queue", "standin/history", "logs"},
 	{"settings", "connection", "group", "directory"},
--- a/member/driver.go
+++ b/member/driver.go
@@ -149,6 +149,18 @@
 	return d.table.InstanceCount(d.options.Clock.Now()), d.rosterKnown
 }
 
+// DomainOf returns the failure domain of the instance at an address, "" if it is not known.
+func (d *Driver) DomainOf(address string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, i := range d.table.instances {
+		if i.Address == address {
+			return i.Domain
+		}
+	}
+	return ""
+}
+
 // Live returns the instances that may own endpoints, this one included unless it is leaving.
 func (d *Driver) Live() []Instance {
 	d.mu.Lock()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -33,23 +33,23 @@
 	return buffer, nil
 }
 
-// readFrame reads one frame. The error is io.EOF if the stream ended before it.
-func readFrame(r *bufio.Reader) (*wire.Frame, error) {
+// readFrame reads one frame and returns it with its encoded size. The error is io.EOF if the stream ended before it.
+func readFrame(r *bufio.Reader) (*wire.Frame, int, error) {
 	var header [lengthBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > maxFrameBytes {
-		return nil, errors.Newf("frame of %d bytes exceeds %d", size, maxFrameBytes)
+		return nil, 0, errors.Newf("frame of %d bytes exceeds %d", size, maxFrameBytes)
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	frame := &wire.Frame{}
 	if err := proto.Unmarshal(body, frame); err != nil {
-		return nil, errors.Wrap(err, "decoding frame")
+		return nil, 0, errors.Wrap(err, "decoding frame")
 	}
-	return frame, nil
+	return frame, lengthBytes + int(size), nil
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/yamux"
 
 	"siskincove/event"
+	"siskincove/meter"
 )
 
 const (
@@ -32,6 +33,10 @@
 	Connector Connector
 	Handler   Handler
 	Logger    *event.Logger
+	// Traffic, if set, counts the frames on streams that this node opens. Distance then returns how far the instance at an
+	// address is.
+	Traffic  *meter.Traffic
+	Distance func(address string) meter.Distance
 }
 
 // Node holds an instance's connections to its peers, and serves the exchanges that they start.
@@ -145,7 +150,7 @@
 	defer n.mu.Unlock()
 	o, ok := n.outbounds[address]
 	if !ok {
-		o = &outbound{}
+		o = &outbound{traffic: n.options.Traffic, findDistance: func() meter.Distance { return n.options.Distance(address) }}
 		n.outbounds[address] = o
 	}
 	return o
--- a/peer/outbound.go
+++ b/peer/outbound.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
+
+	"siskincove/meter"
 )
 
 // maxIdleStreams bounds the idle streams to one peer that are kept for reuse.
@@ -19,6 +22,11 @@
 	session *yamux.Session
 	idle    []*remoteStream
 	closed  bool
+	// traffic, if not nil, counts what is sent and received.
+	traffic *meter.Traffic
+	// findDistance returns the distance of the peer; knownDistance is its last result.
+	findDistance  func() meter.Distance
+	knownDistance atomic.Pointer[meter.Distance]
 }
 
 // liveSession returns the session, or nil if there is none or it is closed.
@@ -66,7 +74,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peer")
 	}
-	session, err := yamux.Client(wrapConn(conn), yamuxConfig())
+	session, err := yamux.Client(wrapConn(o.recordLink(conn)), yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "starting yamux session")
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -122,7 +122,7 @@
 	f.Add(seed)
 	f.Add([]byte{255, 255, 255, 255, 0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		frame, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		frame, _, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
 		if err != nil {
 			return
 		}
@@ -132,7 +132,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		reread, err := readFrame(bufio.NewReader(bytes.NewReader(encoded)))
+		reread, _, err := readFrame(bufio.NewReader(bytes.NewReader(encoded)))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/peer/remote.go
+++ b/peer/remote.go
@@ -49,12 +49,19 @@
 	if err != nil {
 		return err
 	}
+	r.outbound.recordFrame(frame, len(buffer))
 	_, err = r.conn.Write(buffer)
 	return err
 }
 
 // Receive reads the next frame.
-func (r *remoteStream) Receive() (*wire.Frame, error) { return readFrame(r.reader) }
+func (r *remoteStream) Receive() (*wire.Frame, error) {
+	frame, size, err := readFrame(r.reader)
+	if err == nil {
+		r.outbound.recordFrame(frame, size)
+	}
+	return frame, err
+}
 
 // Close closes the stream; further calls return the result of the first.
 func (r *remoteStream) Close() error {
