member: gossip no rumours of instances that are presumed to be live

Cause: with 144 instances that start from one roster, each gossips 12 times of each of the others that it is alive, and probes one presumed instance a round, two of three in other regions. Change: an instance that becomes alive and was presumed to be is no rumour; one that is learned of by a rumour is passed on at once, as before it was once it had answered. Distant presumed instances are left to their own region. A rumour without an incarnation counts: such a death was ignored by those that know the incarnation. Ruled out: gossip with a counter (one of 143 instances did not learn of a death).

--- a/member/rumour.go
+++ b/member/rumour.go
@@ -11,7 +11,7 @@
 	taken := t.rumourQueue[:n:n]
 	t.rumourQueue = t.rumourQueue[n:]
 	for _, id := range taken {
-		out = append(out, newRumour(t.instances[id]))
+		out = append(out, t.newRumour(t.instances[id]))
 		t.rumourSends[id]--
 		if t.rumourSends[id] > 0 {
 			t.rumourQueue = append(t.rumourQueue, id)
@@ -35,7 +35,7 @@
 	var out []Rumour
 	for _, i := range t.Instances() {
 		if t.placed(i) {
-			r := newRumour(i)
+			r := t.newRumour(i)
 			r.State = Alive
 			out = append(out, r)
 		}
@@ -43,6 +43,11 @@
 	return out
 }
 
-func newRumour(i Instance) Rumour {
-	return Rumour{ID: i.ID, Address: i.Address, Domain: i.Domain, Incarnation: i.Incarnation, State: i.State}
+// newRumour returns the rumour of an instance. One that takes part in the placement unproven is reported as alive.
+func (t *Table) newRumour(i Instance) Rumour {
+	state := i.State
+	if state == Unproven && t.placed(i) {
+		state = Alive
+	}
+	return Rumour{ID: i.ID, Address: i.Address, Domain: i.Domain, Incarnation: i.Incarnation, State: state}
 }
--- a/member/table.go
+++ b/member/table.go
@@ -230,12 +230,26 @@
 	if moved || i.State.Live() != before.Live() {
 		t.partnerIDs = nil
 	}
-	if i.State != Suspect && i.State != before {
+	if i.State != Suspect && i.State != before && !isPresumptionConfirmed(i, before, wasPlaced) {
 		t.queueRumour(id)
 	}
 	return []Change{{Instance: i, Before: before, Moved: moved}}
 }
 
+// isPresumptionConfirmed reports whether an instance that has become alive was presumed to be. Others have presumed the same since
+// they read the roster or heard of it, so it is no news to them.
+func isPresumptionConfirmed(i Instance, before State, wasPlaced bool) bool {
+	return i.State == Alive && before == Unproven && wasPlaced
+}
+
+// relayPresumed passes on the rumour of an instance of which this one learned by it just now, if it takes part in the placement.
+// It may take long until a distant one has proved that it is alive.
+func (t *Table) relayPresumed(id string) {
+	if i, ok := t.instances[id]; ok && t.placed(i) {
+		t.queueRumour(id)
+	}
+}
+
 // ProbeSoon requests a heartbeat to the instance at an address in the next period, as after a failed request there, if it takes
 // part in the placement.
 func (t *Table) ProbeSoon(address string, now time.Time) {
@@ -249,7 +263,12 @@
 // ApplyRumours adds unknown instances as unproven, and probes known ones soon whose state a rumour contradicts.
 func (t *Table) ApplyRumours(rumours []Rumour, now time.Time) {
 	for _, r := range rumours {
+		_, known := t.instances[r.ID]
 		t.applyRumour(r, now)
+		// More than maxRumours are all instances that the peer knows, which are no news to others.
+		if !known && len(rumours) <= maxRumours {
+			t.relayPresumed(r.ID)
+		}
 	}
 }
 
@@ -261,7 +280,8 @@
 		}
 		return
 	}
-	contradicts := r.Incarnation >= known.Incarnation && r.State.Live() != t.placed(known)
+	// The incarnation is 0 if the peer knows the instance only by name.
+	contradicts := (r.Incarnation == 0 || r.Incarnation >= known.Incarnation) && r.State.Live() != t.placed(known)
 	if contradicts {
 		t.urgent[r.ID] = now
 	}
--- a/member/targets.go
+++ b/member/targets.go
@@ -104,12 +104,12 @@
 	return slices.Concat(ids[first:], ids[:first])
 }
 
-// nextPresumed returns an unproven instance that takes part in the placement, and false if there is none. Partners of the
-// instance find out sooner if it does not answer, and gossip that.
+// nextPresumed returns an unproven instance of this one's region that takes part in the placement, and false if there is none.
+// Its partners, and for distant instances those in their own region, find out sooner if one does not answer, and gossip that.
 func (t *Table) nextPresumed() (Instance, bool) {
 	var ids []string
 	for id, i := range t.instances {
-		if i.State == Unproven && t.placed(i) {
+		if i.State == Unproven && t.placed(i) && t.isNear(i) {
 			ids = append(ids, id)
 		}
 	}
--- /dev/null
+++ b/member/traffic_test.go
@@ -0,0 +1,156 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// deployment runs the tables of many instances in rounds, without a network, and counts what they send.
+type deployment struct {
+	now    time.Time
+	tables map[string]*Table
+	// down holds the instances that don't answer.
+	down map[string]bool
+	// heartbeats counts requests and replies, far those between regions; rumours counts the rumours in them.
+	heartbeats, far, rumours, farRumours int
+}
+
+// startDeployment returns size instances in three regions of two domains, which have all read the same roster.
+func startDeployment(size int) *deployment {
+	d := &deployment{now: epoch, tables: make(map[string]*Table), down: make(map[string]bool)}
+	var roster []Instance
+	for n := range size {
+		roster = append(roster, Instance{
+			ID: fmt.Sprintf("i%03d", n), Address: fmt.Sprintf("10.0.0.%d:1", n), Domain: fmt.Sprintf("r%d/d%d", n%3, n%6), Incarnation: 1,
+		})
+	}
+	for _, i := range roster {
+		d.add(i, roster)
+	}
+	return d
+}
+
+func (d *deployment) add(i Instance, roster []Instance) {
+	table := NewTable(i)
+	table.PresumeUnproven()
+	table.ApplyRoster(roster, d.now)
+	d.tables[i.ID] = table
+}
+
+// run runs rounds of heartbeats.
+func (d *deployment) run(rounds int) {
+	ids := make([]string, 0, len(d.tables))
+	for id := range d.tables {
+		ids = append(ids, id)
+	}
+	for range rounds {
+		d.now = d.now.Add(700 * time.Millisecond)
+		for _, id := range ids {
+			if d.down[id] {
+				continue
+			}
+			for _, target := range d.tables[id].Targets(d.now) {
+				d.exchange(d.tables[id], target)
+			}
+		}
+	}
+}
+
+func (d *deployment) exchange(from *Table, target Instance) {
+	to, ok := d.tables[target.ID]
+	isFar := !from.isNear(target)
+	request := from.NextRumours()
+	d.count(isFar, request)
+	if !ok || d.down[target.ID] {
+		from.Missed(target.ID, d.now)
+		return
+	}
+	to.Answered(from.Self(), false, d.now)
+	to.ApplyRumours(request, d.now)
+	reply := to.NextRumours()
+	d.count(isFar, reply)
+	from.Answered(to.Self(), false, d.now)
+	from.ApplyRumours(reply, d.now)
+}
+
+func (d *deployment) count(isFar bool, rumours []Rumour) {
+	d.heartbeats++
+	d.rumours += len(rumours)
+	if isFar {
+		d.far++
+		d.farRumours += len(rumours)
+	}
+}
+
+// disagreeing returns how many running instances differ from placed about whether an instance takes part in the placement.
+func (d *deployment) disagreeing(id string, placed bool) int {
+	out := 0
+	for self, table := range d.tables {
+		i, known := table.instances[id]
+		if self != id && !d.down[self] && (known && table.placed(i)) != placed {
+			out++
+		}
+	}
+	return out
+}
+
+// resetCounts forgets what was sent so far.
+func (d *deployment) resetCounts() { d.heartbeats, d.far, d.rumours, d.farRumours = 0, 0, 0, 0 }
+
+// TestTrafficOfStart guards against heartbeats between regions, and rumours, that grow with the square of the instances while
+// all of them start from the same roster: that the others are alive is no news to anyone.
+func TestTrafficOfStart(t *testing.T) {
+	const rounds = 70
+	d := startDeployment(144)
+	d.run(rounds)
+	if d.rumours > 0 {
+		t.Errorf("%d rumours were sent, want none", d.rumours)
+	}
+	// Each region sends as many as farSenders instances, of which each has a request and a reply.
+	limit := int(1.1 * 3 * 2 * rounds * farSenders * fanout * float64(partnerCount-nearPartnerCount) / partnerCount)
+	if d.far > limit {
+		t.Errorf("%d heartbeats between regions, want at most %d", d.far, limit)
+	}
+}
+
+// TestSpreadOfNews guards against news that stop before all instances have them, as when those that presume an instance to be
+// alive don't pass it on, or when the news come from one that knew it only by name. Each instance repeats them rumourRepeats times.
+func TestSpreadOfNews(t *testing.T) {
+	const size = 144
+	tests := map[string]struct {
+		happen func(d *deployment)
+		id     string
+		placed bool
+	}{
+		"an instance that no roster lists starts": {
+			happen: func(d *deployment) {
+				var known []Instance
+				for _, table := range d.tables {
+					known = append(known, table.Self())
+				}
+				d.add(Instance{ID: "new", Address: "10.0.1.1:1", Domain: "r1/d1", Incarnation: 1}, known)
+			},
+			id: "new", placed: true,
+		},
+		"an instance dies": {
+			happen: func(d *deployment) { d.down["i007"] = true },
+			id:     "i007", placed: false,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := startDeployment(size)
+			d.run(20)
+			d.resetCounts()
+			test.happen(d)
+			d.run(30)
+			if n := d.disagreeing(test.id, test.placed); n > 0 {
+				t.Errorf("%d instances don't know after 30 rounds", n)
+			}
+			if perNews := rumourRepeats * (size + 1); d.rumours > perNews {
+				t.Errorf("%d rumours were sent, want at most %d", d.rumours, perNews)
+			}
+		})
+	}
+}
