directory: follow the feed of the endpoint table

Change: the table is read once and then followed; it is read again after 410, after a restore and every 30 s. While an endpoint is missing, requests last 1.2 s at most.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -91,7 +91,8 @@
 func (d *Directory) Refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	d.logAvailability(endpointReads, d.readEndpoints(ctx))
+	_, err := d.readEndpoints(ctx)
+	d.logAvailability(endpointReads, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.endpointsLoaded && d.options.Clock.Now().Sub(d.endpointsLoadedAt) >= missingGrace
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -24,7 +24,8 @@
 	// changeDelay batches configurations published in quick succession. It must stay short, as a configuration must be in
 	// force within seconds.
 	changeDelay = 200 * time.Millisecond
-	// pollInterval is how often the instance that polls for its failure domain reads the endpoints.
+	// pollInterval is the least time between two answers with changes of the endpoints, or two reads of all endpoints, to the
+	// instance that polls for its failure domain.
 	pollInterval = 1200 * time.Millisecond
 	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
 	refreshTimeout = 150 * time.Millisecond
@@ -112,12 +113,14 @@
 	return changes.Version, nil
 }
 
-// pollEndpoints reads the endpoint table while this instance polls for its failure domain or knows no endpoints yet.
+// pollEndpoints reads and follows the endpoint table while this instance polls for its failure domain or knows no endpoints yet.
 func (d *Directory) pollEndpoints(ctx context.Context) {
 	backoff := retryMin
+	feed, quiet := endpointFeed{}, false
 	for ctx.Err() == nil {
 		if d.options.ShouldPoll() || !d.haveEndpoints() {
-			err := d.readEndpoints(ctx)
+			var err error
+			feed, quiet, err = d.pollOnce(ctx, feed)
 			d.logAvailability(endpointReads, err)
 			if err != nil {
 				_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
@@ -125,9 +128,11 @@
 				continue
 			}
 			backoff = retryMin
+		} else {
+			feed, quiet = endpointFeed{}, false
 		}
 		d.expireMissing()
-		if !d.waitForPoll(ctx) {
+		if !quiet && !d.waitForPoll(ctx) {
 			return
 		}
 	}
@@ -153,16 +158,17 @@
 	return d.endpointsLoaded
 }
 
-func (d *Directory) readEndpoints(ctx context.Context) error {
+// readEndpoints reads and applies the whole endpoint table.
+func (d *Directory) readEndpoints(ctx context.Context) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	table := d.options.Decoder.EndpointTable()
 	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
 	if err != nil {
-		return err
+		return page, err
 	}
 	d.updateEndpoints(page.Rows, page.Version, sourceStore)
-	return nil
+	return page, nil
 }
 
 func withJitter(d time.Duration) time.Duration {
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -59,6 +59,16 @@
 	return out
 }
 
+// anyMissing reports whether an endpoint is no longer listed but still in use.
+func (s Snapshot) anyMissing() bool {
+	for _, e := range s.entries {
+		if !e.missingSince.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Difference names the endpoints that differ from the previous snapshot. Missing ones are no longer listed but still in use;
 // removed ones are no longer in use.
 type Difference struct {
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -34,7 +34,7 @@
 // pureFiles are the files with decision logic in packages that also contain a driver.
 var pureFiles = []string{
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
-	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
+	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "directory/endpointfeed.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
 }
 
 func layerIndex(path string) int {
