member: limit heartbeats between failure domains, and announcements

Cause: a change of the configuration or of an endpoint made each of 144 instances send heartbeats to both its partners in other regions at once; half of the near partners were in the region's other domain, where bytes are priced as well. Change: five of the six near partners are in the own failure domain. The limit on heartbeats between regions, which makes all instances of a region send as many as eight would, also holds for those between domains and for announcements. Presumed instances are probed by their own domain. Instances that start together take different turns. The tests count with 144 instances: of 288 announcements between regions for each change at most 60 are left.

--- a/member/announce.go
+++ b/member/announce.go
@@ -19,7 +19,7 @@
 	wait.Wait()
 }
 
-// Push requests a heartbeat to every partner without waiting for the next round, to spread something new. It does not wait
+// Push requests a heartbeat to the partners without waiting for the next round, to spread something new. It does not wait
 // for the heartbeats.
 func (d *Driver) Push() {
 	select {
@@ -37,7 +37,7 @@
 		case <-d.pushRequested:
 		}
 		d.mu.Lock()
-		partners := d.table.partners()
+		partners := d.table.pushTargets()
 		d.mu.Unlock()
 		var wait sync.WaitGroup
 		for _, i := range partners {
--- a/member/table.go
+++ b/member/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"siskincove/meter"
 )
 
 const (
@@ -32,8 +34,8 @@
 	// rumourSends is how many more times each rumour is to be sent, and rumourQueue is the order of sending.
 	rumourSends map[string]int
 	rumourQueue []string
-	// farTurns counts the turns of partners in other regions since the last heartbeat to one of them, that one included.
-	farTurns    int
+	// turns counts the turns of partners at a distance since the last heartbeat to one of them.
+	turns       map[meter.Distance]int
 	nextPartner int
 	version     uint64
 	// partnerIDs are the partners' IDs, nil if they have to be ranked again.
@@ -51,6 +53,7 @@
 		urgent:      make(map[string]time.Time),
 		listed:      make(map[string]bool),
 		rumourSends: make(map[string]int),
+		turns:       make(map[meter.Distance]int),
 		version:     1,
 	}
 }
--- a/member/targets.go
+++ b/member/targets.go
@@ -4,18 +4,22 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"siskincove/config"
+	"siskincove/meter"
 )
 
 const (
 	// partnerCount is how many instances each instance sends heartbeats to, in turn. nearPartnerCount of them are in its
-	// own region, as far as there are that many, since traffic between regions is dear; the others carry news between
-	// regions.
-	partnerCount     = 8
-	nearPartnerCount = 6
-	// farSenders is how many instances of a region send heartbeats to other regions as often as to their own. In larger regions
-	// each one does so more rarely, so that the traffic between regions does not grow with them; within a region news spread
-	// in a few periods.
+	// own region and domainPartnerCount of these in its own failure domain, as far as there are that many, since traffic
+	// between them is dear; the others carry news between regions and domains.
+	partnerCount       = 8
+	nearPartnerCount   = 6
+	domainPartnerCount = 5
+	// farSenders is how many instances of a region send heartbeats to other regions as often as to their own, and how many of
+	// a failure domain to the region's other domains. In larger ones each instance does so more rarely, so that the traffic
+	// does not grow with them; within a domain news spread in a few periods.
 	farSenders = 8
 	// fanout is how many heartbeats are sent to partners each period.
 	fanout = 3
@@ -41,7 +45,7 @@
 	for range min(fanout, len(partners)) {
 		partner := partners[t.nextPartner%len(partners)]
 		t.nextPartner++
-		if t.isNear(partner) || t.takeFarTurn() {
+		if t.takeTurn(t.distance(partner)) {
 			add(partner)
 		}
 	}
@@ -63,23 +67,43 @@
 	return config.Region(i.Domain) == config.Region(t.self.Domain)
 }
 
-// takeFarTurn reports whether a heartbeat to a partner in another region is sent in its turn: always if the region has at most
-// farSenders instances, and else as often as keeps the region's total at that number.
-func (t *Table) takeFarTurn() bool {
-	near := 1
+// distance returns how far an instance is from this one.
+func (t *Table) distance(i Instance) meter.Distance {
+	return meter.DistanceBetween(t.self.Domain, i.Domain)
+}
+
+// takeTurn reports whether a heartbeat to a partner at a distance is sent in its turn: always within the failure domain or if at
+// most farSenders instances share the traffic over that distance, and else as often as keeps their total at that number.
+func (t *Table) takeTurn(d meter.Distance) bool {
+	if d == meter.SameDomain {
+		return true
+	}
+	sharing := 1
 	for _, i := range t.instances {
-		if i.State != Dead && t.isNear(i) {
-			near++
+		if i.State != Dead && (t.distance(i) == meter.SameDomain || d == meter.OtherRegion && t.isNear(i)) {
+			sharing++
 		}
 	}
-	if t.farTurns > 0 && t.farTurns*farSenders < near {
-		t.farTurns++
+	period := (sharing + farSenders - 1) / farSenders
+	turn, started := t.turns[d]
+	if !started {
+		// Instances that start together take different turns.
+		turn = int(xxhash.Sum64String(t.self.ID) % uint64(period))
+	}
+	t.turns[d] = turn + 1
+	if turn+1 < period {
 		return false
 	}
-	t.farTurns = 1
+	t.turns[d] = 0
 	return true
 }
 
+// pushTargets returns the partners that are told at once of something new. Those in other domains and regions are told by
+// about as many instances as would send them heartbeats.
+func (t *Table) pushTargets() []Instance {
+	return slices.DeleteFunc(t.partners(), func(i Instance) bool { return !t.takeTurn(t.distance(i)) })
+}
+
 // withRetryAt returns a copy whose pause until the next heartbeat to a dead instance starts now.
 func (i Instance) withRetryAt(now time.Time) Instance {
 	i.Since = now
@@ -104,12 +128,12 @@
 	return slices.Concat(ids[first:], ids[:first])
 }
 
-// nextPresumed returns an unproven instance of this one's region that takes part in the placement, and false if there is none.
-// Its partners, and for distant instances those in their own region, find out sooner if one does not answer, and gossip that.
+// nextPresumed returns an unproven instance of this one's failure domain that takes part in the placement, and false if there is
+// none. Its partners, and for other instances those in their own domain, find out sooner if one does not answer, and gossip that.
 func (t *Table) nextPresumed() (Instance, bool) {
 	var ids []string
 	for id, i := range t.instances {
-		if i.State == Unproven && t.placed(i) && t.isNear(i) {
+		if i.State == Unproven && t.placed(i) && t.distance(i) == meter.SameDomain {
 			ids = append(ids, id)
 		}
 	}
@@ -132,29 +156,38 @@
 	return out
 }
 
-// rankPartners returns the IDs of the partners, those in other regions spread evenly among the others.
+// rankPartners returns the IDs of the partners, distant ones spread evenly among the others.
 func (t *Table) rankPartners() []string {
-	var near, far []Instance
+	byDistance := make(map[meter.Distance][]Instance)
 	for _, i := range t.instances {
-		switch {
-		case i.State == Dead:
-		case t.isNear(i):
-			near = append(near, i)
-		default:
-			far = append(far, i)
+		if i.State != Dead {
+			byDistance[t.distance(i)] = append(byDistance[t.distance(i)], i)
 		}
 	}
-	near, far = Rank(t.self.ID, near), Rank(t.self.ID, far)
-	farCount := min(len(far), max(partnerCount-nearPartnerCount, partnerCount-len(near)))
-	near, far = near[:min(len(near), partnerCount-farCount)], far[:farCount]
-	total := len(near) + len(far)
-	ids := make([]string, 0, total)
+	domain, region := Rank(t.self.ID, byDistance[meter.SameDomain]), Rank(t.self.ID, byDistance[meter.SameRegion])
+	far := Rank(t.self.ID, slices.Concat(byDistance[meter.OtherRegion], byDistance[meter.UnknownDistance]))
+	far = far[:min(len(far), max(partnerCount-nearPartnerCount, partnerCount-len(domain)-len(region)))]
+	nearCount := partnerCount - len(far)
+	region = region[:min(len(region), max(nearCount-domainPartnerCount, nearCount-len(domain)))]
+	domain = domain[:min(len(domain), nearCount-len(region))]
+	all := spreadAmong(spreadAmong(domain, region), far)
+	ids := make([]string, 0, len(all))
+	for _, i := range all {
+		ids = append(ids, i.ID)
+	}
+	return ids
+}
+
+// spreadAmong returns all instances in their order, the rare ones spread evenly among the others.
+func spreadAmong(others, rare []Instance) []Instance {
+	total, rareCount := len(others)+len(rare), len(rare)
+	out := make([]Instance, 0, total)
 	for n := range total {
-		if (n+1)*farCount/total > n*farCount/total {
-			ids, far = append(ids, far[0].ID), far[1:]
+		if (n+1)*rareCount/total > n*rareCount/total {
+			out, rare = append(out, rare[0]), rare[1:]
 		} else {
-			ids, near = append(ids, near[0].ID), near[1:]
+			out, others = append(out, others[0]), others[1:]
 		}
 	}
-	return ids
+	return out
 }
--- a/member/traffic_test.go
+++ b/member/traffic_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"siskincove/meter"
 )
 
 // deployment runs the tables of many instances in rounds, without a network, and counts what they send.
@@ -12,13 +14,15 @@
 	tables map[string]*Table
 	// down holds the instances that don't answer.
 	down map[string]bool
-	// heartbeats counts requests and replies, far those between regions; rumours counts the rumours in them.
-	heartbeats, far, rumours, farRumours int
+	// heartbeats counts requests and replies by their distance, rumours the rumours in them.
+	heartbeats map[meter.Distance]int
+	rumours    int
 }
 
 // startDeployment returns size instances in three regions of two domains, which have all read the same roster.
 func startDeployment(size int) *deployment {
 	d := &deployment{now: epoch, tables: make(map[string]*Table), down: make(map[string]bool)}
+	d.resetCounts()
 	var roster []Instance
 	for n := range size {
 		roster = append(roster, Instance{
@@ -59,9 +63,9 @@
 
 func (d *deployment) exchange(from *Table, target Instance) {
 	to, ok := d.tables[target.ID]
-	isFar := !from.isNear(target)
+	distance := from.distance(target)
 	request := from.NextRumours()
-	d.count(isFar, request)
+	d.count(distance, request)
 	if !ok || d.down[target.ID] {
 		from.Missed(target.ID, d.now)
 		return
@@ -69,18 +73,14 @@
 	to.Answered(from.Self(), false, d.now)
 	to.ApplyRumours(request, d.now)
 	reply := to.NextRumours()
-	d.count(isFar, reply)
+	d.count(distance, reply)
 	from.Answered(to.Self(), false, d.now)
 	from.ApplyRumours(reply, d.now)
 }
 
-func (d *deployment) count(isFar bool, rumours []Rumour) {
-	d.heartbeats++
+func (d *deployment) count(distance meter.Distance, rumours []Rumour) {
+	d.heartbeats[distance]++
 	d.rumours += len(rumours)
-	if isFar {
-		d.far++
-		d.farRumours += len(rumours)
-	}
 }
 
 // disagreeing returns how many running instances differ from placed about whether an instance takes part in the placement.
@@ -96,10 +96,10 @@
 }
 
 // resetCounts forgets what was sent so far.
-func (d *deployment) resetCounts() { d.heartbeats, d.far, d.rumours, d.farRumours = 0, 0, 0, 0 }
+func (d *deployment) resetCounts() { d.heartbeats, d.rumours = make(map[meter.Distance]int), 0 }
 
-// TestTrafficOfStart guards against heartbeats between regions, and rumours, that grow with the square of the instances while
-// all of them start from the same roster: that the others are alive is no news to anyone.
+// TestTrafficOfStart guards against heartbeats between regions and between failure domains, and rumours, that grow with the square
+// of the instances while all of them start from the same roster: that the others are alive is no news to anyone.
 func TestTrafficOfStart(t *testing.T) {
 	const rounds = 70
 	d := startDeployment(144)
@@ -107,10 +107,13 @@
 	if d.rumours > 0 {
 		t.Errorf("%d rumours were sent, want none", d.rumours)
 	}
-	// Each region sends as many as farSenders instances, of which each has a request and a reply.
-	limit := int(1.1 * 3 * 2 * rounds * farSenders * fanout * float64(partnerCount-nearPartnerCount) / partnerCount)
-	if d.far > limit {
-		t.Errorf("%d heartbeats between regions, want at most %d", d.far, limit)
+	// Each region and each domain sends as many as farSenders instances would, of which each has a request and a reply.
+	perPartner := 1.1 * 2 * rounds * farSenders * float64(fanout) / partnerCount
+	if limit := int(3 * (partnerCount - nearPartnerCount) * perPartner); d.heartbeats[meter.OtherRegion] > limit {
+		t.Errorf("%d heartbeats between regions, want at most %d", d.heartbeats[meter.OtherRegion], limit)
+	}
+	if limit := int(6 * (nearPartnerCount - domainPartnerCount) * perPartner); d.heartbeats[meter.SameRegion] > limit {
+		t.Errorf("%d heartbeats between domains, want at most %d", d.heartbeats[meter.SameRegion], limit)
 	}
 }
 
@@ -154,3 +157,34 @@
 		})
 	}
 }
+
+// TestPush guards against a change that each instance announces to other regions, and against one that nobody announces there.
+func TestPush(t *testing.T) {
+	d := startDeployment(144)
+	const changes = 10
+	told := make(map[meter.Distance]int)
+	for range changes {
+		for _, table := range d.tables {
+			for _, i := range table.pushTargets() {
+				told[table.distance(i)]++
+			}
+		}
+	}
+	tests := map[string]struct {
+		distance meter.Distance
+		sides    int
+		partners int
+	}{
+		"between regions": {distance: meter.OtherRegion, sides: 3, partners: partnerCount - nearPartnerCount},
+		"between domains": {distance: meter.SameRegion, sides: 6, partners: nearPartnerCount - domainPartnerCount},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			limit := changes * test.sides * test.partners * farSenders * 5 / 4
+			least := changes * test.sides
+			if n := told[test.distance]; n > limit || n < least {
+				t.Errorf("%d instances were told, want %d to %d", n, least, limit)
+			}
+		})
+	}
+}
