--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -13,7 +13,8 @@
 
 // importLayers lists the packages from the lowest layer up. A package may import only packages of lower layers.
 var importLayers = [][]string{
-	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "meter", "standin/authority", "standin/hosting"},
+	{"meter"},
+	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
 	{"config", "peer", "certificate", "queue", "standin/history", "logs"},
 	{"settings", "connection", "group", "directory", "freshness"},
@@ -33,8 +34,8 @@
 // pureFiles are the files with decision logic in packages that also contain a driver.
 var pureFiles = []string{
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
-	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
 	"freshness/proof.go", "freshness/ledger.go", "freshness/policy.go",
+	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "directory/endpointfeed.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
 }
 
 func layerIndex(path string) int {
