config, platform/records: check workspaces and index their keys once

Cause: the index of keys was rebuilt with every change of an endpoint; keys were relayed to peers in clear with the configuration's row; one malformed workspace lost the whole configuration; the removal of the last workspace would have admitted everybody.

--- a/commands/check.go
+++ b/commands/check.go
@@ -53,5 +53,5 @@
 }
 
 func countObjects(s config.Set) int {
-	return len(s.Services) + len(s.Databases) + len(s.Endpoints) + len(s.Routes) + len(s.Allowances) + len(s.Limits) + len(s.Callers)
+	return len(s.Services) + len(s.Databases) + len(s.Endpoints) + len(s.Routes) + len(s.Allowances) + len(s.Limits) + len(s.Callers) + len(s.Workspaces)
 }
--- a/config/caller.go
+++ b/config/caller.go
@@ -7,4 +7,6 @@
 	Services []string `toml:"services" json:"services"`
 	// Verifier is the SCRAM-SHA-256 verifier of the caller's password.
 	Verifier string `toml:"verifier" json:"verifier"`
+	// Workspace is the workspace to whose allotment the caller's operations count, empty for none.
+	Workspace string `toml:"workspace" json:"workspace,omitempty"`
 }
--- a/config/catalog.go
+++ b/config/catalog.go
@@ -4,19 +4,19 @@
 
 // Catalog indexes the objects of a checked set by name. It is immutable.
 type Catalog struct {
-	Set        Set
-	services   map[string]Service
-	databases  map[string]Database
-	endpoints  map[string]Endpoint
-	routes     map[string]Route
-	allowances map[string]Allowance
-	limits     map[string]Limit
-	callers    map[string]Caller
-	workspaces map[string]Workspace
-	// keys maps the hash of each key to the name of the workspace that holds it.
-	keys        map[KeyHash]string
+	Set         Set
+	services    map[string]Service
+	databases   map[string]Database
+	endpoints   map[string]Endpoint
+	routes      map[string]Route
+	allowances  map[string]Allowance
+	limits      map[string]Limit
+	callers     map[string]Caller
+	workspaces  *workspaceIndex
 	members     map[string][]Endpoint
 	idleTimeout time.Duration
+	// keysRequired is set if callers need a key even though there is no workspace.
+	keysRequired bool
 }
 
 // NewCatalog indexes a set.
@@ -26,24 +26,25 @@
 		Set:        s,
 		services:   index(s.Services, func(o Service) string { return o.Name }),
 		databases:  index(s.Databases, func(o Database) string { return o.Name }),
-		endpoints:  index(s.Endpoints, func(o Endpoint) string { return o.Name }),
 		routes:     index(s.Routes, func(o Route) string { return o.Name }),
 		allowances: index(s.Allowances, func(o Allowance) string { return o.Name }),
 		limits:     index(s.Limits, func(o Limit) string { return o.Name }),
 		callers:    index(s.Callers, func(o Caller) string { return o.Name }),
-		workspaces: index(s.Workspaces, func(o Workspace) string { return o.Name }),
-		keys:       make(map[KeyHash]string),
-		members:    make(map[string][]Endpoint),
+		workspaces: newWorkspaceIndex(s.Workspaces),
 	}
-	for _, e := range s.Endpoints {
-		c.members[e.Database] = append(c.members[e.Database], e)
-	}
-	for _, w := range s.Workspaces {
-		for _, key := range w.Keys {
-			c.keys[key] = w.Name
-		}
+	return c.WithEndpoints(s.Endpoints)
+}
+
+// WithEndpoints returns a copy with other endpoints, which shares the indexes of all other objects.
+func (c *Catalog) WithEndpoints(endpoints []Endpoint) *Catalog {
+	next := *c
+	next.Set.Endpoints = sorted(endpoints, func(o Endpoint) string { return o.Name })
+	next.endpoints = index(endpoints, func(o Endpoint) string { return o.Name })
+	next.members = make(map[string][]Endpoint)
+	for _, e := range next.Set.Endpoints {
+		next.members[e.Database] = append(next.members[e.Database], e)
 	}
-	return c
+	return &next
 }
 
 func index[T any](objects []T, name func(T) string) map[string]T {
@@ -64,6 +65,14 @@
 // IdleTimeout returns how long an open transaction may stay idle; 0 means no limit.
 func (c *Catalog) IdleTimeout() time.Duration { return c.idleTimeout }
 
+// WithKeysRequired returns a copy in which callers need the key of a workspace even if there is none, as when the last one was
+// removed.
+func (c *Catalog) WithKeysRequired(required bool) *Catalog {
+	next := *c
+	next.keysRequired = required
+	return &next
+}
+
 // Service returns the service with the given name.
 func (c *Catalog) Service(name string) (Service, bool) { o, ok := c.services[name]; return o, ok }
 
@@ -89,10 +98,25 @@
 func (c *Catalog) Members(database string) []Endpoint { return c.members[database] }
 
 // Workspace returns the workspace with the given name.
-func (c *Catalog) Workspace(name string) (Workspace, bool) { o, ok := c.workspaces[name]; return o, ok }
+func (c *Catalog) Workspace(name string) (Workspace, bool) { return found(c.workspaces.byName[name]) }
+
+// Workspaces returns the number of workspaces.
+func (c *Catalog) Workspaces() int { return len(c.workspaces.byName) }
 
-// HasWorkspaces reports whether callers need the key of a workspace.
-func (c *Catalog) HasWorkspaces() bool { return len(c.workspaces) > 0 }
+// HasWorkspaces reports whether callers need the key of a workspace, except on anonymous routes.
+func (c *Catalog) HasWorkspaces() bool { return c.keysRequired || len(c.workspaces.byName) > 0 }
 
 // KeyOwner returns the workspace that holds a key.
-func (c *Catalog) KeyOwner(key KeyHash) (Workspace, bool) { return c.Workspace(c.keys[key]) }
+func (c *Catalog) KeyOwner(key KeyHash) (Workspace, bool) { return found(c.workspaces.byKey[key]) }
+
+// SharesWorkspaces reports whether other is a catalog of the same configuration, which thus has the same workspaces.
+func (c *Catalog) SharesWorkspaces(other *Catalog) bool {
+	return other != nil && c.workspaces == other.workspaces
+}
+
+func found(w *Workspace) (Workspace, bool) {
+	if w == nil {
+		return Workspace{}, false
+	}
+	return *w, true
+}
--- a/config/change.go
+++ b/config/change.go
@@ -34,7 +34,8 @@
 	out = diffObjects(out, KindRoute, before.Routes, after.Routes, func(o Route) string { return o.Name })
 	out = diffObjects(out, KindAllowance, before.Allowances, after.Allowances, func(o Allowance) string { return o.Name })
 	out = diffObjects(out, KindLimit, before.Limits, after.Limits, func(o Limit) string { return o.Name })
-	return diffObjects(out, KindCaller, before.Callers, after.Callers, func(o Caller) string { return o.Name })
+	out = diffObjects(out, KindCaller, before.Callers, after.Callers, func(o Caller) string { return o.Name })
+	return diffObjects(out, KindWorkspace, before.Workspaces, after.Workspaces, func(o Workspace) string { return o.Name })
 }
 
 func diffObjects[T any](out []Change, kind Kind, before, after []T, name func(T) string) []Change {
@@ -83,6 +84,8 @@
 	case Caller:
 		o.Verifier = masked(o.Verifier)
 		object = o
+	case Workspace:
+		object = o.masked()
 	}
 	data, err := json.Marshal(object)
 	if err != nil {
--- a/config/check.go
+++ b/config/check.go
@@ -45,6 +45,7 @@
 	c.routes()
 	c.cycles()
 	c.callers()
+	c.workspaces()
 	c.limits()
 	c.allowances()
 	return c.problems
@@ -63,6 +64,7 @@
 	checkNames(c, KindAllowance, s.Allowances, func(o Allowance) string { return o.Name })
 	checkNames(c, KindLimit, s.Limits, func(o Limit) string { return o.Name })
 	checkNames(c, KindCaller, s.Callers, func(o Caller) string { return o.Name })
+	checkNames(c, KindWorkspace, s.Workspaces, func(o Workspace) string { return o.Name })
 }
 
 func checkNames[T any](c *checker, kind Kind, objects []T, name func(T) string) {
@@ -231,6 +233,10 @@
 			_, ok := c.catalog.Service(name)
 			c.checkReference(KindCaller, i, "services", KindService, name, ok)
 		}
+		if o.Workspace != "" {
+			_, ok := c.catalog.Workspace(o.Workspace)
+			c.checkReference(KindCaller, i, "workspace", KindWorkspace, o.Workspace, ok)
+		}
 		if !strings.HasPrefix(o.Verifier, verifierPrefix) {
 			c.report(KindCaller, i, "verifier", "not a SCRAM-SHA-256 verifier; make one with siskincove verifier")
 		}
--- a/config/load.go
+++ b/config/load.go
@@ -82,6 +82,7 @@
 	s.Set.Allowances = appendObjects(s, d, KindAllowance, s.Set.Allowances, part.Allowances)
 	s.Set.Limits = appendObjects(s, d, KindLimit, s.Set.Limits, part.Limits)
 	s.Set.Callers = appendObjects(s, d, KindCaller, s.Set.Callers, part.Callers)
+	s.Set.Workspaces = appendObjects(s, d, KindWorkspace, s.Set.Workspaces, part.Workspaces)
 }
 
 func appendObjects[T any](s *Source, d document.Document, kind Kind, all, part []T) []T {
--- a/config/secret.go
+++ b/config/secret.go
@@ -21,5 +21,18 @@
 	for i := range out.Callers {
 		out.Callers[i].Verifier = masked(out.Callers[i].Verifier)
 	}
+	for i := range out.Workspaces {
+		out.Workspaces[i] = out.Workspaces[i].masked()
+	}
 	return out
 }
+
+// masked returns the workspace with its keys masked.
+func (w Workspace) masked() Workspace {
+	keys := make([]KeyHash, 0, len(w.Keys))
+	for _, key := range w.Keys {
+		keys = append(keys, key.masked())
+	}
+	w.Keys = keys
+	return w
+}
--- a/config/workspace.go
+++ b/config/workspace.go
@@ -1,11 +1,6 @@
 package config
 
-import (
-	"crypto/sha256"
-	"encoding/hex"
-
-	"github.com/cockroachdb/errors"
-)
+import "math"
 
 // Workspace is a customer whose callers present keys and share an allotment of operations.
 type Workspace struct {
@@ -15,26 +10,21 @@
 	// Priority ranks workspaces when not all requests can be served; 0 is the highest.
 	Priority int `toml:"priority" json:"priority,omitempty"`
 	// Rate is the number of operations per second that the workspace may run on all instances together, and Burst the number
-	// that it may run at once after a pause. An operation is a transaction or a statement outside one.
+	// that it may run at once after a pause. An operation is a transaction or a statement outside one. Rate 0 stands for no
+	// limit, which only a platform's configuration may leave it at.
 	Rate  float64 `toml:"rate" json:"rate"`
 	Burst float64 `toml:"burst" json:"burst"`
 }
 
-// KeyHash is the SHA-256 hash of a key. Keys themselves are neither stored nor logged.
-type KeyHash [sha256.Size]byte
-
-// HashKey returns the hash of a key.
-func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+// MaxRate bounds the rate and the burst of a workspace.
+const MaxRate = 1e9
 
-// MarshalText returns the hash in hexadecimal.
-func (h KeyHash) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, h[:]), nil }
+// validAmount reports whether a rate or burst is a number between min and MaxRate.
+func validAmount(amount, min float64) bool {
+	return !math.IsNaN(amount) && amount >= min && amount <= MaxRate
+}
 
-// UnmarshalText parses a hash in hexadecimal.
-func (h *KeyHash) UnmarshalText(text []byte) error {
-	data, err := hex.DecodeString(string(text))
-	if err != nil || len(data) != len(h) {
-		return errors.Newf("not a SHA-256 hash in hexadecimal")
-	}
-	copy(h[:], data)
-	return nil
+// ValidLimits reports whether the rate, the burst and the priority lie within their bounds.
+func (w Workspace) ValidLimits() bool {
+	return validAmount(w.Rate, 0) && validAmount(w.Burst, 0) && w.Priority >= 0
 }
--- a/directory/decoder.go
+++ b/directory/decoder.go
@@ -13,6 +13,12 @@
 	Set     config.Set
 	// IdleTimeout is how long an open transaction may stay idle; 0 means no limit.
 	IdleTimeout time.Duration
+	// KeysRequired is set if callers need the key of a workspace, also if there is no workspace.
+	KeysRequired bool
+	// Relayed is the value to keep and to pass to peers in place of the row's, nil for the same. It holds no keys of callers.
+	Relayed []byte
+	// Refused says which objects were left out because they are malformed, and why.
+	Refused []string
 }
 
 // Registration is what an endpoint registered about itself. The Domain of its Endpoint is the failure domain without the
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -20,6 +20,9 @@
 	sourcePeer  = "peer"
 )
 
+// maxRefusalsLogged bounds the malformed objects of one configuration that are logged.
+const maxRefusalsLogged = 20
+
 // Options configure a Directory.
 type Options struct {
 	Rows    store.Rows
@@ -48,6 +51,8 @@
 
 	mu            sync.Mutex
 	configuration Configuration
+	// indexed is the catalog of configuration, without endpoints.
+	indexed *config.Catalog
 	// configurationRow is the row from which configuration was decoded.
 	configurationRow store.Row
 	// snapshot holds the registered endpoints. endpointsLoaded is set once it has been read from the store or taken from a
@@ -110,9 +115,17 @@
 	if configuration.Version <= d.configuration.Version {
 		return
 	}
+	if configuration.Relayed != nil {
+		row.Value = configuration.Relayed
+	}
+	for _, cause := range configuration.Refused[:min(len(configuration.Refused), maxRefusalsLogged)] {
+		d.options.Logger.Log(event.WorkspaceRefused, log.Fields{"version": configuration.Version, "cause": cause})
+	}
+	configuration.Relayed, configuration.Refused = nil, nil
 	d.configurationRow, d.configuration = row, configuration
+	d.indexed = config.NewCatalog(configuration.Set).WithIdleTimeout(configuration.IdleTimeout).WithKeysRequired(configuration.KeysRequired)
 	d.options.Logger.Log(event.ConfigurationApplied, log.Fields{
-		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes),
+		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes), "workspaces": len(configuration.Set.Workspaces),
 	})
 	d.apply()
 }
@@ -172,10 +185,8 @@
 	if d.configuration.Version == 0 || !d.endpointsLoaded {
 		return
 	}
-	set := d.configuration.Set
 	endpoints, primaries := d.snapshot.endpoints(d.options.Regions())
-	set.Endpoints = endpoints
-	catalog := config.NewCatalog(set).WithIdleTimeout(d.configuration.IdleTimeout)
+	catalog := d.indexed.WithEndpoints(endpoints)
 	d.options.Apply(catalog, primaries)
 	// Statements see the catalog only once it has been applied.
 	d.catalog.Store(catalog)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -30,6 +30,7 @@
 	RequestServed         = define(207, log.InfoLevel, "dispatch", "request served", "A statement was answered; tries counts the endpoints asked, after is the log position that the endpoint had to have reached; late is set if the answer came after the target latency of the route.")
 	StatementFailed       = define(208, log.WarnLevel, "dispatch", "statement failed at an endpoint", "An endpoint did not serve a statement; why gives the reason and the next line with the same request shows what followed.")
 	TransactionRolledBack = define(209, log.WarnLevel, "dispatch", "transaction rolled back", "A transaction was rolled back before its commit was sent; why gives the reason.")
+	SessionWithdrawn      = define(215, log.InfoLevel, "caller", "session ended", "The key of the session's caller was withdrawn; an open transaction was rolled back and nothing of the session is kept.")
 	SessionsClosing       = define(210, log.InfoLevel, "caller", "closing sessions", "The instance is shutting down and closes idle sessions; count gives the number of sessions still open.")
 	TokenRejected         = define(206, log.WarnLevel, "entry", "token rejected", "A caller's session token was not issued by this deployment or not for this caller; a barrier is used instead.")
 )
@@ -54,6 +55,7 @@
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
 	StoreRestored        = define(316, log.WarnLevel, "directory", "store restored from a copy", "The store lost what was written in its last seconds; era counts the restores. The instance registers itself again if its row is missing.")
+	WorkspaceRefused     = define(321, log.ErrorLevel, "directory", "workspace refused", "A workspace of the operator's configuration is malformed and was left out, or a key is listed by two workspaces and belongs to neither; cause tells which. The rest of the configuration is in use. Correct the configuration.")
 )
 
 // Endpoint events, 400 to 499.
