dispatch, caller: end sessions whose keys were withdrawn

Cause: a session went on after a refusal for its key; a route removed under an open transaction refused its statements; a statement that waited for an endpoint was sent under a key withdrawn meanwhile. Deployments without workspaces are served as before.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -72,9 +72,7 @@
 	_ = c.codec.SetReadDeadline(time.Time{})
 	session, refusal := c.server.options.Dispatcher.Open(c.server.ctx, parameters)
 	if refusal != nil {
-		c.server.options.Logger.Log(event.CallerRefused, log.Fields{
-			"database": parameters.Database, "reason": string(refusal.Reason), "cause": refusal.Message,
-		})
+		c.server.refusals.log(parameters.Database, refusal)
 		_ = c.codec.Refuse(refusal)
 		return false
 	}
@@ -89,24 +87,28 @@
 }
 
 var (
-	errShutdown = errors.New("instance is leaving")
-	errIdle     = errors.New("transaction was idle for too long")
+	errShutdown  = errors.New("instance is leaving")
+	errWithdrawn = errors.New("key of the session was withdrawn")
+	errIdle      = errors.New("transaction was idle for too long")
 )
 
 // next reads the next request. It returns errShutdown if the session has to end first because the server is draining or
-// closing, and errIdle if an open transaction has been idle for the session's idle limit. While draining, the idle limit
+// closing, errWithdrawn if its key was withdrawn, and errIdle if an open transaction has been idle for the session's idle limit. While draining, the idle limit
 // is not applied, since wake also makes the deadline pass.
 func (c *callerConn) next() (incoming, error) {
 	if c.shouldEnd() {
 		return incoming{}, errShutdown
 	}
+	if c.isWithdrawn() {
+		return incoming{}, errWithdrawn
+	}
 	if idle := c.session.IdleLimit(); idle > 0 {
 		_ = c.codec.SetReadDeadline(time.Now().Add(idle))
 	} else {
 		_ = c.codec.SetReadDeadline(time.Time{})
 	}
 	c.waiting.Store(true)
-	if c.shouldEnd() {
+	if c.shouldEnd() || c.isWithdrawn() {
 		c.wake()
 	}
 	r, err := c.codec.Next()
@@ -117,6 +119,8 @@
 		return incoming{request: r, refusal: refusal}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.shouldEnd():
 		return incoming{}, errShutdown
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.isWithdrawn():
+		return incoming{}, errWithdrawn
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.session.State() == statement.Open && !c.server.reached(draining):
 		return incoming{}, errIdle
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -131,6 +135,9 @@
 	return c.server.reached(closing) || c.server.reached(draining) && c.session.State() == statement.Idle
 }
 
+// isWithdrawn reports whether the key of the session was withdrawn.
+func (c *callerConn) isWithdrawn() bool { return c.session.Withdrawn() || c.session.CheckKey() != nil }
+
 func (c *callerConn) answer(in incoming) error {
 	if in.refusal != nil {
 		return c.codec.Answer(statement.Refusal(in.refusal, c.session.State()), true)
@@ -143,6 +150,11 @@
 	switch {
 	case errors.Is(err, errShutdown):
 		c.endSession(verdict.New(verdict.NotRun, verdict.Leaving, "instance is leaving; reconnect to another instance").WithRetryAfter(reconnectAfter))
+	case errors.Is(err, errWithdrawn):
+		if !c.session.Withdrawn() {
+			c.session.Withdraw()
+		}
+		c.endSession(verdict.New(verdict.NotRun, verdict.Unauthorized, "%s", err))
 	case errors.Is(err, errIdle):
 		c.session.Abort(err.Error())
 		c.endSession(verdict.New(verdict.NotRun, verdict.Aborted, "%s", err))
--- a/caller/server.go
+++ b/caller/server.go
@@ -51,6 +51,7 @@
 	goroutines     sync.WaitGroup
 	done           chan struct{}
 	phase          atomic.Int32
+	refusals       *refusalLog
 
 	mu       sync.Mutex
 	sessions map[*callerConn]bool
@@ -58,7 +59,7 @@
 
 // New returns a server that accepts callers from listener until ctx ends.
 func New(ctx context.Context, listener net.Listener, o Options) *Server {
-	s := &Server{options: o, listener: listener, ctx: ctx, done: make(chan struct{}), sessions: make(map[*callerConn]bool)}
+	s := &Server{options: o, listener: listener, ctx: ctx, done: make(chan struct{}), sessions: make(map[*callerConn]bool), refusals: newRefusalLog(o.Clock, o.Logger)}
 	s.requestCtx, s.cancelRequests = context.WithCancel(ctx)
 	s.phase.Store(int32(serving))
 	s.goroutines.Go(s.accept)
@@ -128,6 +129,16 @@
 // Drain tells each session to end as soon as it has no request in flight and no open transaction. It does not wait.
 func (s *Server) Drain() { s.setPhase(draining) }
 
+// EndWithdrawn ends each session that waits for a request and whose key is no longer valid. The others notice before they
+// wait again. Call it when other keys have come into force.
+func (s *Server) EndWithdrawn() {
+	s.forEach(func(c *callerConn) {
+		if c.waiting.Load() && c.session.CheckKey() != nil {
+			c.wake()
+		}
+	})
+}
+
 // Close tells each session to end as soon as its request in flight is answered, and rolls back open transactions. It
 // does not wait.
 func (s *Server) Close() { s.setPhase(closing) }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -47,6 +47,8 @@
 	key        config.KeyHash
 	// workspace is the workspace that held the key at the last check, zero for none.
 	workspace config.Workspace
+	// withdrawn is set once a statement was refused because the key was withdrawn.
+	withdrawn bool
 }
 
 // Open starts a session on the route that a caller connects to, or returns why it can't. While there is no
@@ -56,7 +58,10 @@
 	s := &Session{dispatcher: d, routeName: p.Database, salt: salt, key: config.HashKey(p.User)}
 	deadline := d.now().Add(openTimeout)
 	for {
-		refused := s.authorize()
+		_, _, refused := d.route(s.routeName)
+		if refused == nil {
+			refused = s.authorize()
+		}
 		if refused == nil {
 			return s, nil
 		}
@@ -83,6 +88,9 @@
 func (s *Session) Run(ctx context.Context, r statement.Request) statement.Answer {
 	started := s.dispatcher.now()
 	a := s.run(ctx, r)
+	if a.Failure != nil && a.Failure.Reason == verdict.Unauthorized && !s.withdrawn {
+		s.Withdraw()
+	}
 	a.State = s.state
 	countAnswer(r.Kind, a.Failure, s.dispatcher.now().Sub(started))
 	return a
@@ -92,7 +100,10 @@
 	if s.state == statement.Failed && r.Kind != statement.Commit && r.Kind != statement.Rollback {
 		return s.malformed("transaction has failed and can only be committed or rolled back")
 	}
-	if needsAuthorization(r.Kind) {
+	if s.withdrawn && s.state == statement.Idle {
+		return statement.Refusal(verdict.New(verdict.NotRun, verdict.Unauthorized, "key of the session was withdrawn"), s.state)
+	}
+	if s.state != statement.Failed && needsAuthorization(r.Kind) {
 		if refused := s.authorize(); refused != nil {
 			return s.refuseUnauthorized(r, refused)
 		}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -110,6 +110,10 @@
 	conn, err := pool.Acquire(ctx, connection.Demand{
 		Workspace: w.workspace.Name, Class: w.class, Deadline: w.deadline, Settings: w.session.settings,
 	})
+	if holder := w.workspace.Name; err == nil && (w.checkKey() != nil || w.workspace.Name != holder) {
+		pool.Release(conn, true, 0)
+		return nil, nil, verdict.New(verdict.NotRun, verdict.Aborted, "key was withdrawn or moved while the statement waited")
+	}
 	if err == nil && !w.database.AcceptsWork(c.Endpoint.Name) {
 		// The endpoint is leaving, and its time for new work ended during the wait for a connection.
 		pool.Release(conn, true, 0)
--- a/dispatch/workitem.go
+++ b/dispatch/workitem.go
@@ -118,6 +118,9 @@
 		if w.deadline.Sub(w.session.dispatcher.now()) < minAttemptTime {
 			return group.Choice{}, w.outOfTime()
 		}
+		if refused := w.checkKey(); refused != nil {
+			return group.Choice{}, refused
+		}
 		changed := w.database.Changed()
 		if choices := w.database.Choose(w.query); len(choices) > 0 {
 			c := choices[0]
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -8,6 +8,7 @@
 
 	"siskincove/config"
 	"siskincove/event"
+	"siskincove/session"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
@@ -36,59 +37,113 @@
 	}
 }
 
-// authorize checks the session's key against the configuration in force and records the workspace that holds it. Inside a
-// transaction that workspace must be the one that began it.
+// authorize checks the session's key before a statement that may reach an endpoint, and records the workspace that holds it. A
+// statement whose route is not configured is refused elsewhere.
 func (s *Session) authorize() *verdict.Error {
-	route, catalog, refused := s.dispatcher.route(s.routeName)
-	if refused != nil {
-		return refused
+	catalog := s.dispatcher.options.Catalogs.Catalog()
+	route, known := s.effectiveRoute(catalog)
+	if !known {
+		return nil
 	}
-	w, refused := s.dispatcher.identify(catalog, route, s.key)
-	if refused != nil {
+	w, refused := identify(catalog, route, s.key)
+	switch {
+	case refused != nil:
 		return refused
-	}
-	if s.tx != nil && s.tx.conn != nil && w.Name != s.workspace.Name {
-		return verdict.New(verdict.NotRun, verdict.Unauthorized, "the key belongs to another workspace since the transaction began")
+	case s.tx != nil && s.tx.conn != nil && w.Name != s.workspace.Name:
+		// The endpoint knows the connection under the other workspace's name.
+		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the transaction began")
 	}
 	s.workspace = w
-	return nil
+	if w.Name == "" || s.dispatcher.options.Freshness == nil {
+		return nil
+	}
+	return s.dispatcher.options.Freshness.Check()
+}
+
+// effectiveRoute returns the route under which a statement runs now: that of the transaction once it has run a statement,
+// otherwise the configured one.
+func (s *Session) effectiveRoute(catalog *config.Catalog) (config.Route, bool) {
+	if catalog == nil {
+		return config.Route{}, false
+	}
+	if s.tx != nil && s.tx.firstItem != nil {
+		return s.tx.firstItem.route, true
+	}
+	return catalog.Route(s.routeName)
 }
 
 // identify returns the workspace that holds a key, the zero Workspace for callers that need none.
-func (d *Dispatcher) identify(catalog *config.Catalog, route config.Route, key config.KeyHash) (config.Workspace, *verdict.Error) {
+func identify(catalog *config.Catalog, route config.Route, key config.KeyHash) (config.Workspace, *verdict.Error) {
 	if !catalog.HasWorkspaces() {
 		return config.Workspace{}, nil
 	}
-	w, ok := catalog.KeyOwner(key)
+	w, known := catalog.KeyOwner(key)
 	switch {
-	case !ok && route.Anonymous:
-		return config.Workspace{}, nil
-	case !ok:
-		return config.Workspace{}, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
-	case d.options.Freshness == nil:
+	case known || route.Anonymous:
 		return w, nil
+	case key.IsEmpty():
+		return w, verdict.New(verdict.NotRun, verdict.Unauthorized, "route %s requires the key of a workspace", route.Name)
 	default:
-		return w, d.options.Freshness.Check()
+		return w, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
 	}
 }
 
+// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other methods.
+func (s *Session) CheckKey() *verdict.Error {
+	catalog := s.dispatcher.options.Catalogs.Catalog()
+	if catalog == nil {
+		return nil
+	}
+	route, known := catalog.Route(s.routeName)
+	if !known {
+		return nil
+	}
+	_, refused := identify(catalog, route, s.key)
+	return refused
+}
+
+// Withdrawn reports whether a statement was refused because the session's key was withdrawn. The session can't go on then.
+func (s *Session) Withdrawn() bool { return s.withdrawn }
+
+// Withdraw ends the session after its key was withdrawn: it rolls back an open transaction and keeps nothing. A session that
+// went on without its settings would run statements under others than were acknowledged.
+func (s *Session) Withdraw() {
+	s.dispatcher.options.Logger.Log(event.SessionWithdrawn, log.Fields{"route": s.routeName, "workspace": s.workspace.Name})
+	if s.tx != nil {
+		s.tx.rollbackInBackground()
+		s.state = statement.Failed
+	}
+	s.withdrawn, s.settings, s.prepared, s.token = true, nil, nil, session.Token{}
+}
+
 // refuseUnauthorized refuses a statement whose key is not valid, and rolls back the open transaction.
 func (s *Session) refuseUnauthorized(r statement.Request, refused *verdict.Error) statement.Answer {
 	d := s.dispatcher
+	route, _ := s.effectiveRoute(d.options.Catalogs.Catalog())
 	d.options.Logger.Log(event.RequestRefused, log.Fields{
-		"request": r.ID, "kind": r.Kind.String(), "route": s.routeName, "workspace": s.workspace.Name,
+		"request": r.ID, "kind": r.Kind.String(), "route": s.routeName, "database": route.Database, "workspace": s.workspace.Name,
 		"verdict": refused.Verdict.String(), "reason": string(refused.Reason), "cause": refused.Error(), "comeback": refused.RetryAfter.String(),
 	})
-	if s.tx != nil {
+	switch {
+	case r.Kind == statement.Commit:
+		s.Close()
+	case s.tx != nil:
 		s.tx.rollbackInBackground()
 		s.state = statement.Failed
-		if r.Kind == statement.Commit {
-			s.Close()
-		}
 	}
 	return statement.Refusal(refused, s.state)
 }
 
+// checkKey checks the key again after a wait, and takes over the workspace that holds it now. It returns why the statement can't run.
+func (w *workItem) checkKey() *verdict.Error {
+	catalog := w.session.dispatcher.options.Catalogs.Catalog()
+	holder, refused := identify(catalog, w.route, w.session.key)
+	if refused == nil {
+		w.workspace, w.session.workspace = holder, holder
+	}
+	return refused
+}
+
 // takeOperation counts the operation that begins with this statement against the allotment of its workspace.
 func (w *workItem) takeOperation(ctx context.Context) *verdict.Error {
 	allotments := w.session.dispatcher.options.Allotments
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -67,6 +67,8 @@
 	redistributor *redistributor
 	// era is the latest era of the store that the directory has, 0 before the first.
 	era atomic.Uint64
+	// checkedKeys is the catalog against which the keys of open sessions were last checked, nil before the first.
+	checkedKeys atomic.Pointer[config.Catalog]
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
 	fetchMu sync.Mutex
 }
@@ -108,7 +110,7 @@
 	i.startMembers()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, OnChange: i.push,
+		ShouldFollow: i.isFollower, OnChange: i.announceChange,
 	})
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
@@ -191,16 +193,27 @@
 	return false
 }
 
-// push tells the partners at once that this instance has a newer directory.
-func (i *Instance) push() {
+// announceChange tells the partners at once that this instance has a newer directory, and ends the sessions whose keys are no
+// longer valid.
+func (i *Instance) announceChange() {
 	select {
 	case <-i.initialized:
 		i.members.Push()
+		i.endWithdrawn()
 	default:
-		// The first heartbeats follow at once.
+		// The first heartbeats follow at once, and New calls Reapply after closing initialized.
 	}
 }
 
+// endWithdrawn ends the sessions whose keys are no longer valid, if the workspaces have changed since the last call.
+func (i *Instance) endWithdrawn() {
+	catalog := i.directory.Catalog()
+	if previous := i.checkedKeys.Swap(catalog); catalog.SharesWorkspaces(previous) {
+		return
+	}
+	i.callers.EndWithdrawn()
+}
+
 // applyCatalog configures the databases and, once the instance is initialized, the coordinators. primaries maps each database
 // to the endpoint that is registered as its primary.
 func (i *Instance) applyCatalog(catalog *config.Catalog, primaries map[string]string) {
