--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	"siskincove/verdict"
 )
 
-// wordCodec is a test protocol with one word per line: first a database, then begin, set, leave or bad, at which the codec panics.
+// wordCodec is a test protocol with one word per line: first a database, which a key may follow, then begin, set, leave or bad, at which the codec panics.
 type wordCodec struct {
 	conn    net.Conn
 	in      *bufio.Reader
@@ -41,7 +42,8 @@
 
 func (w *wordCodec) Open() (statement.StartupParameters, error) {
 	text, err := w.readLine()
-	return statement.StartupParameters{Database: text}, err
+	database, key, _ := strings.Cut(text, " ")
+	return statement.StartupParameters{Database: database, User: key}, err
 }
 
 func (w *wordCodec) ConfirmOpen() error { return w.writeLine("hello") }
@@ -82,25 +84,37 @@
 	return err
 }
 
-type staticCatalog struct{ catalog *config.Catalog }
+// currentCatalog is a configuration that tests replace while sessions are open.
+type currentCatalog struct{ atomic.Pointer[config.Catalog] }
 
-func (c staticCatalog) Catalog() *config.Catalog { return c.catalog }
+func (c *currentCatalog) Catalog() *config.Catalog { return c.Load() }
 
 // startServer starts a server with one route; idle is the idle timeout of transactions, 0 for none.
 func startServer(t *testing.T, idle time.Duration) (*Server, string) {
 	t.Helper()
-	catalog := config.NewCatalog(config.Set{
+	var catalogs currentCatalog
+	catalogs.Store(config.NewCatalog(testSet()).WithIdleTimeout(idle))
+	return startServerWith(t, &catalogs, event.Discard())
+}
+
+func testSet() config.Set {
+	return config.Set{
 		Databases: []config.Database{{Name: "db"}}, Routes: []config.Route{{Name: "main", Database: "db", Reads: config.ReadsPrimary}},
-	}).WithIdleTimeout(idle)
+	}
+}
+
+// startServerWith starts a server with a configuration that the test may replace.
+func startServerWith(t *testing.T, catalogs *currentCatalog, logger *event.Logger) (*Server, string) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	registry := database.NewRegistry(database.Options{Clock: clock.System{}, Logger: event.Discard()})
-	registry.Configure(catalog, nil, 1)
-	d := dispatch.New(ctx, dispatch.Options{Catalogs: staticCatalog{catalog}, Databases: registry, Clock: clock.System{}, Logger: event.Discard()})
+	registry.Configure(catalogs.Catalog(), nil, 1)
+	d := dispatch.New(ctx, dispatch.Options{Catalogs: catalogs, Databases: registry, Clock: clock.System{}, Logger: event.Discard()})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(ctx, listener, Options{Protocol: newWordCodec, Dispatcher: d, Clock: clock.System{}, Logger: event.Discard()})
+	s := New(ctx, listener, Options{Protocol: newWordCodec, Dispatcher: d, Clock: clock.System{}, Logger: logger})
 	t.Cleanup(func() {
 		cancel()
 		<-s.Done()
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -41,3 +41,20 @@
 		})
 	}
 }
+
+// sealingDecoder decodes a configuration whose value must not be kept as it is.
+type sealingDecoder struct{ wordDecoder }
+
+func (sealingDecoder) Configuration(value []byte) (Configuration, error) {
+	return Configuration{Version: uint64(len(value)), Relayed: []byte("sealed")}, nil
+}
+
+// TestOfferIsSealed guards against keys of callers that reach a peer with the row of the configuration.
+func TestOfferIsSealed(t *testing.T) {
+	d := &Directory{options: Options{Decoder: sealingDecoder{}, Clock: clock.System{}, Logger: event.Discard()}}
+	d.updateConfiguration(store.Row{Key: store.Key{Table: "o", Key: "c"}, Version: 3, Value: []byte("a key")}, sourceStore)
+	offer := d.Offer(Versions{}, true)
+	if diff := cmp.Diff("sealed", string(offer.Configuration.Value)); diff != "" {
+		t.Error(diff)
+	}
+}
