entry, verdict: count a caller's operations to its workspace

Cause: on the PostgreSQL face callers belonged to no workspace, and a session outlived the declaration of its caller. Change: a caller object may name a workspace; a transaction or a statement outside one is an operation of it, refused beyond the allotment with SQLSTATE 53400 and a hint when to come back, before it reaches an endpoint; where workspaces are configured, a session ends with 28000 once its caller or workspace is no longer declared. entry_test.go takes a configuration that tests replace.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -175,6 +175,10 @@
 		c.server.options.Logger.Log(event.ProtocolViolated, log.Fields{"caller": c.name, "cause": violation.Error()})
 		c.send(fatalResponse(violation.code, violation.Error()))
 		_ = c.writer.Flush()
+	case errors.Is(err, errWithdrawn):
+		c.server.options.Logger.Log(event.SessionWithdrawn, log.Fields{"caller": c.name, "route": c.route.Name})
+		c.send(fatalResponse(codeAuthorization, err.Error()))
+		_ = c.writer.Flush()
 	case errors.Is(err, errShutdown):
 		c.send(fatalResponse(codeShutdown, "instance is leaving; reconnect to another instance"))
 		_ = c.writer.Flush()
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -51,6 +51,10 @@
 // dispatch sends a request to the endpoint of the open transaction, or to one chosen for the request if none is open. In a
 // failed transaction it refuses everything but COMMIT and ROLLBACK.
 func (c *caller) dispatch(r *request) error {
+	workspace, err := c.workspace(c.server.options.Catalogs.Catalog())
+	if err != nil {
+		return err
+	}
 	if c.stream != nil {
 		return c.executeInTransaction(r)
 	}
@@ -63,11 +67,12 @@
 	if r.wire.GetExtended() && onlySync(r.wire.GetPayload()) {
 		return c.sendReadyForQuery()
 	}
-	return c.executeOutsideTransaction(r)
+	return c.executeOutsideTransaction(r, workspace)
 }
 
-// executeOutsideTransaction runs a request that may start a transaction, and retries it as long as it did not run.
-func (c *caller) executeOutsideTransaction(r *request) error {
+// executeOutsideTransaction runs a request that may start a transaction, and retries it as long as it did not run. The request
+// counts as an operation of the workspace.
+func (c *caller) executeOutsideTransaction(r *request, workspace config.Workspace) error {
 	now := c.server.options.Clock.Now()
 	catalog := c.server.options.Catalogs.Catalog()
 	current, ok := catalog.Route(c.route.Name)
@@ -78,6 +83,9 @@
 	ex := &execution{request: r, route: current, write: r.writes(), endpoints: catalog.Members(current.Database), started: now}
 	ex.deadline = now.Add(c.requestTimeout(catalog))
 	r.wire.Ends = r.synced && r.class != classBegin && r.class != classBeginRead
+	if err := c.takeOperation(ex, workspace); err != nil {
+		return c.reportFailure(ex, err)
+	}
 	c.server.inflight.Add(1)
 	err := c.execute(ex)
 	if c.stream == nil {
@@ -115,10 +123,14 @@
 		e = e.WithRetryAfter(defaultRetryAfter)
 	}
 	c.server.counters.countRefusal(e)
-	c.server.options.Logger.Log(event.RequestRefused, log.Fields{
+	fields := log.Fields{
 		"caller": c.name, "route": c.route.Name, "write": ex.write, "verdict": e.Verdict.String(),
 		"reason": string(e.Reason), "after": e.RetryAfter.String(), "cause": e.Error(),
-	})
+	}
+	if name := c.workspaceName(); name != "" {
+		fields["workspace"] = name
+	}
+	c.server.options.Logger.Log(event.RequestRefused, fields)
 	return c.refuse(ex.request, e)
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,9 +57,10 @@
 	return pool.Report{Status: s}, nil
 }
 
-type staticCatalog struct{ catalog *config.Catalog }
+// currentCatalog is a configuration that tests replace while sessions are open.
+type currentCatalog struct{ atomic.Pointer[config.Catalog] }
 
-func (c staticCatalog) Catalog() *config.Catalog { return c.catalog }
+func (c *currentCatalog) Catalog() *config.Catalog { return c.Load() }
 
 const testIdleTimeout = 300 * time.Millisecond
 
@@ -99,6 +101,14 @@
 
 // startServer starts a server with fake owners and returns its address.
 func startServer(t *testing.T, o *fakeOwners) (*Server, string) {
+	t.Helper()
+	var catalogs currentCatalog
+	catalogs.Store(parseObjects(t, objects))
+	return startServerWith(t, o, &catalogs, nil)
+}
+
+// parseObjects returns the catalog of objects, in which the password of callers is secret.
+func parseObjects(t *testing.T, objects string) *config.Catalog {
 	t.Helper()
 	text, err := verifier.WithSalt("secret", []byte("0123456789abcdef"))
 	if err != nil {
@@ -108,6 +118,12 @@
 	if len(problems) > 0 {
 		t.Fatal(problems)
 	}
+	return config.NewCatalog(source.Set)
+}
+
+// startServerWith starts a server with a configuration that the test may replace, and with allotments, nil for none.
+func startServerWith(t *testing.T, o *fakeOwners, catalogs CatalogSource, allotments Allotments) (*Server, string) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -115,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := New(ctx, listener, Options{
 		ID: "i0", Domain: "r/a", Keys: [][]byte{[]byte("key")}, Clock: clock.System{}, Logger: event.Discard(), Owners: o,
-		Catalogs: staticCatalog{config.NewCatalog(source.Set)}, IdleTimeout: testIdleTimeout, OnOwnerUnreachable: func(config.Endpoint) {}, ForwardCancel: func(context.Context, uint32, uint32) {},
+		Catalogs: catalogs, Allotments: allotments, IdleTimeout: testIdleTimeout, OnOwnerUnreachable: func(config.Endpoint) {}, ForwardCancel: func(context.Context, uint32, uint32) {},
 	})
 	t.Cleanup(func() {
 		cancel()
--- a/entry/options.go
+++ b/entry/options.go
@@ -37,6 +37,8 @@
 	IdleTimeout time.Duration
 	Owners      OwnerClient
 	Catalogs    CatalogSource
+	// Allotments limits the operations of workspaces; nil for no limits.
+	Allotments Allotments
 	// TLS is the configuration for callers that request TLS; nil disables it. TLSRequired refuses callers without TLS.
 	TLS         *tls.Config
 	TLSRequired bool
--- /dev/null
+++ b/entry/workspace.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"siskincove/config"
+	"siskincove/verdict"
+)
+
+// Allotments limits the operations of workspaces on all instances together.
+type Allotments interface {
+	// Take counts an operation of a workspace. It waits until deadline at most for the instance that keeps the workspace's
+	// account, and returns why the operation must not run, nil if it may.
+	Take(ctx context.Context, w config.Workspace, deadline time.Time) *verdict.Error
+}
+
+// errWithdrawn ends a session whose caller or workspace is no longer configured.
+var errWithdrawn = errors.New("caller or its workspace is no longer configured")
+
+// workspace returns the workspace to which the caller's operations count, the zero Workspace for none. Where workspaces are
+// configured, it returns errWithdrawn once the caller or its workspace is not.
+func (c *caller) workspace(catalog *config.Catalog) (config.Workspace, error) {
+	if !catalog.HasWorkspaces() {
+		return config.Workspace{}, nil
+	}
+	declared, known := catalog.Caller(c.name)
+	if known && declared.Workspace == "" {
+		return config.Workspace{}, nil
+	}
+	w, found := catalog.Workspace(declared.Workspace)
+	if !known || !found {
+		return w, errWithdrawn
+	}
+	return w, nil
+}
+
+// takeOperation counts a request outside a transaction against the allotment of the caller's workspace. It returns why the
+// request must not run.
+func (c *caller) takeOperation(ex *execution, w config.Workspace) error {
+	if c.server.options.Allotments == nil || w.Name == "" || ex.request.class == classEmpty {
+		return nil
+	}
+	if refused := c.server.options.Allotments.Take(c.server.ctx, w, ex.deadline); refused != nil {
+		return refused
+	}
+	return nil
+}
+
+// workspaceName returns the name of the caller's workspace for the log, empty for none.
+func (c *caller) workspaceName() string {
+	declared, _ := c.server.options.Catalogs.Catalog().Caller(c.name)
+	return declared.Workspace
+}
--- a/verdict/error.go
+++ b/verdict/error.go
@@ -13,8 +13,10 @@
 	CodeNotRun = "57P05"
 	// CodeMayHaveRun is sent for a request whose outcome is unknown.
 	CodeMayHaveRun = "08007"
-	// CodeOverload is sent for a request refused because of load.
+	// CodeOverload is sent for a request refused because of load, or beyond the allotment of its workspace.
 	CodeOverload = "53400"
+	// CodeAuthorization is sent for a request whose caller's key is not valid.
+	CodeAuthorization = "28000"
 	// CodeUnsupported is sent for an unsupported feature.
 	CodeUnsupported = "0A000"
 )
@@ -64,8 +66,10 @@
 	switch {
 	case e.Verdict == MayHaveRun:
 		return CodeMayHaveRun
-	case e.Reason == Overload:
+	case e.Reason == Overload, e.Reason == Allotment:
 		return CodeOverload
+	case e.Reason == Unauthorized:
+		return CodeAuthorization
 	case e.Reason == Unsupported:
 		return CodeUnsupported
 	default:
