--- a/commands/losses.go
+++ b/commands/losses.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"cmp"
 	"io"
 	"strings"
 	"time"
@@ -33,9 +34,9 @@
 	}
 	report := lossesReport{Losses: losses.List(), Lines: reader.Lines, Malformed: reader.Malformed}
 	return out.print(report, func(w io.Writer) {
-		printLine(w, "%-12s %-12s %-8s %8s %6s %9s %9s  %s", "time", "database", "outcome", "requests", "tries", "mean", "longest", "choice, reason, cause")
+		printLine(w, "%-12s %-12s %-12s %-8s %8s %6s %9s %9s  %s", "time", "database", "workspace", "outcome", "requests", "tries", "mean", "longest", "choice, reason, cause")
 		for _, l := range report.Losses {
-			printLine(w, "%-12s %-12s %-8s %8d %6d %9s %9s  %s", l.Start.Format("15:04:05.000"), l.Database, l.Outcome, l.Requests, l.Tries,
+			printLine(w, "%-12s %-12s %-12s %-8s %8d %6d %9s %9s  %s", l.Start.Format("15:04:05.000"), l.Database, cmp.Or(l.Workspace, "-"), l.Outcome, l.Requests, l.Tries,
 				milliseconds(l.Mean), milliseconds(l.Longest), joinKnown(l.Choice, l.Reason, l.Cause))
 		}
 		printMalformed(w, reader)
--- a/commands/status.go
+++ b/commands/status.go
@@ -58,8 +58,8 @@
 			continue
 		}
 		s := entry.Status
-		printLine(w, "%s  %s  %s  ready=%t revision=%d sessions=%d inflight=%d pools=%d peers=%d",
-			entry.Address, s.Instance, s.Domain, s.Ready, s.Revision, s.Sessions, s.Inflight, len(s.Pools), len(s.Peers))
+		printLine(w, "%s  %s  %s  ready=%t revision=%d workspaces=%d sessions=%d inflight=%d pools=%d peers=%d",
+			entry.Address, s.Instance, s.Domain, s.Ready, s.Revision, s.Workspaces, s.Sessions, s.Inflight, len(s.Pools), len(s.Peers))
 		printPools(w, s.Pools)
 	}
 }
--- a/hosted/health.go
+++ b/hosted/health.go
@@ -36,6 +36,7 @@
 	Ready         bool            `json:"ready"`
 	Configuration uint64          `json:"configuration"`
 	Endpoints     uint64          `json:"endpoints"`
+	Workspaces    int             `json:"workspaces"`
 	Sessions      int             `json:"sessions"`
 	Peers         int             `json:"peers"`
 	Leads         []PrimaryStatus `json:"leads"`
@@ -116,6 +117,9 @@
 		Instance: i.options.Settings.Instance.ID, Domain: i.options.Settings.Instance.Domain, Ready: h.ready(),
 		Configuration: v.Configuration, Endpoints: uint64(v.Endpoints), Sessions: i.callers.Sessions(), Peers: len(i.members.Instances()),
 	}
+	if catalog := i.directory.Catalog(); catalog != nil {
+		out.Workspaces = catalog.Workspaces()
+	}
 	now := i.options.Clock.Now()
 	for _, d := range i.databases.All() {
 		lead, _ := d.View().Lead()
--- a/instance/health.go
+++ b/instance/health.go
@@ -29,15 +29,17 @@
 
 // Status is the JSON response of /status.
 type Status struct {
-	Instance string       `json:"instance"`
-	Domain   string       `json:"domain"`
-	Ready    bool         `json:"ready"`
-	Revision uint64       `json:"revision"`
-	Hash     string       `json:"hash"`
-	Sessions int          `json:"sessions"`
-	Inflight int64        `json:"inflight"`
-	Pools    []pool.State `json:"pools"`
-	Peers    []PeerStatus `json:"peers"`
+	Instance string `json:"instance"`
+	Domain   string `json:"domain"`
+	Ready    bool   `json:"ready"`
+	Revision uint64 `json:"revision"`
+	Hash     string `json:"hash"`
+	// Workspaces is the number of workspaces in force.
+	Workspaces int          `json:"workspaces"`
+	Sessions   int          `json:"sessions"`
+	Inflight   int64        `json:"inflight"`
+	Pools      []pool.State `json:"pools"`
+	Peers      []PeerStatus `json:"peers"`
 }
 
 // PeerStatus is an instance as listed in the status of another.
@@ -101,8 +103,13 @@
 func (h *health) status() Status {
 	i := h.instance
 	number, hash := i.revisions.Revision()
+	workspaces := 0
+	if catalog := i.revisions.Catalog(); catalog != nil {
+		workspaces = catalog.Workspaces()
+	}
 	return Status{
-		Instance: i.settings.Instance.ID, Domain: i.settings.Instance.Domain, Ready: h.ready(),
+		Workspaces: workspaces,
+		Instance:   i.settings.Instance.ID, Domain: i.settings.Instance.Domain, Ready: h.ready(),
 		Revision: number, Hash: hash, Sessions: i.entry.Sessions(), Inflight: i.entry.Inflight(),
 		Pools: i.pools.States(), Peers: statusPeers(i.members.Instances()),
 	}
--- a/logs/losses.go
+++ b/logs/losses.go
@@ -26,7 +26,9 @@
 	// Start is when the interval starts.
 	Start    time.Time `json:"start"`
 	Database string    `json:"database"`
-	Outcome  string    `json:"outcome"`
+	// Workspace is the workspace of the requests' callers, empty for none.
+	Workspace string `json:"workspace"`
+	Outcome   string `json:"outcome"`
 	// Choice is the routing rule of the last choice of an endpoint.
 	Choice string `json:"choice"`
 	// Reason is what the caller was told, empty for a late request.
@@ -43,8 +45,8 @@
 
 // lossKey is what the requests of a Loss have in common.
 type lossKey struct {
-	start                                    int64
-	database, outcome, choice, reason, cause string
+	start                                               int64
+	database, workspace, outcome, choice, reason, cause string
 }
 
 type lossSum struct {
@@ -98,7 +100,7 @@
 	took, _ := time.ParseDuration(e.Field("took"))
 	tries, _ := strconv.Atoi(e.Field("tries"))
 	key := lossKey{
-		start: e.Time.Truncate(l.interval).UnixNano(), database: e.Field("database"), outcome: outcome,
+		start: e.Time.Truncate(l.interval).UnixNano(), database: e.Field("database"), workspace: e.Field("workspace"), outcome: outcome,
 		choice: e.Field("choice"), reason: e.Field("reason"), cause: shortCause(cause),
 	}
 	sum := l.sums[key]
@@ -125,13 +127,13 @@
 	out := make([]Loss, 0, len(l.sums))
 	for key, sum := range l.sums {
 		out = append(out, Loss{
-			Start: time.Unix(0, key.start).UTC(), Database: key.database, Outcome: key.outcome, Choice: key.choice, Reason: key.reason,
+			Start: time.Unix(0, key.start).UTC(), Database: key.database, Workspace: key.workspace, Outcome: key.outcome, Choice: key.choice, Reason: key.reason,
 			Cause: key.cause, Requests: sum.requests, Tries: sum.tries, Mean: sum.took / time.Duration(sum.requests), Longest: sum.longest,
 		})
 	}
 	slices.SortFunc(out, func(a, b Loss) int {
 		return cmp.Or(
-			a.Start.Compare(b.Start), cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Database, b.Database),
+			a.Start.Compare(b.Start), cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Database, b.Database), cmp.Compare(a.Workspace, b.Workspace),
 			cmp.Compare(a.Outcome, b.Outcome), cmp.Compare(a.Choice, b.Choice), cmp.Compare(a.Cause, b.Cause),
 		)
 	})
