--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -8,6 +8,7 @@
 
 	"siskincove/config"
 	"siskincove/event"
+	"siskincove/session"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
@@ -37,25 +38,41 @@
 	}
 }
 
-// authorize checks the session's key against the configuration in force and records the workspace that holds it. Inside a
-// transaction that workspace must be the one that began it.
+// authorize checks the session's key before a statement that may reach an endpoint, and records the workspace that holds it. A
+// statement whose route is not configured is refused elsewhere.
 func (s *Session) authorize() *verdict.Error {
-	// The check comes first: a proof that arrives between the lookup and the check would say nothing about the configuration that
-	// was looked up.
+	// The proof is checked first: one that arrives after the lookup says nothing about the configuration that was looked up.
 	unproven := s.dispatcher.unproven()
-	route, catalog, refused := s.dispatcher.route(s.routeName)
-	if refused != nil {
-		return refused
+	catalog := s.dispatcher.options.Catalogs.Catalog()
+	route, known := s.effectiveRoute(catalog)
+	if !known {
+		return nil
 	}
-	w, refused := identify(catalog, route, s.key, unproven)
-	if refused != nil {
+	w, refused := identify(catalog, route, s.key)
+	switch {
+	case refused != nil:
 		return refused
-	}
-	if s.tx != nil && s.tx.conn != nil && w.Name != s.workspace.Name {
-		return verdict.New(verdict.NotRun, verdict.Unauthorized, "the key belongs to another workspace since the transaction began")
+	case s.tx != nil && s.tx.conn != nil && w.Name != s.workspace.Name:
+		// The endpoint knows the connection under the other workspace's name.
+		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the transaction began")
 	}
 	s.workspace = w
-	return nil
+	if w.Name == "" {
+		return nil
+	}
+	return unproven
+}
+
+// effectiveRoute returns the route under which a statement runs now: that of the transaction once it has run a statement,
+// otherwise the configured one.
+func (s *Session) effectiveRoute(catalog *config.Catalog) (config.Route, bool) {
+	if catalog == nil {
+		return config.Route{}, false
+	}
+	if s.tx != nil && s.tx.firstItem != nil {
+		return s.tx.firstItem.route, true
+	}
+	return catalog.Route(s.routeName)
 }
 
 // reauthorize checks the session's key again after a statement has waited for a connection or slot.
@@ -65,7 +82,7 @@
 		return refused
 	}
 	if s.workspace.Name != w.workspace.Name {
-		return verdict.New(verdict.NotRun, verdict.Unauthorized, "the key belongs to another workspace since the statement began")
+		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the statement began")
 	}
 	return nil
 }
@@ -78,40 +95,77 @@
 	return d.options.Freshness.Check()
 }
 
-// identify returns the workspace that holds a key, the zero Workspace for callers that need none. unproven is why the catalog may
-// not show which keys are valid, nil if it does.
-func identify(catalog *config.Catalog, route config.Route, key config.KeyHash, unproven *verdict.Error) (config.Workspace, *verdict.Error) {
+// identify returns the workspace that holds a key, the zero Workspace for callers that need none.
+func identify(catalog *config.Catalog, route config.Route, key config.KeyHash) (config.Workspace, *verdict.Error) {
 	if !catalog.HasWorkspaces() {
 		return config.Workspace{}, nil
 	}
-	w, ok := catalog.KeyOwner(key)
+	w, known := catalog.KeyOwner(key)
 	switch {
-	case !ok && route.Anonymous:
-		return config.Workspace{}, nil
-	case !ok:
-		return config.Workspace{}, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
+	case known || route.Anonymous:
+		return w, nil
+	case key.IsEmpty():
+		return w, verdict.New(verdict.NotRun, verdict.Unauthorized, "route %s requires the key of a workspace", route.Name)
 	default:
-		return w, unproven
+		return w, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
+	}
+}
+
+// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other methods.
+func (s *Session) CheckKey() *verdict.Error {
+	catalog := s.dispatcher.options.Catalogs.Catalog()
+	if catalog == nil {
+		return nil
 	}
+	route, known := catalog.Route(s.routeName)
+	if !known {
+		return nil
+	}
+	_, refused := identify(catalog, route, s.key)
+	return refused
+}
+
+// Withdrawn reports whether a statement was refused because the session's key was withdrawn. The session can't go on then.
+func (s *Session) Withdrawn() bool { return s.withdrawn }
+
+// Withdraw ends the session after its key was withdrawn: it rolls back an open transaction and keeps nothing. A session that
+// went on without its settings would run statements under others than were acknowledged.
+func (s *Session) Withdraw() {
+	s.dispatcher.options.Logger.Log(event.SessionWithdrawn, log.Fields{"route": s.routeName, "workspace": s.workspace.Name})
+	if s.tx != nil {
+		s.tx.rollbackInBackground()
+		s.state = statement.Failed
+	}
+	s.withdrawn, s.settings, s.prepared, s.token = true, nil, nil, session.Token{}
 }
 
 // refuseUnauthorized refuses a statement whose key is not valid, and rolls back the open transaction.
 func (s *Session) refuseUnauthorized(r statement.Request, refused *verdict.Error) statement.Answer {
 	d := s.dispatcher
+	route, _ := s.effectiveRoute(d.options.Catalogs.Catalog())
 	d.options.Logger.Log(event.RequestRefused, log.Fields{
-		"request": r.ID, "kind": r.Kind.String(), "route": s.routeName, "workspace": s.workspace.Name,
+		"request": r.ID, "kind": r.Kind.String(), "route": s.routeName, "database": route.Database, "workspace": s.workspace.Name,
 		"verdict": refused.Verdict.String(), "reason": string(refused.Reason), "cause": refused.Error(), "comeback": refused.RetryAfter.String(),
 	})
-	if s.tx != nil {
+	switch {
+	case r.Kind == statement.Commit:
+		s.Close()
+	case s.tx != nil:
 		s.tx.rollbackInBackground()
 		s.state = statement.Failed
-		if r.Kind == statement.Commit {
-			s.Close()
-		}
 	}
 	return statement.Refusal(refused, s.state)
 }
 
+// checkKey checks the session's key again before an attempt, and takes over the workspace that holds it now.
+func (w *workItem) checkKey() *verdict.Error {
+	if refused := w.session.authorize(); refused != nil {
+		return refused
+	}
+	w.workspace = w.session.workspace
+	return nil
+}
+
 // takeOperation counts the operation that begins with this statement against the allotment of its workspace.
 func (w *workItem) takeOperation(ctx context.Context) *verdict.Error {
 	allotments := w.session.dispatcher.options.Allotments
--- a/hosted/health.go
+++ b/hosted/health.go
@@ -36,6 +36,7 @@
 	Ready         bool   `json:"ready"`
 	Configuration uint64 `json:"configuration"`
 	Endpoints     uint64 `json:"endpoints"`
+	Workspaces    int    `json:"workspaces"`
 	Sessions      int    `json:"sessions"`
 	Peers         int    `json:"peers"`
 	// ProofAge is the time since the configuration was known to be the newest, in ms; only if proofs are needed.
@@ -121,6 +122,9 @@
 	if _, age, proven := i.freshness.Claim(); proven {
 		out.ProofAge = age.Milliseconds()
 	}
+	if catalog := i.directory.Catalog(); catalog != nil {
+		out.Workspaces = catalog.Workspaces()
+	}
 	now := i.options.Clock.Now()
 	for _, d := range i.databases.All() {
 		lead, _ := d.View().Lead()
