allotment: grant operations of workspaces from accounts on some instances

Cause: the allotment of a workspace counts on all instances together; nothing counted its operations. Change: accounts (token buckets) in each region on the instances that rank highest among all known ones; instances draw operations that expire; settings section allotment, events 620 to 622. dispatch.Allotments.Take returns how to give an operation back that was refused before anything was sent. No tests of its own yet; not measured yet.

--- /dev/null
+++ b/allotment/account.go
@@ -0,0 +1,67 @@
+package allotment
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shortageDecay is the time in which an account forgets most of what it has refused.
+	shortageDecay = time.Second
+	// maxPause is the longest time for which an account that has nothing to grant asks not to be asked.
+	maxPause = 500 * time.Millisecond
+)
+
+// Grant is the answer of an account.
+type Grant struct {
+	Granted int
+	// Lifetime is for how long the operations may be started after the request was sent.
+	Lifetime time.Duration
+	// After is when to ask again if fewer were granted than wanted.
+	After time.Duration
+	// Absent is set if the instance that was asked keeps no account of the workspace.
+	Absent bool
+}
+
+// Account grants a part of a workspace's allotment. It is an immutable value.
+type Account struct {
+	bucket bucket
+	// shortage counts the operations refused lately.
+	shortage float64
+}
+
+// NewAccount returns an account that starts at a time.
+func NewAccount(s Share, now time.Time) Account { return Account{bucket: newBucket(s, now)} }
+
+// WithShare returns the account with another share, which applies from now on.
+func (a Account) WithShare(s Share, now time.Time) Account {
+	a.bucket = a.bucket.withShare(s, now)
+	return a
+}
+
+// WithDraw returns the account after a request for operations, and the answer.
+func (a Account) WithDraw(wanted int, now time.Time) (Account, Grant) {
+	if elapsed := now.Sub(a.bucket.at); elapsed > 0 {
+		a.shortage *= math.Exp(-elapsed.Seconds() / shortageDecay.Seconds())
+	}
+	var granted int
+	a.bucket, granted = a.bucket.taken(wanted, now)
+	g := Grant{Granted: granted, Lifetime: a.bucket.share.Lifetime}
+	if granted < wanted {
+		a.shortage += float64(wanted - granted)
+		g.After = a.pause()
+	}
+	return a, g
+}
+
+// pause returns how long an instance that was refused should not ask again: longer the more others want, so that the requests of
+// a workspace that has used its allotment do not grow with its demand. It is short enough that what the account gains
+// meanwhile is not lost.
+func (a Account) pause() time.Duration {
+	s := a.bucket.share
+	if s.Rate <= 0 {
+		return maxPause
+	}
+	longest := min(maxPause.Seconds(), max(1, s.Capacity/2)/s.Rate)
+	return time.Duration(min(longest, (1-a.bucket.tokens+a.shortage)/s.Rate) * float64(time.Second))
+}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -66,6 +66,7 @@
 // that. The read is sent only once the begin has succeeded; sent together with a refused begin, it would run outside
 // the transaction.
 func (w *workItem) exchange(ctx context.Context, j job, c group.Choice, conn *connection.PooledConn) (*statement.Answer, error) {
+	w.giveBack = nil
 	deadline := w.attemptDeadline(!j.request.Writes, c)
 	steps := append(conn.SyncSettings(w.session.settings), j.prepare(conn)...)
 	index := len(steps)
@@ -182,6 +183,9 @@
 
 // refuse logs and returns the final answer to a statement that was given up without effect.
 func (w *workItem) refuse(r statement.Request, failure *verdict.Error) statement.Answer {
+	if w.giveBack != nil {
+		w.giveBack()
+	}
 	return w.finish(r, statement.Refusal(failure, statement.Idle))
 }
 
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -121,6 +121,7 @@
 // beginAndRun begins the transaction on its connection and runs the first statement. The statement is sent only once
 // the begin has succeeded; sent together with a refused begin, it would run outside the transaction.
 func (t *transaction) beginAndRun(ctx context.Context, w *workItem, j job, c group.Choice) (statement.Answer, error) {
+	w.giveBack = nil
 	deadline := w.attemptDeadline(true, t.choice)
 	steps := append(t.conn.SyncSettings(t.session.settings), j.prepare(t.conn)...)
 	opened, err := t.conn.Exchange(ctx, deadline, append(steps, t.beginStep(c))...)
--- a/dispatch/workitem.go
+++ b/dispatch/workitem.go
@@ -52,12 +52,14 @@
 	session *Session
 	// workspace is the session's, zero for none.
 	workspace config.Workspace
-	route     config.Route
-	database  *database.Database
-	class     limit.Class
-	query     group.Query
-	started   time.Time
-	deadline  time.Time
+	// giveBack returns the operation to the workspace's allotment, nil if there is none or something was sent to an endpoint.
+	giveBack func()
+	route    config.Route
+	database *database.Database
+	class    limit.Class
+	query    group.Query
+	started  time.Time
+	deadline time.Time
 	// attemptTimeout bounds one attempt of a read. latencyBudget is half of the route's target latency; it bounds an
 	// attempt of a read too, unless the endpoint is known to be slow, so that another endpoint can still answer within
 	// the target.
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -21,9 +21,10 @@
 
 // Allotments limits the operations of workspaces on all instances together.
 type Allotments interface {
-	// Take counts an operation of a workspace. It waits until deadline at most for an answer of the instance that keeps the
-	// workspace's account, and returns why the operation must not run, nil if it may.
-	Take(ctx context.Context, w config.Workspace, deadline time.Time) *verdict.Error
+	// Take counts an operation of a workspace. It waits until deadline at most for an answer of the instances that keep the
+	// workspace's accounts. It returns why the operation must not run, or else a function that gives it back if nothing of it was
+	// sent to an endpoint.
+	Take(ctx context.Context, w config.Workspace, deadline time.Time) (giveBack func(), refused *verdict.Error)
 }
 
 // needsAuthorization reports whether a statement may reach an endpoint, so that the caller's key must be valid.
@@ -95,5 +96,7 @@
 	if allotments == nil || w.workspace.Name == "" {
 		return nil
 	}
-	return allotments.Take(ctx, w.workspace, w.deadline)
+	var refused *verdict.Error
+	w.giveBack, refused = allotments.Take(ctx, w.workspace, w.deadline)
+	return refused
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -113,3 +113,10 @@
 	PeerRefused      = define(604, log.WarnLevel, "peer", "peer refused", "A connection between instances failed or was refused.")
 	PlacementChanged = define(605, log.InfoLevel, "member", "placement changed", "Another instance owns the endpoint from now on.")
 )
+
+// Allotment events, 620 to 629.
+var (
+	AccountOpened = define(620, log.InfoLevel, "allotment", "account opened", "This instance keeps an account of the workspace from now on: it grants rate operations per second, and up to capacity at once.")
+	AccountClosed = define(621, log.InfoLevel, "allotment", "account closed", "Another instance ranks higher for the account of the workspace; this one grants no more of its operations.")
+	AccountSilent = define(622, log.WarnLevel, "allotment", "account silent", "The instance at this address, which keeps an account of the workspace, did not answer; for a second operations are drawn from the others.")
+)
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -113,6 +113,9 @@
 		i.lender.Serve(ctx, loan, stream)
 		return false
 	}
+	if draw := first.GetDraw(); draw != nil {
+		return i.allotments.serve(draw, stream)
+	}
 	inquiry := first.GetInquiry()
 	if inquiry == nil {
 		return false
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -65,6 +65,7 @@
 	health       *health
 	// redistributor divides connections and coordinators again after changes of the live instances.
 	redistributor *redistributor
+	allotments    allotments
 	// era is the latest era of the store that the directory has, 0 before the first.
 	era atomic.Uint64
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
@@ -110,8 +111,10 @@
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
 		ShouldFollow: i.isFollower, OnChange: i.push,
 	})
+	i.startAllotments()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
+		Allotments: i.allotments.forDispatch(),
 	})
 	i.startCoordinators()
 	i.callers = caller.New(i.ctx, l.callers, caller.Options{
@@ -120,11 +123,16 @@
 	i.health = newHealth(i.ctx, l, i)
 }
 
+// self returns this instance without its incarnation.
+func (i *Instance) self() member.Instance {
+	s := i.options.Settings
+	return member.Instance{ID: s.Instance.ID, Address: s.Listen.Peers, Domain: s.Instance.Domain}
+}
+
 func (i *Instance) startMembers() {
-	o, s := i.options, i.options.Settings
-	self := member.Instance{
-		ID: s.Instance.ID, Address: s.Listen.Peers, Domain: s.Instance.Domain, Incarnation: uint64(time.Now().UnixNano()),
-	}
+	o := i.options
+	self := i.self()
+	self.Incarnation = uint64(time.Now().UnixNano())
 	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
@@ -253,6 +261,7 @@
 func (i *Instance) wait() {
 	<-i.callers.Done()
 	<-i.dispatcher.Done()
+	i.allotments.wait()
 	<-i.members.Done()
 	<-i.redistributor.done
 	<-i.directory.Done()
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -18,7 +18,7 @@
 	{"config", "peer", "certificate", "queue", "standin/history", "logs"},
 	{"settings", "connection", "group", "directory"},
 	{"route", "member", "pool", "revision", "database", "platform/protocol", "platform/records"},
-	{"failover", "entry", "dispatch", "succession", "coordinator", "loan"},
+	{"failover", "entry", "dispatch", "succession", "coordinator", "loan", "allotment"},
 	{"instance", "caller", "platform/promotion", "simulation"},
 	{"standin/link", "load", "hosted"},
 	{"standin/group"},
@@ -34,6 +34,8 @@
 var pureFiles = []string{
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
+	"allotment/bounds.go", "allotment/share.go", "allotment/bucket.go", "allotment/account.go", "allotment/balance.go", "allotment/standing.go",
+	"allotment/order.go", "allotment/ask.go", "allotment/demand.go", "allotment/pauses.go", "allotment/desk.go",
 }
 
 func layerIndex(path string) int {
--- a/member/driver.go
+++ b/member/driver.go
@@ -103,6 +103,9 @@
 	lastOwner map[string]string
 	// placement ranks the live instances as of version.
 	placement *Placement
+	// known ranks the known instances as of knownVersion.
+	known        *Placement
+	knownVersion uint64
 }
 
 // New starts a driver that stops when ctx ends.
--- a/member/roster.go
+++ b/member/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 
 	"github.com/apex/log"
@@ -28,6 +29,8 @@
 	logger *event.Logger
 	// registeredEra is one more than the store's era in which this instance was found to be listed, 0 if it was not.
 	registeredEra atomic.Uint64
+	// wasRead is set once the list was read, and wasListed if this instance was in it before it registered itself.
+	wasRead, wasListed atomic.Bool
 }
 
 // NewRoster returns the roster as read and written by the instance self.
@@ -48,14 +51,19 @@
 // store can serve their reads but not as many writes.
 func (r *Roster) List(ctx context.Context) ([]Instance, error) {
 	out, era, err := r.read(ctx)
-	if err != nil || r.registeredEra.Load() == era+1 {
-		return out, err
+	if err != nil {
+		return nil, err
 	}
-	for _, i := range out {
-		if i.ID == r.self.ID && i.Address == r.self.Address && i.Domain == r.self.Domain {
-			r.registeredEra.Store(era + 1)
-			return out, nil
-		}
+	listed := r.lists(out)
+	if r.wasRead.CompareAndSwap(false, true) {
+		r.wasListed.Store(listed)
+	}
+	if r.registeredEra.Load() == era+1 {
+		return out, nil
+	}
+	if listed {
+		r.registeredEra.Store(era + 1)
+		return out, nil
 	}
 	if err := r.register(ctx); err != nil {
 		return nil, err
@@ -64,6 +72,15 @@
 	return out, err
 }
 
+func (r *Roster) lists(list []Instance) bool {
+	return slices.ContainsFunc(list, func(i Instance) bool {
+		return i.ID == r.self.ID && i.Address == r.self.Address && i.Domain == r.self.Domain
+	})
+}
+
+// WasListed reports whether this instance was listed before it started, as after a restart.
+func (r *Roster) WasListed() bool { return r.wasListed.Load() }
+
 // read returns the listed instances and the store's era.
 func (r *Roster) read(ctx context.Context) ([]Instance, uint64, error) {
 	page, err := store.Scan(ctx, r.rows, rosterTable, "", "")
--- a/member/table.go
+++ b/member/table.go
@@ -36,6 +36,8 @@
 	farTurns    int
 	nextPartner int
 	version     uint64
+	// knownVersion increases whenever the known instances or their states change.
+	knownVersion uint64
 	// partnerIDs are the partners' IDs, nil if they have to be ranked again.
 	partnerIDs []string
 	// presumesUnproven is set if unproven instances take part in the placement until they miss a heartbeat.
@@ -118,6 +120,7 @@
 func (t *Table) MarkLeaving(now time.Time) {
 	t.self = t.self.WithState(Leaving, now)
 	t.version++
+	t.knownVersion++
 }
 
 // ApplyRoster adds the unknown instances of the roster as unproven, and replaces known ones that have never answered and
@@ -143,6 +146,7 @@
 			delete(t.instances, id)
 			delete(t.urgent, id)
 			t.partnerIDs = nil
+			t.knownVersion++
 		}
 	}
 }
@@ -161,6 +165,7 @@
 		return
 	}
 	t.partnerIDs = nil
+	t.knownVersion++
 	t.instances[r.ID] = Instance{ID: r.ID, Address: r.Address, Domain: r.Domain, State: Unproven, Since: now}
 	if t.presumesUnproven {
 		t.version++
@@ -185,6 +190,9 @@
 	if !ok {
 		t.partnerIDs = nil
 	}
+	if known.Address != from.Address {
+		t.knownVersion++
+	}
 	wasPlaced := ok && t.placed(known)
 	next := from
 	next.Since = known.Since
@@ -224,6 +232,7 @@
 	if i.State == before && !moved {
 		return nil
 	}
+	t.knownVersion++
 	if moved {
 		t.version++
 	}
--- a/settings/change.go
+++ b/settings/change.go
@@ -38,6 +38,7 @@
 	{"log", true, func(s *Settings) any { return &s.Log }},
 	{"drain", true, func(s *Settings) any { return &s.Drain }},
 	{"failover", false, func(s *Settings) any { return &s.Failover }},
+	{"allotment", false, func(s *Settings) any { return &s.Allotment }},
 	{"tls", false, func(s *Settings) any { return &s.TLS }},
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,6 +21,7 @@
 	Drain     Drain             `toml:"drain"`
 	Failover  Failover          `toml:"failover"`
 	TLS       TLS               `toml:"tls"`
+	Allotment Allotment         `toml:"allotment"`
 }
 
 // Default returns the default settings.
@@ -49,6 +50,7 @@
 	s.Drain.check(c)
 	s.Failover.check(c)
 	s.TLS.check(c)
+	s.Allotment.check(c)
 	return s, d, c.problems
 }
 
