--- a/member/table.go
+++ b/member/table.go
@@ -38,6 +38,8 @@
 	turns       map[meter.Distance]int
 	nextPartner int
 	version     uint64
+	// knownVersion increases whenever the known instances or their states change.
+	knownVersion uint64
 	// partnerIDs are the partners' IDs, nil if they have to be ranked again.
 	partnerIDs []string
 	// presumesUnproven is set if unproven instances take part in the placement until they miss a heartbeat.
@@ -121,6 +123,7 @@
 func (t *Table) MarkLeaving(now time.Time) {
 	t.self = t.self.WithState(Leaving, now)
 	t.version++
+	t.knownVersion++
 }
 
 // ApplyRoster adds the unknown instances of the roster as unproven, and replaces known ones that have never answered and
@@ -146,6 +149,7 @@
 			delete(t.instances, id)
 			delete(t.urgent, id)
 			t.partnerIDs = nil
+			t.knownVersion++
 		}
 	}
 }
@@ -164,6 +168,7 @@
 		return
 	}
 	t.partnerIDs = nil
+	t.knownVersion++
 	t.instances[r.ID] = Instance{ID: r.ID, Address: r.Address, Domain: r.Domain, State: Unproven, Since: now}
 	if t.presumesUnproven {
 		t.version++
@@ -188,6 +193,9 @@
 	if !ok {
 		t.partnerIDs = nil
 	}
+	if known.Address != from.Address {
+		t.knownVersion++
+	}
 	wasPlaced := ok && t.placed(known)
 	next := from
 	next.Since = known.Since
@@ -227,6 +235,7 @@
 	if i.State == before && !moved {
 		return nil
 	}
+	t.knownVersion++
 	if moved {
 		t.version++
 	}
--- a/settings/change.go
+++ b/settings/change.go
@@ -39,6 +39,7 @@
 	{"drain", true, func(s *Settings) any { return &s.Drain }},
 	{"failover", false, func(s *Settings) any { return &s.Failover }},
 	{"keys", true, func(s *Settings) any { return &s.Keys }},
+	{"allotment", false, func(s *Settings) any { return &s.Allotment }},
 	{"tls", false, func(s *Settings) any { return &s.TLS }},
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,7 @@
 	Failover  Failover          `toml:"failover"`
 	TLS       TLS               `toml:"tls"`
 	Keys      Keys              `toml:"keys"`
+	Allotment Allotment         `toml:"allotment"`
 }
 
 // Default returns the default settings.
@@ -51,6 +52,7 @@
 	s.Failover.check(c)
 	s.TLS.check(c)
 	s.Keys.check(c)
+	s.Allotment.check(c)
 	return s, d, c.problems
 }
 
