--- a/allotment/desk.go
+++ b/allotment/desk.go
@@ -171,7 +171,7 @@
 const (
 	// absentPause is how long an instance is not asked that keeps no account; views of the instances soon agree again.
 	absentPause = 100 * time.Millisecond
-	// silencePause is how long an instance is not asked that did not answer.
-	silencePause = time.Second
+	// silencePause is how long an instance is not asked that did not answer. Heartbeats tell soon whether it is dead.
+	silencePause = 300 * time.Millisecond
 	minPause     = time.Millisecond
 )
--- a/allotment/keeper.go
+++ b/allotment/keeper.go
@@ -25,6 +25,8 @@
 
 	mu       sync.Mutex
 	accounts map[string]Account
+	// reviewed is set once the accounts were reviewed with a configuration and the roster.
+	reviewed bool
 }
 
 // NewKeeper starts a keeper that stops when ctx ends.
@@ -39,8 +41,11 @@
 
 func (k *Keeper) reviewLoop(ctx context.Context) {
 	defer close(k.done)
-	for clock.Wait(ctx, k.options.Clock, reviewInterval) == nil {
+	for {
 		k.review()
+		if clock.Wait(ctx, k.options.Clock, reviewInterval) != nil {
+			return
+		}
 	}
 }
 
@@ -58,16 +63,18 @@
 			probes[i.Address] = true
 		}
 	}
-	k.closeRemoved(catalog)
+	k.endReview(catalog)
 	for address := range probes {
 		k.options.Members.ProbeSoon(address)
 	}
 }
 
-// closeRemoved closes the accounts of workspaces that are no longer configured.
-func (k *Keeper) closeRemoved(catalog *config.Catalog) {
+// endReview closes the accounts of workspaces that are no longer configured.
+func (k *Keeper) endReview(catalog *config.Catalog) {
+	_, rosterKnown := k.options.Members.InstanceCount()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.reviewed = k.reviewed || rosterKnown
 	for name := range k.accounts {
 		if _, ok := catalog.Workspace(name); !ok {
 			delete(k.accounts, name)
@@ -93,7 +100,7 @@
 	a, open := k.accounts[w.Name]
 	switch {
 	case kept && !open:
-		k.accounts[w.Name] = NewAccount(share, now)
+		k.accounts[w.Name] = NewAccount(share, k.since(standing, now))
 		o.Logger.Log(event.AccountOpened, log.Fields{"workspace": w.Name, "rate": share.Rate, "capacity": share.Capacity})
 	case kept && a.bucket.share != share:
 		k.accounts[w.Name] = a.WithShare(share, now)
@@ -104,6 +111,15 @@
 	return kept, unmet
 }
 
+// since returns from when on an account that is opened now gains operations: from the start if it was this instance's before, as
+// nothing else has granted any since then.
+func (k *Keeper) since(s Standing, now time.Time) time.Time {
+	if s.Listed && !k.reviewed {
+		return k.started
+	}
+	return now
+}
+
 // region returns the region whose accounts this instance may keep.
 func (k *Keeper) region() string {
 	if len(k.options.Regions) == 1 {
--- a/allotment/share.go
+++ b/allotment/share.go
@@ -8,9 +8,9 @@
 
 const (
 	// maxAccountsPerRegion bounds the accounts of a workspace in a region, and minAccountRate, in operations per second, is what
-	// each further account must get.
+	// each further account must get. Several accounts are unlikely to be lost, or cut off from an instance, all at once.
 	maxAccountsPerRegion = 2
-	minAccountRate       = 4
+	minAccountRate       = 0.5
 	// minCapacity is how many operations an account should hold, so that two at once are not refused.
 	minCapacity = 2
 	// A granted operation should be valid for several round trips between regions, and not so long that those that an instance
@@ -19,10 +19,10 @@
 	maxLifetime = 500 * time.Millisecond
 	// reserveShare and lifetimeShare are the parts of the overage and the tolerance that are set aside for accounts that start
 	// anew, and for operations granted before a window and started in it.
-	reserveShare  = 0.5
+	reserveShare  = 0.35
 	lifetimeShare = 0.25
-	// restartsPerWindow is how many times in a window the reserve lets every account start with one operation.
-	restartsPerWindow = 4
+	// restartsPerWindow is how many times in a window the reserve lets every account start anew.
+	restartsPerWindow = 2
 )
 
 // Share is the part of a workspace's allotment that each of its accounts grants.
@@ -54,8 +54,6 @@
 	perAccount := (b.Allowed(w) - reserveShare*slack) / accounts
 	out.Capacity = max(min(w.Burst/accounts, perAccount), min(minCapacity, perAccount/2))
 	out.Rate = max(0, min(w.Rate, (perAccount-out.Capacity)/(b.Window+out.Lifetime).Seconds()))
-	if reserveShare*slack >= restartsPerWindow*accounts {
-		out.Initial = min(1, out.Capacity)
-	}
+	out.Initial = min(out.Capacity, reserveShare*slack/(restartsPerWindow*accounts))
 	return out
 }
