--- a/connection/connect.go
+++ b/connection/connect.go
@@ -25,6 +25,8 @@
 	// directRetryDelay is how long a detour is preferred after the direct path failed. Outages of a few seconds are
 	// common.
 	directRetryDelay = 3 * time.Second
+	// openTimeSmoothing is the weight of the newest sample in the mean time to open a connection.
+	openTimeSmoothing = 0.1
 )
 
 // connect opens a connection directly, or through another instance first if the direct path failed recently.
@@ -106,3 +108,12 @@
 	}
 	return conn, err
 }
+
+// recordOpenTime updates the mean time to open a connection. p.mu must be held.
+func (p *Pool) recordOpenTime(took time.Duration) {
+	if p.openTime == 0 {
+		p.openTime = took
+		return
+	}
+	p.openTime += time.Duration(openTimeSmoothing * float64(took-p.openTime))
+}
--- a/connection/patience.go
+++ b/connection/shortage.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// openTimeSmoothing is the weight of the newest sample in the mean time to open a connection.
-const openTimeSmoothing = 0.1
-
 // shortage describes a statement that finds no idle connection of its workspace.
 type shortage struct {
 	// serviceTime is the mean time for which a statement uses a connection, and openTime the mean time to open one, 0 if
@@ -35,12 +32,3 @@
 	}
 	return cost
 }
-
-// recordOpenTime updates the mean time to open a connection. p.mu must be held.
-func (p *Pool) recordOpenTime(took time.Duration) {
-	if p.openTime == 0 {
-		p.openTime = took
-		return
-	}
-	p.openTime += time.Duration(openTimeSmoothing * float64(took-p.openTime))
-}
--- a/database/registry_test.go
+++ b/database/registry_test.go
@@ -56,3 +56,47 @@
 		}
 	})
 }
+
+func TestDivideByWorkspace(t *testing.T) {
+	tests := map[string]struct {
+		connections, slots, instances int
+		want                          Share
+	}{
+		"instances unknown":         {connections: 112, slots: 4, want: Share{Limit: 2, ByWorkspace: true}},
+		"two instances":             {connections: 112, slots: 4, instances: 2, want: Share{Limit: 47, ByWorkspace: true}},
+		"three instances":           {connections: 112, slots: 4, instances: 3, want: Share{Holders: 3, Limit: 27, InFlight: 4, ByWorkspace: true}},
+		"shares of five each":       {connections: 112, slots: 4, instances: 18, want: Share{Holders: 5, Limit: 18, InFlight: 3, ByWorkspace: true}},
+		"many instances":            {connections: 112, slots: 4, instances: 144, want: Share{Holders: 5, Limit: 18, InFlight: 3, ByWorkspace: true}},
+		"few connections":           {connections: 24, slots: 3, instances: 40, want: Share{Holders: 2, Limit: 6, InFlight: 5, ByWorkspace: true}},
+		"one connection":            {connections: 1, instances: 40, want: Share{Holders: 1, Limit: 1, ByWorkspace: true}},
+		"holders limited by slots":  {connections: 400, slots: 2, instances: 144, want: Share{Holders: 4, Limit: 79, InFlight: 2, ByWorkspace: true}},
+		"number of slots not known": {connections: 112, instances: 144, want: Share{Holders: 5, Limit: 18, ByWorkspace: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(test.want, DivideByWorkspace(test.connections, test.slots, test.instances)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestDivideByWorkspaceWithin guards against TOOMANY when a holder loses power: its connections still count while its successor
+// opens as many, and the reserve stays free.
+func TestDivideByWorkspaceWithin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.IntRange(12, 1000).Draw(t, "connections")
+		instances := rapid.IntRange(3, 4000).Draw(t, "instances")
+		slots := rapid.IntRange(0, 64).Draw(t, "slots")
+		s := DivideByWorkspace(connections, slots, instances)
+		if s.Holders < min(minHolders, instances) || s.Holders > instances || s.Limit < 1 {
+			t.Fatalf("invalid share %+v", s)
+		}
+		if most := (s.Holders + 1) * s.Limit; most > connections-minConnectionReserve {
+			t.Fatalf("%d connections may be open at once beside a lost holder's: got %+v", most, s)
+		}
+		if s.Holders*s.InFlight < slots {
+			t.Fatalf("all holders together have %d statements in flight at %d slots: got %+v", s.Holders*s.InFlight, slots, s)
+		}
+	})
+}
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -34,6 +34,7 @@
 var pureFiles = []string{
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
+	"connection/flight.go", "connection/shortage.go", "connection/usage.go", "connection/victim.go",
 }
 
 func layerIndex(path string) int {
--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -49,6 +49,8 @@
 	// handshake is counted as rejected but waits for a slot all the same.
 	Arrivals int
 	Rejected int
+	// Opened counts the connections opened, Open those that are open or being opened, and MostOpen is the greatest number of them.
+	Opened, Open, MostOpen int
 }
 
 func (e *Endpoint) start(g *Group, seed uint64) {
@@ -169,6 +171,15 @@
 	}
 }
 
+// countOpen counts connections that are opened or closed.
+func (e *Endpoint) countOpen(delta int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Opened += max(delta, 0)
+	e.Open += delta
+	e.MostOpen = max(e.MostOpen, e.Open)
+}
+
 // Dialer connects to the endpoints of a group.
 type Dialer struct{ Group *Group }
 
@@ -186,10 +197,12 @@
 			time.Sleep(e.RoundTrip)
 			return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "connection refused")
 		}
+		e.countOpen(1)
 		time.Sleep(2 * e.RoundTrip)
 		deadline, _ := ctx.Deadline()
 		e.enqueue()
 		if err := e.execute(ctx, deadline, down, e.Handshake); err != nil {
+			e.countOpen(-1)
 			return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "connecting failed").WithCause(err)
 		}
 		return &conn{endpoint: e, endpointDown: down, closed: make(chan struct{})}, nil
@@ -236,7 +249,12 @@
 }
 
 // Close ends the connection.
-func (c *conn) Close() { c.once.Do(func() { close(c.closed) }) }
+func (c *conn) Close() {
+	c.once.Do(func() {
+		close(c.closed)
+		c.endpoint.countOpen(-1)
+	})
+}
 
 // Exchange runs the steps in order.
 func (c *conn) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
--- a/simulation/holders_test.go
+++ b/simulation/holders_test.go
@@ -28,7 +28,7 @@
 	for range share.Holders {
 		h.pools = append(h.pools, connection.New(connection.Options{
 			Endpoint: config.Endpoint{Name: e.Name}, Dialer: Dialer{Group: e.group}, Clock: clock.System{}, Logger: event.Discard(),
-			Limit: share.Limit, InFlight: share.InFlight, Context: ctx,
+			Limit: share.Limit, InFlight: share.InFlight, ByWorkspace: share.ByWorkspace, Context: ctx,
 		}))
 	}
 	return h
