--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -86,6 +86,11 @@
 func (p *Pool) tryReserve(w *waiter) (bool, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(w.released) == 0 && !p.options.ByWorkspace {
+		if h := p.takeIdle(w.demand); h != nil {
+			w.released <- h
+		}
+	}
 	if len(w.released) > 0 || !p.reserve(w.demand.Workspace) {
 		return false, p.placeFreed
 	}
@@ -150,8 +155,11 @@
 }
 
 // handOver passes a released connection to the first statement that waits for one of its workspace, and returns false if none
-// does. p.mu must be held.
+// does. Without workspaces that statement takes it as soon as it may open one. p.mu must be held.
 func (p *Pool) handOver(h *PooledConn) bool {
+	if !p.options.ByWorkspace {
+		return false
+	}
 	for _, w := range p.waiters {
 		if w.demand.Workspace == h.workspace {
 			p.removeWaiter(w)
