--- a/connection/place.go
+++ b/connection/place.go
@@ -79,6 +79,9 @@
 
 // notifyPlaceFreed wakes the statements that wait until a connection may be opened. p.mu must be held.
 func (p *Pool) notifyPlaceFreed() {
+	if len(p.waiters) == 0 {
+		return
+	}
 	close(p.placeFreed)
 	p.placeFreed = make(chan struct{})
 }
--- a/hosted/detour.go
+++ b/hosted/detour.go
@@ -117,7 +117,10 @@
 	if !ok {
 		return
 	}
-	pool, ok := d.Pool(request.GetEndpoint())
+	pool, ok := d.Held(request.GetEndpoint())
+	if !ok {
+		pool, ok = d.Pool(request.GetEndpoint())
+	}
 	if !ok || !pool.ReachableDirectly() {
 		return
 	}
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -238,31 +238,40 @@
 		return
 	}
 	for i, a := range answers {
-		switch {
-		case a.Failure == nil || a.Failure.Verdict != verdict.NotRun:
+		if a.Failure == nil || !isHolderRefusal(a.Failure) {
 			continue
-		case a.Failure.Reason == verdict.Unreachable:
+		}
+		if a.Failure.Reason == verdict.Unreachable {
 			c.health.recordUnreachable(c.holder, c.endpoint)
 			c.retire()
-		case a.Failure.Reason != verdict.Leaving:
-			continue
 		}
 		if c.otherHolder() {
+			loansRefused.Inc()
 			answers[i].Failure = a.Failure.WithCause(errors.Mark(errors.Wrap(a.Failure, c.holder), connection.ErrLender))
 		}
 	}
 }
 
-// noteCrowding ends the loan after this exchange if the workspace should use another holder.
+// isHolderRefusal reports whether a holder refused a step because it can't reach the endpoint or does not lend its connections.
+func isHolderRefusal(failure *verdict.Error) bool {
+	return failure.Verdict == verdict.NotRun && (failure.Reason == verdict.Unreachable || failure.Reason == verdict.Leaving)
+}
+
+// noteCrowding ends the loan after this exchange if the workspace's statements are to be spread, or to meet at its first holder
+// again.
 func (c *Conn) noteCrowding(crowded bool) {
 	if c.spread == nil {
 		return
 	}
-	now := c.clock.Now()
-	moved := crowded && c.spread.recordCrowding(c.endpoint, c.workspace)
-	if moved || !c.returnAt.IsZero() && !now.Before(c.returnAt) {
-		c.retire()
+	switch {
+	case crowded && c.spread.recordCrowding(c.endpoint, c.workspace):
+		loansCrowded.Inc()
+	case !c.returnAt.IsZero() && !c.clock.Now().Before(c.returnAt):
+		loansReturned.Inc()
+	default:
+		return
 	}
+	c.retire()
 }
 
 // await returns the results, or nil if the connection failed or the remaining time passed before they arrived.
