--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -38,6 +38,7 @@
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "directory/endpointfeed.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
 	"allotment/bounds.go", "allotment/share.go", "allotment/bucket.go", "allotment/account.go", "allotment/balance.go", "allotment/standing.go",
 	"allotment/order.go", "allotment/ask.go", "allotment/demand.go", "allotment/pauses.go", "allotment/desk.go",
+	"connection/flight.go", "connection/shortage.go", "connection/usage.go", "connection/victim.go",
 }
 
 func layerIndex(path string) int {
