--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -22,6 +22,7 @@
 	"siskincove/platform/rows"
 	"siskincove/settings"
 	"siskincove/standin/hosting"
+	"siskincove/store"
 )
 
 // deployment is a deployment on loopback, all in this process: stand-ins for the platform's services and endpoints, and
@@ -33,6 +34,9 @@
 	promotion *hosting.Promotion
 	instances []*Instance
 	addresses []string
+	// withdrawal is the bound on the withdrawal of keys for instances that start, and rows what they use as the store, if set.
+	withdrawal time.Duration
+	rows       func(instance int, rows store.Rows) store.Rows
 }
 
 // newDeployment starts a group of three endpoints and the given number of instances, and waits until they are ready.
@@ -111,9 +115,14 @@
 	s.Listen = settings.Listen{Callers: ip + ":7101", Peers: ip + ":7102", Health: ip + ":7103", Metrics: ip + ":7104", Seeds: seeds}
 	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
 	s.Drain.Endpoint = document.Duration(7 * time.Second)
+	s.Keys.Withdrawal = document.Duration(d.withdrawal)
 	clk := clock.Boot{}
+	var rowStore store.Rows = rows.New(d.store.Address())
+	if d.rows != nil {
+		rowStore = d.rows(n, rowStore)
+	}
 	i, err := New(context.Background(), Options{
-		Settings: s, Clock: clk, Logger: testLogger(), Rows: rows.New(d.store.Address()), Decoder: records.Decoder{},
+		Settings: s, Clock: clk, Logger: testLogger(), Rows: rowStore, Decoder: records.Decoder{},
 		Dialer: protocol.Dialer{Clock: clk}, Promoter: promotion.New(d.promotion.Address(), s.Instance.ID),
 		Protocol: func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
 	})
