--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -24,6 +24,8 @@
 	// openTimeout is how long a caller waits for the first configuration; callers give up after 2 s.
 	openTimeout      = 1600 * time.Millisecond
 	openPollInterval = 20 * time.Millisecond
+	// proofTimeout is how long a caller waits for the proof that the configuration is the newest, which arrives soon if at all.
+	proofTimeout = 400 * time.Millisecond
 )
 
 // preparedStatement is a statement that the caller has prepared. endpointName is its name on connections to endpoints, and
@@ -54,14 +56,21 @@
 func (d *Dispatcher) Open(ctx context.Context, p statement.StartupParameters) (*Session, *verdict.Error) {
 	salt := strconv.FormatUint(d.sessionCount.Add(1), 36)
 	s := &Session{dispatcher: d, routeName: p.Database, salt: salt, key: config.HashKey(p.User)}
-	deadline := d.now().Add(openTimeout)
+	deadline, unproven := d.now().Add(openTimeout), false
 	for {
 		refused := s.authorize()
-		if refused == nil {
+		switch {
+		case refused == nil:
 			return s, nil
+		case refused.Reason == verdict.Unproven && !unproven:
+			unproven = true
+			if proofDeadline := d.now().Add(proofTimeout); proofDeadline.Before(deadline) {
+				deadline = proofDeadline
+			}
+		case refused.Reason != verdict.Unproven && refused.Reason != verdict.Unconfigured:
+			return nil, refused
 		}
-		waits := refused.Reason == verdict.Unconfigured || refused.Reason == verdict.Unproven
-		if !waits || !d.now().Before(deadline) || ctx.Err() != nil {
+		if !d.now().Before(deadline) || ctx.Err() != nil {
 			return nil, refused
 		}
 		_ = clock.Wait(ctx, d.options.Clock, openPollInterval)
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -88,6 +88,9 @@
 	switch {
 	case !ok && route.Anonymous:
 		return config.Workspace{}, nil
+	case !ok && unproven != nil:
+		// A newer configuration may have the key.
+		return config.Workspace{}, unproven
 	case !ok:
 		return config.Workspace{}, verdict.New(verdict.NotRun, verdict.Unauthorized, "no workspace holds the key")
 	default:
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -41,6 +41,8 @@
 	Rank() (rank int, head bool)
 	// Peers returns the addresses of the peers to ask, in order.
 	Peers() []string
+	// Split reports whether many instances do not answer this one, so that they may have a proof that it can't get.
+	Split() bool
 	// AskPeer asks the peer at an address; proofs in its answer are passed to Keeper.Record.
 	AskPeer(ctx context.Context, address string) error
 	// AskStore asks the store; the proof that its answer gives is passed to Keeper.RecordRead.
@@ -57,8 +59,8 @@
 	// InForce returns the operator's version of the configuration in force, 0 for none.
 	InForce func() uint64
 	Sources Sources
-	// OnIsolated is called when the instance has no valid proof and no peer answers, so that others may serve its callers, and
-	// when that ends. Calls do not overlap.
+	// OnIsolated is called when the instance has no valid proof and is cut off from instances that may have one and serve its callers,
+	// and when that ends. Calls do not overlap.
 	OnIsolated func(isolated bool)
 }
 
@@ -263,12 +265,14 @@
 
 // observe logs when the instance starts or stops refusing statements, and reports when it becomes isolated or stops to be.
 func (k *Keeper) observe(s Situation) {
+	split := k.options.Sources.Split()
 	k.mu.Lock()
 	refused, wasIsolated := k.refusing, k.isolated
 	now := k.options.Clock.Now()
+	silent := !k.within(&k.heardAt, now, isolatedAfter)
 	starting := s.Starting || !s.Proven && now.Sub(k.startedAt) < startGrace
 	k.refusing = !starting && (!s.Proven || s.Age >= s.Limits.Serve)
-	k.isolated = k.refusing && !k.within(&k.heardAt, now, isolatedAfter)
+	k.isolated = k.refusing && (silent || split)
 	refuses, isolated := k.refusing, k.isolated
 	k.mu.Unlock()
 	fields := log.Fields{"version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -13,14 +13,14 @@
 	idleShare = 0.5
 	// headShare is the share of the limit from which the head of a failure domain asks its peers, and askShare the one from which the
 	// others of that domain ask it. An outage of the store is to be bridged for 0.6 of the bound, so they must stay below a third.
-	headShare = 0.2
-	askShare  = 0.3
+	headShare = 0.24
+	askShare  = 0.32
 	// standInShare is the share of the limit from which the next instance asks the store too, and stepShare what is added before each
 	// further one does.
-	standInShare = 0.34
+	standInShare = 0.36
 	stepShare    = 0.03
 	// intervalShare is the time between two questions to the store of the instance that asks it for all, as a share of the limit.
-	intervalShare = 0.17
+	intervalShare = 0.2
 )
 
 const (
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -16,6 +16,10 @@
 	proverTask = "prover"
 	// rankedProvers is how many instances are ranked; the others share the last rank.
 	rankedProvers = 16
+	// splitShare is the divisor of the number of instances of which more must have died within splitDuration for a partition. Retries
+	// of dead instances renew the time.
+	splitShare    = 5
+	splitDuration = 30 * time.Second
 	// askedProvers is how many of the first provers an instance asks.
 	askedProvers = 3
 )
@@ -123,6 +127,18 @@
 	return out
 }
 
+// Split reports whether many instances have died lately, as a partition looks from one side.
+func (p provers) Split() bool {
+	all, lost := p.instance.members.Instances(), 0
+	now := p.instance.options.Clock.Now()
+	for _, m := range all {
+		if m.State == member.Dead && now.Sub(m.Since) < splitDuration {
+			lost++
+		}
+	}
+	return lost*splitShare > len(all)
+}
+
 // AskPeer asks a peer for its directory, with which it sends its proof.
 func (p provers) AskPeer(ctx context.Context, address string) error {
 	offer, err := p.instance.inquire(ctx, address, p.instance.directory.Versions(), true)
