--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -28,8 +28,10 @@
 	// storeTimeout and peerTimeout bound one question.
 	storeTimeout = 700 * time.Millisecond
 	peerTimeout  = 200 * time.Millisecond
-	// retryAfter is when a refused caller should try again.
-	retryAfter = 500 * time.Millisecond
+	// retrySoon and retryLater are when a refused caller should try again: soon if the instance has just noticed that its proof is too
+	// old, as after a suspension, since peers answer at once.
+	retrySoon  = 100 * time.Millisecond
+	retryLater = time.Second
 )
 
 var ages = metrics.NewHistogram("siskincove_proof_age_seconds")
@@ -129,15 +131,27 @@
 	if proven && proof.Age(now) < NewLimits(withdrawal).Serve {
 		return nil
 	}
+	return verdict.New(verdict.NotRun, verdict.Unproven, "no proof that the configuration is the newest%s", describe(proof, proven, now)).
+		WithRetryAfter(k.retryAfter())
+}
+
+// retryAfter returns when a refused caller should try again. It makes the keeper ask at once if that has not noticed yet that statements
+// are refused.
+func (k *Keeper) retryAfter() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.refusing {
+		return retryLater
+	}
 	k.Wake()
-	return verdict.New(verdict.NotRun, verdict.Unproven, "no proof that the configuration is the newest%s", describe(proof, proven, now)).WithRetryAfter(retryAfter)
+	return retrySoon
 }
 
 func describe(p Proof, proven bool, now time.Time) string {
 	if !proven {
 		return ""
 	}
-	return fmt.Sprintf(" since %s ago", p.Age(now).Round(time.Millisecond))
+	return fmt.Sprintf(" for %s", p.Age(now).Round(time.Millisecond))
 }
 
 // Ready reports whether the instance is able to serve callers for some time.
@@ -218,6 +232,7 @@
 	for ctx.Err() == nil {
 		withdrawal := k.options.Withdrawal()
 		if withdrawal == 0 {
+			k.setState(false, false, log.Fields{})
 			select {
 			case <-ctx.Done():
 			case <-k.woken:
@@ -249,6 +264,7 @@
 		Starting: k.options.InForce() == 0, Proven: proven, Age: proof.Age(now), Limits: limits, Used: k.within(&k.usedAt, now, usedDuration),
 	}
 	s.Rank, s.Head = k.options.Sources.Rank()
+	s.Alone = !k.within(&k.heardAt, now, isolatedAfter)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s.Store = Inquiry{Open: k.askingStore, Since: now.Sub(k.startedAt) - time.Duration(k.storeAskedAt.Load())}
@@ -263,22 +279,25 @@
 	return marked >= 0 && now.Sub(k.startedAt)-time.Duration(marked) <= d
 }
 
-// observe logs when the instance starts or stops refusing statements, and reports when it becomes isolated or stops to be.
+// observe determines whether the instance refuses statements and is isolated.
 func (k *Keeper) observe(s Situation) {
-	split := k.options.Sources.Split()
-	k.mu.Lock()
-	refused, wasIsolated := k.refusing, k.isolated
-	now := k.options.Clock.Now()
-	silent := !k.within(&k.heardAt, now, isolatedAfter)
-	starting := s.Starting || !s.Proven && now.Sub(k.startedAt) < startGrace
-	k.refusing = !starting && (!s.Proven || s.Age >= s.Limits.Serve)
-	k.isolated = k.refusing && (silent || split)
-	refuses, isolated := k.refusing, k.isolated
-	k.mu.Unlock()
-	fields := log.Fields{"version": k.options.InForce(), "rank": s.Rank, "isolated": isolated}
+	starting := s.Starting || !s.Proven && k.options.Clock.Now().Sub(k.startedAt) < startGrace
+	refuses := !starting && (!s.Proven || s.Age >= s.Limits.Serve)
+	fields := log.Fields{"version": k.options.InForce(), "rank": s.Rank}
 	if s.Proven {
 		fields["age"] = s.Age.String()
 	}
+	k.setState(refuses, refuses && (s.Alone || k.options.Sources.Split()), fields)
+}
+
+// setState records and logs when the instance starts or stops to refuse statements, and reports when it becomes isolated or stops
+// to be.
+func (k *Keeper) setState(refuses, isolated bool, fields log.Fields) {
+	k.mu.Lock()
+	refused, wasIsolated := k.refusing, k.isolated
+	k.refusing, k.isolated = refuses, isolated
+	k.mu.Unlock()
+	fields["isolated"] = isolated
 	switch {
 	case refuses && (!refused || isolated != wasIsolated):
 		k.options.Logger.Log(event.ProofLost, fields)
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -33,6 +33,9 @@
 	maxWait = time.Second
 )
 
+// Provers is how many instances are ranked for asking the store.
+const Provers = 16
+
 // Limits are the ages of a proof that follow from the withdrawal bound.
 type Limits struct {
 	// Serve is the age from which statements are refused, Ready the one from which the instance is not ready for callers.
@@ -80,10 +83,12 @@
 	Limits Limits
 	// Used is set if callers have needed a proof recently.
 	Used bool
-	// Rank is this instance's place, from 0, among those that ask the store. Head is set if it asks peers of other failure domains
-	// for its own.
-	Rank  int
-	Head  bool
+	// Rank is this instance's place, from 0, among the Provers instances that ask the store, and Provers for all others. Head is set
+	// if it asks peers of other failure domains for its own.
+	Rank int
+	Head bool
+	// Alone is set if no peer has answered lately, so that it has to ask the store whatever its rank.
+	Alone bool
 	Store Inquiry
 	Peers Inquiry
 	// Fruitless counts the latest rounds of questions to peers that brought no recent proof.
@@ -116,14 +121,18 @@
 
 // untilStore returns the time until the store is to be asked.
 func (s Situation) untilStore() time.Duration {
-	pause := share(s.Limits.Serve, intervalShare)*time.Duration(s.Rank+1) - s.Store.Since
+	rank := s.Rank
+	if s.Alone {
+		rank = min(rank, 1)
+	}
+	pause := share(s.Limits.Serve, intervalShare)*time.Duration(rank+1) - s.Store.Since
 	switch {
-	case s.Store.Open:
+	case s.Store.Open, rank >= Provers:
 		return maxWait
-	case s.Rank == 0:
+	case rank == 0:
 		return pause
 	default:
-		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(s.Rank-1), readyShare))))
+		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(rank-1), readyShare))))
 	}
 }
 
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -14,8 +14,6 @@
 const (
 	// proverTask is the key under which instances are ranked for asking the store.
 	proverTask = "prover"
-	// rankedProvers is how many instances are ranked; the others share the last rank.
-	rankedProvers = 16
 	// splitShare is the divisor of the number of instances of which more must have died within splitDuration for a partition. Retries
 	// of dead instances renew the time.
 	splitShare    = 5
@@ -96,8 +94,8 @@
 func (p provers) Rank() (rank int, head bool) {
 	own := p.instance.options.Settings.Instance
 	isOwn := func(m member.Instance) bool { return m.ID == own.ID }
-	if rank = slices.IndexFunc(p.first(rankedProvers), isOwn); rank < 0 {
-		rank = rankedProvers
+	if rank = slices.IndexFunc(p.first(freshness.Provers), isOwn); rank < 0 {
+		rank = freshness.Provers
 	}
 	return rank, slices.ContainsFunc(p.followers(1), isOwn)
 }
