--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -51,6 +51,9 @@
 	}
 	w, refused := identify(catalog, route, s.key)
 	switch {
+	case refused != nil && unproven != nil:
+		// A newer configuration may have the key.
+		return unproven
 	case refused != nil:
 		return refused
 	case s.tx != nil && s.tx.conn != nil && w.Name != s.workspace.Name:
--- a/freshness/policy.go
+++ b/freshness/policy.go
@@ -13,14 +13,14 @@
 	idleShare = 0.5
 	// headShare is the share of the limit from which the head of a failure domain asks its peers, and askShare the one from which the
 	// others of that domain ask it. An outage of the store is to be bridged for 0.6 of the bound, so they must stay below a third.
-	headShare = 0.2
-	askShare  = 0.3
+	headShare = 0.24
+	askShare  = 0.32
 	// standInShare is the share of the limit from which the next instance asks the store too, and stepShare what is added before each
 	// further one does.
-	standInShare = 0.34
+	standInShare = 0.36
 	stepShare    = 0.03
 	// intervalShare is the time between two questions to the store of the instance that asks it for all, as a share of the limit.
-	intervalShare = 0.17
+	intervalShare = 0.2
 )
 
 const (
@@ -33,6 +33,9 @@
 	maxWait = time.Second
 )
 
+// Provers is how many instances are ranked for asking the store.
+const Provers = 16
+
 // Limits are the ages of a proof that follow from the withdrawal bound.
 type Limits struct {
 	// Serve is the age from which statements are refused, Ready the one from which the instance is not ready for callers.
@@ -80,10 +83,12 @@
 	Limits Limits
 	// Used is set if callers have needed a proof recently.
 	Used bool
-	// Rank is this instance's place, from 0, among those that ask the store. Head is set if it asks peers of other failure domains
-	// for its own.
-	Rank  int
-	Head  bool
+	// Rank is this instance's place, from 0, among the Provers instances that ask the store, and Provers for all others. Head is set
+	// if it asks peers of other failure domains for its own.
+	Rank int
+	Head bool
+	// Alone is set if no peer has answered lately, so that it has to ask the store whatever its rank.
+	Alone bool
 	Store Inquiry
 	Peers Inquiry
 	// Fruitless counts the latest rounds of questions to peers that brought no recent proof.
@@ -116,14 +121,18 @@
 
 // untilStore returns the time until the store is to be asked.
 func (s Situation) untilStore() time.Duration {
-	pause := share(s.Limits.Serve, intervalShare)*time.Duration(s.Rank+1) - s.Store.Since
+	rank := s.Rank
+	if s.Alone {
+		rank = min(rank, 1)
+	}
+	pause := share(s.Limits.Serve, intervalShare)*time.Duration(rank+1) - s.Store.Since
 	switch {
-	case s.Store.Open:
+	case s.Store.Open, rank >= Provers:
 		return maxWait
-	case s.Rank == 0:
+	case rank == 0:
 		return pause
 	default:
-		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(s.Rank-1), readyShare))))
+		return max(pause, s.untilAge(share(s.Limits.Serve, min(standInShare+stepShare*float64(rank-1), readyShare))))
 	}
 }
 
