hosted, directory, member: ask near instances first

Cause: each instance fetched a newer configuration from whichever peer named it first, also in another region; each start read configuration and endpoints from the store and got the list of all instances from seeds in other regions; the replies to announcements carried leads. Change: a peer of another domain is asked after 50 ms, of another region after 0.2 s, unless a nearer one has supplied the directory; an instance that starts asks two near ones before the store and contacts seeds only if the store does not supply the roster; announcements name no interests. TestFewFollow now counts the requests for changes of the configuration's table only, since the endpoints' table has a feed too; its bound is the same.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -30,6 +30,8 @@
 	Regions func() map[string]string
 	// ShouldFollow reports whether this instance follows the changes of the configuration on behalf of its failure domain.
 	ShouldFollow func() bool
+	// Bootstrap, if set, is called once before the store is read for the first time, so that a peer can supply what it has.
+	Bootstrap func(ctx context.Context)
 	// OnChange is called after a newer configuration or other endpoints were applied. It must not block or use the directory.
 	OnChange func()
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
@@ -64,8 +66,13 @@
 // New starts a directory, which stops when ctx ends.
 func New(ctx context.Context, o Options) *Directory {
 	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time)}
-	d.goroutines.Go(func() { d.followConfiguration(ctx) })
-	d.goroutines.Go(func() { d.pollEndpoints(ctx) })
+	d.goroutines.Go(func() {
+		if o.Bootstrap != nil {
+			o.Bootstrap(ctx)
+		}
+		d.goroutines.Go(func() { d.followConfiguration(ctx) })
+		d.goroutines.Go(func() { d.pollEndpoints(ctx) })
+	})
 	go func() {
 		defer close(d.done)
 		d.goroutines.Wait()
--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -105,15 +105,20 @@
 func (d *deployment) start(n int) *Instance { return d.startWithSeeds(n) }
 
 func (d *deployment) startWithSeeds(n int, seeds ...string) *Instance {
+	return d.startIn(d.store.Address(), fmt.Sprintf("n%d", n), "north/"+string("abc"[n%3]), seeds...)
+}
+
+// startIn starts an instance in a failure domain that reaches the store at an address.
+func (d *deployment) startIn(storeAddress, id, domain string, seeds ...string) *Instance {
 	s := settings.Default()
-	s.Instance = settings.Instance{ID: fmt.Sprintf("n%d", n), Domain: "north/" + string("abc"[n%3])}
+	s.Instance = settings.Instance{ID: id, Domain: domain}
 	ip := address()
 	s.Listen = settings.Listen{Callers: ip + ":7101", Peers: ip + ":7102", Health: ip + ":7103", Metrics: ip + ":7104", Seeds: seeds}
 	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
 	s.Drain.Endpoint = document.Duration(7 * time.Second)
 	clk := clock.Boot{}
 	i, err := New(context.Background(), Options{
-		Settings: s, Clock: clk, Logger: testLogger(), Rows: rows.New(d.store.Address()), Decoder: records.Decoder{},
+		Settings: s, Clock: clk, Logger: testLogger(), Rows: rows.New(storeAddress), Decoder: records.Decoder{},
 		Dialer: protocol.Dialer{Clock: clk}, ProbeDialer: protocol.Dialer{Clock: clk}, Promoter: promotion.New(d.promotion.Address(), s.Instance.ID),
 		Protocol: func(conn net.Conn) caller.Codec { return protocol.NewCallerCodec(conn) },
 	})
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -52,7 +52,7 @@
 	}
 	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: store.Version(h.GetEndpoints())}
 	if peerVersions.NewerThan(i.directory.Versions()) {
-		i.fetchDirectory(peerVersions, h.GetAddress())
+		i.fetchSoon(peerVersions, h.GetAddress(), h.GetDomain())
 	}
 }
 
@@ -66,7 +66,7 @@
 		return
 	}
 	for _, acceptsChanges := range []bool{true, false} {
-		offer, err := i.inquire(address, ownVersions, acceptsChanges)
+		offer, err := i.inquire(i.ctx, address, ownVersions, acceptsChanges)
 		if err != nil {
 			i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
 			return
@@ -78,8 +78,8 @@
 }
 
 // inquire asks a peer for what is newer than the given versions.
-func (i *Instance) inquire(address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
-	ctx, cancel := context.WithTimeout(i.ctx, fetchTimeout)
+func (i *Instance) inquire(ctx context.Context, address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
 		Configuration: than.Configuration, Endpoints: uint64(than.Endpoints), Changes: acceptsChanges,
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -407,14 +407,14 @@
 	write(10)
 	d.eventually("first change applied", applied(10))
 	time.Sleep(time.Second)
-	before, written := d.store.Calls("/rows-feed"), time.Now()
+	before, written := d.store.Calls("/rows-feed?table=op"), time.Now()
 	write(11)
 	d.eventually("second change applied", applied(11))
 	if took := time.Since(written); took > 3*time.Second {
 		t.Errorf("change in force at all instances after %s", took)
 	}
 	time.Sleep(time.Second)
-	if calls := d.store.Calls("/rows-feed") - before; calls > domains*followersPerDomain {
+	if calls := d.store.Calls("/rows-feed?table=op") - before; calls > domains*followersPerDomain {
 		t.Errorf("%d further requests for changes after one, from %d instances in %d domains", calls, instances, domains)
 	}
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -18,6 +18,7 @@
 	"siskincove/event"
 	"siskincove/loan"
 	"siskincove/member"
+	"siskincove/meter"
 	"siskincove/peer"
 	"siskincove/settings"
 	"siskincove/succession"
@@ -70,6 +71,7 @@
 	era atomic.Uint64
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
 	fetchMu sync.Mutex
+	fetches fetches
 }
 
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. It returns an error if the instance
@@ -81,6 +83,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
+	i.fetches.waiting = make(map[meter.Distance]bool)
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
@@ -111,7 +114,7 @@
 	i.startMembers()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, OnChange: i.push,
+		ShouldFollow: i.isFollower, OnChange: i.push, Bootstrap: i.bootstrap,
 	})
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger,
@@ -263,6 +266,7 @@
 	<-i.health.done
 	<-i.trimDone
 	<-i.trafficDone
+	i.fetches.running.Wait()
 }
 
 // Close stops the instance immediately, without draining, and waits until it has stopped.
--- a/member/announce.go
+++ b/member/announce.go
@@ -10,11 +10,18 @@
 )
 
 // Announce sends a heartbeat to every peer that takes part in the placement and waits for the replies. extend, if not nil,
-// adds further data to each heartbeat.
+// adds further data to each heartbeat. The replies have no leads, which would be the same from all peers.
 func (d *Driver) Announce(ctx context.Context, extend func(h *wire.Heartbeat)) {
 	var wait sync.WaitGroup
 	for _, i := range d.PlacedPeers() {
-		wait.Go(func() { d.exchange(ctx, i, extend) })
+		wait.Go(func() {
+			d.exchange(ctx, i, func(h *wire.Heartbeat) {
+				h.Interests = nil
+				if extend != nil {
+					extend(h)
+				}
+			})
+		})
 	}
 	wait.Wait()
 }
@@ -50,6 +57,16 @@
 	}
 }
 
+// awaitRoster waits for the first answer about the roster, for up to seedDelay. If the roster is known, no peer has to send all
+// instances.
+func (d *Driver) awaitRoster(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-d.rosterAnswered:
+	case <-d.options.Clock.After(seedDelay):
+	}
+}
+
 // contactSeeds sends heartbeats to the seeds until rosterKnown is set.
 func (d *Driver) contactSeeds(ctx context.Context) {
 	d.mu.Lock()
--- a/member/driver.go
+++ b/member/driver.go
@@ -22,7 +22,9 @@
 	// pushPause is the least time between two rounds of heartbeats that Push requested.
 	pushPause      = 100 * time.Millisecond
 	rosterInterval = 5 * time.Second
-	rosterTimeout  = 2 * time.Second
+	// seedDelay is how long the roster may take at the start before the seeds are contacted.
+	seedDelay     = 100 * time.Millisecond
+	rosterTimeout = 2 * time.Second
 	// unlistedRosterInterval is the interval between reads of the roster until it lists this instance.
 	unlistedRosterInterval = 250 * time.Millisecond
 	// settlePeriods is the number of heartbeat periods after rosterKnown is set before this instance may own endpoints.
@@ -87,6 +89,8 @@
 	probeRequested chan struct{}
 	// rosterRequested holds a value after RereadRoster until the roster is read.
 	rosterRequested chan struct{}
+	// rosterAnswered is closed after the first attempt to read the roster.
+	rosterAnswered chan struct{}
 
 	mu      sync.Mutex
 	table   *Table
@@ -115,7 +119,7 @@
 	}
 	d := &Driver{
 		options: o, started: o.Clock.Now(), done: make(chan struct{}), pushRequested: make(chan struct{}, 1),
-		probeRequested: make(chan struct{}, 1), rosterRequested: make(chan struct{}, 1), table: NewTable(o.Self),
+		probeRequested: make(chan struct{}, 1), rosterRequested: make(chan struct{}, 1), rosterAnswered: make(chan struct{}), table: NewTable(o.Self),
 		ownerOrders: make(map[string][]Instance), lastOwner: make(map[string]string),
 	}
 	if o.PresumeUnproven {
@@ -161,6 +165,14 @@
 	return ""
 }
 
+// AwaitRoster waits until the first attempt to read the roster has ended.
+func (d *Driver) AwaitRoster(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-d.rosterAnswered:
+	}
+}
+
 // Live returns the instances that may own endpoints, this one included unless it is leaving.
 func (d *Driver) Live() []Instance {
 	d.mu.Lock()
@@ -196,6 +208,9 @@
 }
 
 func (d *Driver) heartbeatLoop(ctx context.Context) {
+	if d.options.Seeds != nil {
+		d.awaitRoster(ctx)
+	}
 	for {
 		d.contactSeeds(ctx)
 		urgent := d.sendRound(ctx)
--- a/member/rosterloop.go
+++ b/member/rosterloop.go
@@ -9,11 +9,14 @@
 )
 
 func (d *Driver) rosterLoop(ctx context.Context) {
-	for {
+	for first := true; ; first = false {
 		pause := unlistedRosterInterval
 		if d.mayTrustPeers() || d.readRoster(ctx) {
 			pause = d.options.RosterInterval
 		}
+		if first {
+			close(d.rosterAnswered)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/standin/hosting/serve.go
+++ b/standin/hosting/serve.go
@@ -31,6 +31,9 @@
 		}
 		s.mu.Lock()
 		s.calls[r.URL.Path]++
+		if table := r.URL.Query().Get("table"); table != "" {
+			s.calls[r.URL.Path+"?table="+table]++
+		}
 		s.mu.Unlock()
 		next(eraWriter{ResponseWriter: w, store: s}, r)
 	}
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -105,7 +105,8 @@
 	s.notify()
 }
 
-// Calls returns how many requests for a path were handled; those that a fault answered are not counted.
+// Calls returns how many requests for a path, or with "?table=NAME" after it for one table, were handled; those that a fault
+// answered are not counted.
 func (s *Store) Calls(path string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
