--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -60,7 +60,7 @@
 	}
 	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: store.Version(h.GetEndpoints())}
 	if peerVersions.NewerThan(i.directory.Versions()) {
-		i.fetchDirectory(peerVersions, h.GetAddress())
+		i.fetchSoon(peerVersions, h.GetAddress(), h.GetDomain())
 	}
 }
 
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -19,6 +19,7 @@
 	"siskincove/freshness"
 	"siskincove/loan"
 	"siskincove/member"
+	"siskincove/meter"
 	"siskincove/peer"
 	"siskincove/settings"
 	"siskincove/succession"
@@ -79,6 +80,7 @@
 	checkedKeys atomic.Pointer[config.Catalog]
 	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
 	fetchMu sync.Mutex
+	fetches fetches
 }
 
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. It returns an error if the instance
@@ -90,6 +92,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
+	i.fetches.waiting = make(map[meter.Distance]bool)
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
@@ -121,7 +124,7 @@
 	i.freshness = i.newFreshness()
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
+		ShouldFollow: i.isFollower, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
 	})
 	i.startAllotments()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
@@ -295,6 +298,7 @@
 	<-i.health.done
 	<-i.trimDone
 	<-i.trafficDone
+	i.fetches.running.Wait()
 }
 
 // Close stops the instance immediately, without draining, and waits until it has stopped.
--- a/loan/workspace_test.go
+++ b/loan/workspace_test.go
@@ -60,7 +60,7 @@
 		t.Fatal(err)
 	}
 	conn := c.(*Conn)
-	conn.SetClass(limit.Class{Name: "1", Weight: 1})
+	conn.SetClass(limit.Class{Name: "1", Weight: 1}, time.Time{})
 	t.Cleanup(conn.Close)
 	return conn
 }
