standin/history, proof: check identity, revocation and allotments of workspaces

Cause: the history check knew neither who a statement ran for nor whether its key was still valid. Change: the stand-in records who connected; operations carry their session's key; Check compares each run with what the operator granted, and counts the operations of each workspace in sliding intervals. TestKeys withdraws a key and moves another under load with processes. Nine mutations, each of which its test fails on (run once, SISKINCOVE_MUTATIONS=1).

--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -54,13 +54,12 @@
 
 func startPlatformCluster(t *testing.T) *platformCluster {
 	t.Helper()
-	p := &platformCluster{t: t, stop: make(chan struct{})}
-	var err error
-	if p.store, err = hosting.NewStore(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.store.Close)
-	p.store.Write("op", "config", map[string]any{
+	return startPlatformClusterWith(t, platformConfiguration())
+}
+
+// platformConfiguration returns a configuration with a route of each kind.
+func platformConfiguration() map[string]any {
+	return map[string]any{
 		"version": 3,
 		"routes": []map[string]any{
 			{"name": "r1", "host": "main", "type": "primary", "service": "g", "timeout-ms": 2000, "priority": 1},
@@ -69,7 +68,18 @@
 		},
 		"services": []map[string]any{{"name": "g", "max-connections": 60, "sync-replicas": 1}},
 		"limits":   map[string]any{"tx-idle-ms": 2000},
-	})
+	}
+}
+
+func startPlatformClusterWith(t *testing.T, configuration map[string]any) *platformCluster {
+	t.Helper()
+	p := &platformCluster{t: t, stop: make(chan struct{})}
+	var err error
+	if p.store, err = hosting.NewStore(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.store.Close)
+	p.store.Write("op", "config", configuration)
 	p.group, err = hosting.NewGroup(p.store, hosting.Options{
 		Name: "g", Zones: []string{"a", "b", "c"}, SyncReplicas: 1, Slots: 5, Connections: 60, Work: 2 * time.Millisecond,
 		ApplyLag: 40 * time.Millisecond, PromotionDelay: 150 * time.Millisecond,
@@ -108,7 +118,7 @@
 		for _, route := range []history.Route{mainRoute, historyRoute, ownRoute} {
 			for s := range sessionsPerRoute {
 				random := rand.New(rand.NewPCG(seed, uint64(100*n+10*s+len(route.Name))))
-				p.running.Go(func() { p.runSessions(n, route, random) })
+				p.running.Go(func() { p.runSessions(n, route, anyKey, random) })
 			}
 		}
 	}
@@ -123,17 +133,20 @@
 	}
 }
 
-// runSessions runs one session after the other, each until it fails or has run its number of statements.
-func (p *platformCluster) runSessions(n int, route history.Route, random *rand.Rand) {
+// anyKey is what sessions present where no workspaces are configured.
+const anyKey = "u"
+
+// runSessions runs one session with the key after the other, each until it fails or has run its number of statements.
+func (p *platformCluster) runSessions(n int, route history.Route, key string, random *rand.Rand) {
 	for !p.stopped() {
-		c, err := hosting.Dial(p.instances[n].Callers, route.Name)
+		c, err := hosting.DialWithKey(p.instances[n].Callers, route.Name, key)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
 		p.mu.Lock()
 		p.sessions++
-		s := &worker{cluster: p, caller: c, route: route, random: random, name: fmt.Sprintf("s%d", p.sessions)}
+		s := &worker{cluster: p, caller: c, key: key, route: route, random: random, name: fmt.Sprintf("s%d", p.sessions)}
 		p.mu.Unlock()
 		s.run()
 		c.Close()
@@ -144,6 +157,7 @@
 type worker struct {
 	cluster      *platformCluster
 	caller       *hosting.Caller
+	key          string
 	route        history.Route
 	random       *rand.Rand
 	name         string
@@ -211,7 +225,7 @@
 func (w *worker) execute(kind history.Kind, text, item string, writes bool, tx int) bool {
 	w.statements++
 	o := history.Operation{
-		Session: w.name, Route: w.route, ID: fmt.Sprintf("%s-%d", w.name, w.statements), Kind: kind, Transaction: tx, Writes: writes, Item: item,
+		Session: w.name, Key: w.key, Route: w.route, ID: fmt.Sprintf("%s-%d", w.name, w.statements), Kind: kind, Transaction: tx, Writes: writes, Item: item,
 		Sent: time.Now(),
 	}
 	var err error
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -115,6 +115,33 @@
 	"own update taken for a conflict": {
 		"store/update.go", "	case bytes.Equal(stored.Value, value):\n		return value, nil\n", "	case bytes.Equal(stored.Value, value) && false:\n", "./store", "TestUpdate",
 	},
+	"endpoints not told the workspace": {
+		"platform/protocol/dial.go", "user := cmp.Or(target.Workspace, instanceUser)", "user := cmp.Or(\"\", instanceUser)", "./proof", "TestKeys",
+	},
+	"unknown keys admitted": {
+		"dispatch/workspace.go", "	case known || route.Anonymous:\n", "	case known || !route.Anonymous:\n", "./proof", "TestKeys",
+	},
+	"withdrawal not applied": {
+		"directory/directory.go", "if configuration.Version <= d.configuration.Version {", "if d.configuration.Version > 0 {", "./proof", "TestKeys",
+	},
+	"session goes on after its key was withdrawn": {
+		"dispatch/session.go", "a.Failure.Reason == verdict.Unauthorized && !s.withdrawn {", "a.Failure.Reason == verdict.Unauthorized && false {", "./dispatch", "TestKeyChanges",
+	},
+	"transaction goes on after its key was moved": {
+		"dispatch/workspace.go", "s.tx.conn != nil && w.Name != s.workspace.Name:", "s.tx.conn != nil && false:", "./dispatch", "TestKeyChanges",
+	},
+	"key not checked again after a wait": {
+		"dispatch/workitem.go", "if refused := w.checkKey(); refused != nil {", "if refused := w.checkKey(); false {", "./dispatch", "TestKeyWithdrawnWhileWaiting",
+	},
+	"idle sessions outlive their keys": {
+		"caller/server.go", "if c.waiting.Load() && c.session.CheckKey() != nil {", "if false {", "./caller", "TestEndWithdrawn",
+	},
+	"keys relayed to peers": {
+		"directory/directory.go", "		row.Value = configuration.Relayed\n", "		_ = row\n", "./directory", "TestOfferIsSealed",
+	},
+	"operations of callers not counted": {
+		"entry/workspace.go", "if refused := c.server.options.Allotments.Take(c.server.ctx, w, ex.deadline); refused != nil {", "if refused := (*verdict.Error)(nil); refused != nil {", "./entry", "TestAllotment",
+	},
 }
 
 // TestMutationsApply guards against a change of the source that leaves an entry of the table without effect: its old text
--- a/standin/history/check.go
+++ b/standin/history/check.go
@@ -49,6 +49,7 @@
 		c.checkTransaction(name, c.transactions[name])
 	}
 	c.checkFreshness()
+	c.checkWorkspaces()
 	return c.violations
 }
 
--- a/standin/history/history.go
+++ b/standin/history/history.go
@@ -39,9 +39,11 @@
 // Operation is a request of a caller with its answer.
 type Operation struct {
 	Session string
-	Route   Route
-	ID      string
-	Kind    Kind
+	// Key is the key that the session presented.
+	Key   string
+	Route Route
+	ID    string
+	Kind  Kind
 	// Transaction is the number of the transaction in its session, from 1; 0 is outside of any.
 	Transaction int
 	// Writes tells whether the operation writes Item; otherwise it reads Item.
@@ -74,4 +76,6 @@
 	// Runs are the executions of statements by endpoints, in order, and Log is the log after the test.
 	Runs []hosting.Run
 	Log  []hosting.Record
+	// Workspaces is what the operator declared of them, zero if there are none.
+	Workspaces Workspaces
 }
--- a/standin/hosting/caller.go
+++ b/standin/hosting/caller.go
@@ -30,14 +30,17 @@
 }
 
 // Dial opens a session for a database at an IP:port. A refusal of the session is returned as an error.
-func Dial(address, database string) (*Caller, error) {
+func Dial(address, database string) (*Caller, error) { return DialWithKey(address, database, "u") }
+
+// DialWithKey opens a session like Dial and presents the key of a workspace.
+func DialWithKey(address, database, key string) (*Caller, error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Now().Add(sessionTimeout))
 	c := &Caller{conn: conn, reader: bufio.NewReader(conn)}
-	if _, err := fmt.Fprintf(conn, "START %s u\r\n", database); err != nil {
+	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
 		return nil, err
 	}
 	r, err := c.Receive()
--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -33,6 +33,8 @@
 	Request  string
 	Endpoint string
 	Conn     int
+	// User is who connected: the name of a workspace, or of the proxy.
+	User string
 	// InTransaction tells whether it ran inside a transaction, Settings what the session's settings were, and Log up to
 	// which position it could read.
 	InTransaction bool
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -26,6 +26,8 @@
 	endpoint *Endpoint
 	conn     net.Conn
 	number   int
+	// user is who connected, as START says.
+	user string
 	// state is I outside a transaction, T inside one and E inside a failed one.
 	state string
 	// readOnly tells whether the transaction is read-only.
@@ -94,7 +96,7 @@
 		_, _ = fmt.Fprintf(s.conn, "ERR TOOMANY %s\r\n", e.id)
 		return false
 	}
-	e.conns[s.conn] = true
+	e.conns[s.conn], s.user = true, fields[2]
 	_, err = fmt.Fprintf(s.conn, "READY I %s\r\n", e.applied())
 	return err == nil
 }
@@ -220,7 +222,7 @@
 	}
 	visible := e.visible()
 	g.runs = append(g.runs, Run{
-		Request: id, Endpoint: e.id, Conn: s.number, InTransaction: s.state == "T", Settings: fmt.Sprint(sortedPairs(s.settings)), Text: text,
+		Request: id, Endpoint: e.id, Conn: s.number, User: s.user, InTransaction: s.state == "T", Settings: fmt.Sprint(sortedPairs(s.settings)), Text: text,
 		Log: e.lastPosition(visible), Started: time.Now(),
 	})
 	a := s.apply(id, command, rest, writes, visible)
