demo, entry: two workspaces, one over its rate, one withdrawn while connected

Cause: the demonstration knew no workspaces; a session that ends for its caller's removal gave no verdict. Change: visitors.toml declares a second workspace, whose load is above its rate and whose caller is removed under load; the error that ends a session tells that the request did not run.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 work=$(mktemp -d)
 trap 'kill $(cat "$work"/*.pid 2>/dev/null) 2>/dev/null || true; wait 2>/dev/null || true; rm -rf "$work"' EXIT INT TERM
-mkdir "$work/bin"
+mkdir "$work/bin" "$work/objects"
 go build -o "$work/bin" ./cmd/...
 
 # spawn NAME PROGRAM ARGUMENTS: starts a program in the background, with its output, log and process ID in files of that name.
@@ -38,11 +38,12 @@
 set -- $(await group endpoint)
 
 export SISKINCOVE_STORE="$store"
-sed -e "s/ADDRESS0/$1/; s/ADDRESS1/$2/; s/ADDRESS2/$3/" demo/objects.toml >"$work/objects.toml"
+sed -e "s/ADDRESS0/$1/; s/ADDRESS1/$2/; s/ADDRESS2/$3/" demo/objects.toml >"$work/objects/objects.toml"
+cp demo/visitors.toml "$work/objects/"
 verifier=$(echo demo-password | "$work/bin/siskincove" verifier)
-sed -i -e "s|VERIFIER|$verifier|" "$work/objects.toml"
-"$work/bin/siskincove" check "$work/objects.toml"
-"$work/bin/siskincove" publish "$work/objects.toml" --note "first configuration"
+sed -i -e "s|VERIFIER|$verifier|g" "$work"/objects/*.toml
+"$work/bin/siskincove" check "$work/objects"
+"$work/bin/siskincove" publish "$work/objects" --note "first configuration"
 
 callers= health= n=0
 for domain in fi-south/a se-east/a de-north/a; do
@@ -70,6 +71,22 @@
 done
 "$work/bin/siskincove" status $(echo "$health" | tr , ' ')
 
-SISKINCOVE_LOAD_PASSWORD=demo-password "$work/bin/siskincove" load --callers "${callers#,}" --health "${health#,}" \
-	--caller technician --service certstore --main cert1 --history cert1-history \
-	--mix kelloviisari --rate 150 --duration 10s --sessions 30 --probe 20ms
+# load CALLER RATE DURATION SEED [FLAGS]: runs a load test as a caller; tests on the same database need different seeds.
+load() {
+	SISKINCOVE_LOAD_PASSWORD=demo-password "$work/bin/siskincove" load --callers "${callers#,}" --health "${health#,}" \
+		--caller "$1" --service certstore --main cert1 --history cert1-history --mix kelloviisari --rate "$2" --duration "$3" --sessions 30 --seed "$4" ${5:-}
+}
+
+load technician 150 10s 1 "--probe 20ms"
+
+echo "--- visitors ask for 60 operations a second, and their workspace may run 20; after 5 s their caller is removed"
+(load visitor 60 10s 2 --quiet || echo "visitors' sessions could not be verified, since their caller was removed") >"$work/visitor.out" 2>&1 &
+echo $! >"$work/visitor.pid"
+sleep 5
+rm "$work/objects/visitors.toml"
+"$work/bin/siskincove" plan "$work/objects" || true
+"$work/bin/siskincove" publish "$work/objects" --note "visitors removed"
+load technician 150 5s 3 --quiet
+wait "$(cat "$work/visitor.pid")" || true
+cat "$work/visitor.out"
+grep -h 'event=215' "$work"/i*.out | head -3
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -177,7 +177,9 @@
 		_ = c.writer.Flush()
 	case errors.Is(err, errWithdrawn):
 		c.server.options.Logger.Log(event.SessionWithdrawn, log.Fields{"caller": c.name, "route": c.route.Name})
-		c.send(fatalResponse(codeAuthorization, err.Error()))
+		response := fatalResponse(errWithdrawn.Code(), errWithdrawn.Message)
+		response.Detail = errWithdrawn.Detail()
+		c.send(response)
 		_ = c.writer.Flush()
 	case errors.Is(err, errShutdown):
 		c.send(fatalResponse(codeShutdown, "instance is leaving; reconnect to another instance"))
--- a/entry/workspace.go
+++ b/entry/workspace.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"siskincove/config"
 	"siskincove/verdict"
 )
@@ -18,7 +16,7 @@
 }
 
 // errWithdrawn ends a session whose caller or workspace is no longer configured.
-var errWithdrawn = errors.New("caller or its workspace is no longer configured")
+var errWithdrawn = verdict.New(verdict.NotRun, verdict.Unauthorized, "caller or its workspace is no longer configured")
 
 // workspace returns the workspace to which the caller's operations count, the zero Workspace for none. Where workspaces are
 // configured, it returns errWithdrawn once the caller or its workspace is not.
