entry, dispatch: end idle sessions of removed callers, test a flood of unknown keys

Cause: on the PostgreSQL face an idle session outlived its caller, and in a transaction held a slot for a minute; that unknown keys leave nothing behind was not tested. Change: a change of the configuration ends such sessions; 20,000 unknown keys leave less than 1 MB.

--- a/dispatch/workspace_test.go
+++ b/dispatch/workspace_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -426,3 +427,36 @@
 		}
 	}
 }
+
+// TestUnknownKeysKeepNothing guards against memory that grows with the number of unknown keys that callers present.
+func TestUnknownKeysKeepNothing(t *testing.T) {
+	const flood, allowed = 20000, 1 << 20
+	k := newKeyed(t, withKeys(map[string][]string{"blue": {"k"}}), nil)
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before := heap()
+	for i := range flood {
+		if _, refused := k.open("main", "unknown"+strconv.Itoa(i)); refused == nil || refused.Reason != verdict.Unauthorized {
+			t.Fatal(refused)
+		}
+	}
+	if grown := heap() - before; grown > allowed {
+		t.Errorf("%d bytes for %d unknown keys", grown, flood)
+	}
+	runtime.KeepAlive(k)
+}
+
+// BenchmarkRefuseUnknownKey measures a refused session, without its connection.
+func BenchmarkRefuseUnknownKey(b *testing.B) {
+	d := &Dispatcher{options: Options{Catalogs: catalogs{withKeys(map[string][]string{"blue": {"k"}})}, Clock: clock.System{}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, refused := d.Open(context.Background(), statement.StartupParameters{Database: "main", User: "6aw63is47qdqiqrh4jcd"}); refused == nil {
+			b.Fatal("not refused")
+		}
+	}
+}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -44,6 +44,8 @@
 	secret    uint32
 	// waiting is set while the session waits for the next request outside a transaction.
 	waiting atomic.Bool
+	// waitingInTransaction is set while it waits for the next request inside one.
+	waitingInTransaction atomic.Bool
 	// running is the transaction that a cancel request applies to, nil if none is in progress.
 	running atomic.Pointer[runningTransaction]
 
@@ -107,10 +109,13 @@
 // wake interrupts the wait for the next request.
 func (c *caller) wake() {
 	if c.waiting.Load() {
-		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+		c.interrupt()
 	}
 }
 
+// interrupt makes the wait for the next request end at once.
+func (c *caller) interrupt() { _ = c.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 func (c *caller) send(m pgproto3.BackendMessage) {
 	data, err := m.Encode(nil)
 	if err == nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -70,22 +70,30 @@
 // drainGrace is how long a session of a draining instance still waits for a request that the caller may have sent already.
 const drainGrace = 50 * time.Millisecond
 
-// waitForRequest blocks until the caller sends something. Outside a transaction, draining interrupts the wait.
+// waitForRequest blocks until the caller sends something. Outside a transaction, draining interrupts the wait; the removal of the
+// caller's declaration always does.
 func (c *caller) waitForRequest() error {
 	if c.stream != nil {
 		return c.waitInTransaction()
 	}
 	c.waiting.Store(true)
-	if c.server.isDraining() {
+	if c.server.isDraining() || c.isWithdrawn() {
 		c.wake()
 	}
 	err := c.reader.Wait()
 	c.waiting.Store(false)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isWithdrawn() {
+		return errWithdrawn
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.isDraining() {
 		_ = c.conn.SetReadDeadline(c.server.options.Clock.Now().Add(drainGrace))
 		err = c.reader.Wait()
 	}
 	_ = c.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.server.isDraining() {
+		// The caller's declaration was back before the session noticed that it had been removed.
+		return c.waitForRequest()
+	}
 	return err
 }
 
@@ -94,8 +102,16 @@
 func (c *caller) waitInTransaction() error {
 	idle := c.server.options.IdleTimeout
 	_ = c.conn.SetReadDeadline(c.server.options.Clock.Now().Add(idle))
+	c.waitingInTransaction.Store(true)
+	if c.isWithdrawn() {
+		c.interrupt()
+	}
 	err := c.reader.Wait()
+	c.waitingInTransaction.Store(false)
 	_ = c.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isWithdrawn() {
+		return errWithdrawn
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return sqlErrorf(codeIdle, "transaction was idle for longer than %s and was rolled back", idle)
 	}
--- a/entry/workspace.go
+++ b/entry/workspace.go
@@ -35,6 +35,24 @@
 	return w, nil
 }
 
+// isWithdrawn reports whether the caller's session must end. It may be called concurrently with requests.
+func (c *caller) isWithdrawn() bool {
+	_, err := c.workspace(c.server.options.Catalogs.Catalog())
+	return err != nil
+}
+
+// EndWithdrawn ends each session that waits for a request and whose caller or workspace is no longer configured. The others
+// notice before they wait again. Call it after a change of the configuration.
+func (s *Server) EndWithdrawn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		if (c.waiting.Load() || c.waitingInTransaction.Load()) && c.isWithdrawn() {
+			c.interrupt()
+		}
+	}
+}
+
 // takeOperation counts a request outside a transaction against the allotment of the caller's workspace. It returns why the
 // request must not run.
 func (c *caller) takeOperation(ex *execution, w config.Workspace) error {
--- a/entry/workspace_test.go
+++ b/entry/workspace_test.go
@@ -145,3 +145,42 @@
 		})
 	}
 }
+
+// TestEndWithdrawn guards against idle sessions that outlive their caller's declaration, which inside a transaction would hold
+// a slot of an endpoint for a minute.
+func TestEndWithdrawn(t *testing.T) {
+	for name, sql := range map[string]string{"idle": "SELECT 1", "in a transaction": "BEGIN"} {
+		t.Run(name, func(t *testing.T) {
+			var catalogs currentCatalog
+			catalogs.Store(parseObjects(t, objects+blueWorkspace))
+			ended := make(chan struct{})
+			serve := answerRequests(t)
+			if sql == "BEGIN" {
+				answer := transactionOwner(t)
+				serve = func(open *wire.Open, stream peer.Stream) {
+					answer(open, stream)
+					close(ended)
+				}
+			}
+			s, address := startServerWith(t, &fakeOwners{serve: serve}, &catalogs, nil)
+			conn := connect(t, address, "certstore")
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			if _, err := conn.Exec(ctx, sql); err != nil {
+				t.Fatal(err)
+			}
+			s.EndWithdrawn()
+			catalogs.Store(parseObjects(t, strings.Replace(objects+redWorkspace, "anna", "bert", 1)))
+			s.EndWithdrawn()
+			for s.Sessions() > 0 && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			if ctx.Err() != nil {
+				t.Fatal("session goes on")
+			}
+			if sql == "BEGIN" {
+				<-ended
+			}
+		})
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -206,6 +206,7 @@
 	if first {
 		d.instance.logger.Log(event.Ready, log.Fields{"instance": d.instance.settings.Instance.ID})
 	}
+	d.instance.entry.EndWithdrawn()
 	d.instance.pools.Configure(catalog)
 	d.instance.coordinators.Configure(catalog)
 }
