--- a/entry/workspace_test.go
+++ b/entry/workspace_test.go
@@ -101,14 +101,15 @@
 
 // TestCallerWithdrawn guards against sessions that outlive their caller's declaration, also inside a transaction.
 func TestCallerWithdrawn(t *testing.T) {
+	const ended = `28000 verdict="not run" reason=unauthorized retry_after_ms=0`
 	tests := map[string]struct {
 		before, after string
 		begin         bool
 		want          string
 	}{
 		"caller kept":                     {before: objects + blueWorkspace, after: objects + blueWorkspace + redWorkspace},
-		"caller removed":                  {before: objects + blueWorkspace, after: strings.Replace(objects+redWorkspace, "anna", "bert", 1), want: "28000"},
-		"caller removed in a transaction": {before: objects + blueWorkspace, after: strings.Replace(objects+redWorkspace, "anna", "bert", 1), begin: true, want: "28000"},
+		"caller removed":                  {before: objects + blueWorkspace, after: strings.Replace(objects+redWorkspace, "anna", "bert", 1), want: ended},
+		"caller removed in a transaction": {before: objects + blueWorkspace, after: strings.Replace(objects+redWorkspace, "anna", "bert", 1), begin: true, want: ended},
 		"caller moved":                    {before: objects + blueWorkspace, after: objects + "workspace = \"red\"\n" + redWorkspace},
 		"no workspaces":                   {before: objects, after: strings.Replace(objects, "anna", "bert", 1)},
 	}
@@ -130,16 +131,55 @@
 			}
 			catalogs.Store(parseObjects(t, test.after))
 			_, err := conn.Exec(ctx, "SELECT 1")
-			code := ""
+			got := ""
 			var refused *pgconn.PgError
 			if errors.As(err, &refused) {
-				code = refused.Code
+				got = refused.Code + " " + refused.Detail
 			}
-			if diff := cmp.Diff(test.want, code); diff != "" {
+			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("%s (%v)", diff, err)
 			}
-			if ended := conn.Ping(ctx) != nil; ended != (test.want != "") {
-				t.Errorf("session ended: %t", ended)
+			if closed := conn.Ping(ctx) != nil; closed != (test.want != "") {
+				t.Errorf("session closed: %t", closed)
+			}
+		})
+	}
+}
+
+// TestEndWithdrawn guards against idle sessions that outlive their caller's declaration, which inside a transaction would hold
+// a slot of an endpoint for a minute.
+func TestEndWithdrawn(t *testing.T) {
+	for name, sql := range map[string]string{"idle": "SELECT 1", "in a transaction": "BEGIN"} {
+		t.Run(name, func(t *testing.T) {
+			var catalogs currentCatalog
+			catalogs.Store(parseObjects(t, objects+blueWorkspace))
+			ended := make(chan struct{})
+			serve := answerRequests(t)
+			if sql == "BEGIN" {
+				answer := transactionOwner(t)
+				serve = func(open *wire.Open, stream peer.Stream) {
+					answer(open, stream)
+					close(ended)
+				}
+			}
+			s, address := startServerWith(t, &fakeOwners{serve: serve}, &catalogs, nil)
+			conn := connect(t, address, "certstore")
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			if _, err := conn.Exec(ctx, sql); err != nil {
+				t.Fatal(err)
+			}
+			s.EndWithdrawn()
+			catalogs.Store(parseObjects(t, strings.Replace(objects+redWorkspace, "anna", "bert", 1)))
+			s.EndWithdrawn()
+			for s.Sessions() > 0 && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			if ctx.Err() != nil {
+				t.Fatal("session goes on")
+			}
+			if sql == "BEGIN" {
+				<-ended
 			}
 		})
 	}
