--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -124,7 +124,7 @@
 	clk := clock.Boot{}
 	var rowStore store.Rows = rows.New(storeAddress)
 	if d.rows != nil {
-		rowStore = d.rows(n, rowStore)
+		rowStore = d.rows(len(d.instances), rowStore)
 	}
 	i, err := New(context.Background(), Options{
 		Settings: s, Clock: clk, Logger: testLogger(), Rows: rowStore, Decoder: records.Decoder{},
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -74,7 +74,7 @@
 		"succession/reservation.go", "[]store.Expectation{{Key: key, Version: version}},", "[]store.Expectation{{Key: key, Version: version}}[:0],", "./succession", "Reserve",
 	},
 	"older configuration accepted": {
-		"directory/directory.go", "	if configuration.Version <= d.configuration.Version {\n		return\n	}\n", "", "./directory", ".",
+		"directory/directory.go", "	if configuration.Version <= d.configuration.Version {\n		return configuration.Version\n	}\n", "", "./directory", ".",
 	},
 	"loan of connections to an endpoint that the instance does not hold": {
 		"loan/loan.go", "	if !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "	if false && !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "./loan", "TestRefused",
