--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -67,6 +67,9 @@
 		switch {
 		case refused == nil:
 			return s, nil
+		case refused.Reason == verdict.Unproven && s.CheckKey() != nil:
+			// A newer configuration may hold the key, but callers with unknown keys must not take up the wait.
+			return nil, refused
 		case refused.Reason == verdict.Unproven && !unproven:
 			unproven = true
 			if proofDeadline := d.now().Add(proofTimeout); proofDeadline.Before(deadline) {
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -161,13 +161,14 @@
 	return statement.Refusal(refused, s.state)
 }
 
-// checkKey checks the session's key again before an attempt, and takes over the workspace that holds it now.
+// checkKey checks the key again before an attempt, and takes over the workspace that holds it now. Whether the configuration is
+// proven to be the newest is checked once a connection is there.
 func (w *workItem) checkKey() *verdict.Error {
-	if refused := w.session.authorize(); refused != nil {
-		return refused
+	holder, refused := identify(w.session.dispatcher.options.Catalogs.Catalog(), w.route, w.session.key)
+	if refused == nil {
+		w.workspace, w.session.workspace = holder, holder
 	}
-	w.workspace = w.session.workspace
-	return nil
+	return refused
 }
 
 // takeOperation counts the operation that begins with this statement against the allotment of its workspace.
