database, hosted, loan, connection: fit holders to the failure domain, answer in time across regions

Cause: holders in other failure domains of small deployments cost bytes and latency; a holder in another region reserved less time for its answer than the way back takes, so a slow endpoint looked like a silent holder; after a restart each holder had one place in flight. Change: as many holders as the endpoint's failure domain has instances, at least two; 20 ms are reserved; pools whose places in flight are divided among few holders start with all of them.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -25,6 +25,9 @@
 // idleRoundTrips is the minimum time to keep unused connections, in round trips. Opening a connection takes three.
 const idleRoundTrips = 40
 
+// windowGrowthTime is longer than a window takes to grow to its limit.
+const windowGrowthTime = time.Minute
+
 const (
 	// maxConcurrentDials bounds the connections opened at once to a distant endpoint, where the network takes most of
 	// the time. One more is allowed for each roundTripPerDial of round-trip time, which is about the time that the
@@ -107,7 +110,7 @@
 	}
 	p := &Pool{
 		options: o, queue: queue.New(1, o.Clock), dialSlots: make(chan struct{}, maxConcurrentDials), maxDials: initialDials(o),
-		usage: newUsage(), placeFreed: make(chan struct{}), limit: o.Limit, window: limit.NewWindow(windowLimit(o.Limit, o.InFlight), o.Clock.Now()), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
+		usage: newUsage(), placeFreed: make(chan struct{}), limit: o.Limit, window: initialWindow(o), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
 	}
 	close(p.redialDone)
 	p.ctx, p.cancel = context.WithCancel(o.Context)
@@ -126,6 +129,16 @@
 	return 1
 }
 
+// initialWindow returns the window of a new pool. It grows from the least size, unless the endpoint has few holders whose statements
+// in flight are bounded anyway.
+func initialWindow(o Options) limit.Window {
+	start := o.Clock.Now()
+	if o.ByWorkspace && o.InFlight > 0 {
+		start = start.Add(-windowGrowthTime)
+	}
+	return limit.NewWindow(windowLimit(o.Limit, o.InFlight), start)
+}
+
 // recordRoundTrip stores the round-trip time and raises maxDials for a distant endpoint. p.mu must be held.
 func (p *Pool) recordRoundTrip(roundTrip time.Duration) {
 	if roundTrip == 0 {
--- a/database/registry_test.go
+++ b/database/registry_test.go
@@ -60,7 +60,9 @@
 func TestDivideByWorkspace(t *testing.T) {
 	tests := map[string]struct {
 		connections, slots, instances int
-		want                          Share
+		// nearby is the number of instances near the endpoint, 0 for all.
+		nearby int
+		want   Share
 	}{
 		"instances unknown":         {connections: 112, slots: 4, want: Share{Limit: 2, ByWorkspace: true}},
 		"two instances":             {connections: 112, slots: 4, instances: 2, want: Share{Limit: 47, ByWorkspace: true}},
@@ -70,11 +72,18 @@
 		"few connections":           {connections: 24, slots: 3, instances: 40, want: Share{Holders: 2, Limit: 6, InFlight: 5, ByWorkspace: true}},
 		"one connection":            {connections: 1, instances: 40, want: Share{Holders: 1, Limit: 1, ByWorkspace: true}},
 		"holders limited by slots":  {connections: 400, slots: 2, instances: 144, want: Share{Holders: 4, Limit: 79, InFlight: 2, ByWorkspace: true}},
+		"three instances nearby":    {connections: 112, slots: 4, instances: 18, nearby: 3, want: Share{Holders: 3, Limit: 27, InFlight: 4, ByWorkspace: true}},
 		"number of slots not known": {connections: 112, instances: 144, want: Share{Holders: 5, Limit: 18, ByWorkspace: true}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(test.want, DivideByWorkspace(test.connections, test.slots, test.instances)); diff != "" {
+			nearby := func(most int) int {
+				if test.nearby > 0 {
+					return min(test.nearby, most)
+				}
+				return min(test.instances, most)
+			}
+			if diff := cmp.Diff(test.want, DivideByWorkspace(test.connections, test.slots, test.instances, nearby)); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -88,7 +97,8 @@
 		connections := rapid.IntRange(12, 1000).Draw(t, "connections")
 		instances := rapid.IntRange(3, 4000).Draw(t, "instances")
 		slots := rapid.IntRange(0, 64).Draw(t, "slots")
-		s := DivideByWorkspace(connections, slots, instances)
+		near := rapid.IntRange(2, instances).Draw(t, "near")
+		s := DivideByWorkspace(connections, slots, instances, func(most int) int { return min(near, most) })
 		if s.Holders < min(minHolders, instances) || s.Holders > instances || s.Limit < 1 {
 			t.Fatalf("invalid share %+v", s)
 		}
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -39,16 +39,21 @@
 	return l.instance.members.HighestRanked("holder/"+e.Name, e.Domain, holderCount)
 }
 
+// minWorkspaceHolders is the least number of holders for connections that belong to workspaces, since nobody connects beside
+// them.
+const minWorkspaceHolders = 2
+
 // rankedWorkspaceHolders is rankedHolders for connections that belong to workspaces: if the endpoint's failure domain has too few
-// instances, others of its region and then of other regions are holders too, since nobody connects beside them.
+// instances, others of its region or of other regions are holders too.
 func (l lending) rankedWorkspaceHolders(e config.Endpoint, holderCount int) []member.Instance {
 	out := l.rankedHolders(e, holderCount)
+	least := min(minWorkspaceHolders, holderCount)
 	for _, domain := range []string{config.Region(e.Domain) + "/", ""} {
-		if len(out) == holderCount {
+		if len(out) >= least {
 			break
 		}
 		for _, candidate := range l.instance.members.HighestRanked("holder/"+e.Name, domain, holderCount) {
-			if len(out) < holderCount && !slices.ContainsFunc(out, func(i member.Instance) bool { return i.ID == candidate.ID }) {
+			if len(out) < least && !slices.ContainsFunc(out, func(i member.Instance) bool { return i.ID == candidate.ID }) {
 				out = append(out, candidate)
 			}
 		}
@@ -56,6 +61,11 @@
 	return out
 }
 
+// Nearby returns how many instances can hold an endpoint's connections that belong to workspaces, at most as many as asked for.
+func (l lending) Nearby(e config.Endpoint, most int) int {
+	return len(l.rankedWorkspaceHolders(e, most))
+}
+
 // Dialer returns a dialer that borrows connections from the holders.
 func (l lending) Dialer() connection.Dialer {
 	d := l.WorkspaceDialer().(loan.Dialer)
@@ -103,7 +113,9 @@
 	if !ok {
 		return nil
 	}
-	return l.sharing(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount()))
+	return l.sharing(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount(), func(most int) int {
+		return l.Nearby(e, most)
+	}))
 }
 
 func (i *Instance) newLender() *loan.Lender {
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -134,6 +134,9 @@
 	time.AfterFunc(answerGrace, func() {
 		_ = c.stream.Close()
 		if c.answered.Load() {
+			if c.otherHolder != nil {
+				c.health.recordReachable(c.holder, c.endpoint)
+			}
 			return
 		}
 		c.health.RecordSilence(c.holder)
--- a/loan/health.go
+++ b/loan/health.go
@@ -91,6 +91,15 @@
 	h.pause(address, endpoint, unreachablePause)
 }
 
+// recordReachable records that the holder at an address answered and may be asked for an endpoint's connections again.
+func (h *Health) recordReachable(address, endpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.holders[address]; s != nil {
+		delete(s.refusedUntil, endpoint)
+	}
+}
+
 // pause records that the holder at an address is not to be asked for connections to an endpoint for a while.
 func (h *Health) pause(address, endpoint string, pause time.Duration) {
 	h.mu.Lock()
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -21,6 +21,9 @@
 	// at most responseMarginMax is reserved.
 	responseMarginShare = 0.1
 	responseMarginMax   = 30 * time.Millisecond
+	// workspaceMargin is the least that is reserved for a workspace's loan, up to half of the remaining time. Its holder may be in
+	// another region, and an answer that comes too late hides that the endpoint was slow.
+	workspaceMargin = 20 * time.Millisecond
 	// idleGrace is added to the idle timeout of a transaction at the holder, so that the borrower ends it first.
 	idleGrace = 2 * time.Second
 	// rollbackTimeout bounds a rollback; after it the connection is closed, which also rolls back.
@@ -151,8 +154,7 @@
 	}
 	now := l.lender.options.Clock.Now()
 	remaining := peer.Duration(request.GetRemaining())
-	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
-	deadline := now.Add(remaining - margin)
+	deadline := now.Add(remaining - l.responseMargin(remaining))
 	if l.conn == nil {
 		class := limit.Class{Name: request.GetClass(), Weight: int(request.GetWeight())}
 		if err := l.acquire(ctx, class, deadline); err != nil {
@@ -182,6 +184,15 @@
 	return answers, false
 }
 
+// responseMargin returns how much of the borrower's remaining time is reserved for sending the answers back.
+func (l *loan) responseMargin(remaining time.Duration) time.Duration {
+	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
+	if l.request.GetWorkspace() != "" {
+		margin = max(margin, min(workspaceMargin, remaining/2))
+	}
+	return margin
+}
+
 // acquire takes a connection from the endpoint's pool. Its errors have the verdict verdict.NotRun.
 func (l *loan) acquire(ctx context.Context, class limit.Class, deadline time.Time) error {
 	pool, ok := l.lender.options.Pool(l.request)
--- a/simulation/workspaces_test.go
+++ b/simulation/workspaces_test.go
@@ -61,7 +61,7 @@
 }
 
 func newWorkspaceHolders(ctx context.Context, e *Endpoint) workspaceHolders {
-	share := database.DivideByWorkspace(workspaceConnections, workspaceSlots, 144)
+	share := database.DivideByWorkspace(workspaceConnections, workspaceSlots, 144, func(most int) int { return most })
 	h := workspaceHolders{holders: newHolders(ctx, e, share), lost: make(map[string]bool)}
 	for n := range h.pools {
 		h.instances = append(h.instances, member.Instance{ID: fmt.Sprint(n)})
