loan, connection, dispatch: let the holder wait for a transaction's begin

Cause: a read that only the primary may serve, and the first statement of a transaction, crossed from the borrower to the holder twice, once for the begin. Change: where connections belong to workspaces both are sent at once, and the holder passes on the statement only after the begin has succeeded. In dispatch both places now call PooledConn.ExchangeGuarded, which does as before on connections of this instance.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -38,6 +38,14 @@
 	SetClass(class limit.Class)
 }
 
+// GuardedConn is implemented by connections whose other end is another instance, which can divide an exchange in two.
+type GuardedConn interface {
+	// ExchangeGuarded is Exchange of all steps, of which the endpoint gets the ones after the first guard steps only once the last of
+	// those has succeeded. If it failed, the answers may end with it. supported is false if the other end does not divide exchanges;
+	// then nothing was sent.
+	ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) (answers []statement.Answer, supported bool, err error)
+}
+
 // Dialer opens connections to endpoints.
 type Dialer interface {
 	// Dial connects to an endpoint on behalf of a workspace and verifies its identity. connectTimeout bounds the wait for the first answer from the
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -48,6 +48,23 @@
 	return answers, err
 }
 
+// ExchangeGuarded is Exchange of all steps, of which the endpoint gets the ones after the first guard steps only once the last of
+// those has succeeded. If it failed, the answers may end with it.
+func (h *PooledConn) ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) ([]statement.Answer, error) {
+	h.setIdleInTx(false)
+	if conn, ok := h.Conn.(GuardedConn); ok {
+		if answers, supported, err := conn.ExchangeGuarded(ctx, deadline, guard, steps...); supported {
+			return answers, err
+		}
+	}
+	answers, err := h.Exchange(ctx, deadline, steps[:guard]...)
+	if err != nil || answers[guard-1].Failure != nil {
+		return answers, err
+	}
+	rest, err := h.Exchange(ctx, deadline, steps[guard:]...)
+	return append(answers, rest...), err
+}
+
 // MarkIdleInTransaction records that a transaction on the connection awaits its next statement. Until then the pool may
 // use one more connection.
 func (h *PooledConn) MarkIdleInTransaction() { h.setIdleInTx(true) }
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -75,15 +75,12 @@
 		answers, err := conn.Exchange(ctx, deadline, append(steps, step)...)
 		return answerAt(answers, index), err
 	}
-	opened, err := conn.Exchange(ctx, deadline, append(steps, statement.ProxyStep(statement.Begin))...)
-	if err != nil {
-		return nil, err
-	}
-	if a := opened[index]; a.Failure != nil {
-		return &a, nil
+	guarded := append(steps, statement.ProxyStep(statement.Begin), step, statement.ProxyStep(statement.Rollback))
+	answers, err := conn.ExchangeGuarded(ctx, deadline, index+1, guarded...)
+	if begun := answerAt(answers, index); begun != nil && begun.Failure != nil {
+		return begun, err
 	}
-	answers, err := conn.Exchange(ctx, deadline, step, statement.ProxyStep(statement.Rollback))
-	return answerAt(answers, 0), err
+	return answerAt(answers, index+1), err
 }
 
 func answerAt(answers []statement.Answer, at int) *statement.Answer {
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -123,18 +123,15 @@
 func (t *transaction) beginAndRun(ctx context.Context, w *workItem, j job, c group.Choice) (statement.Answer, error) {
 	deadline := w.attemptDeadline(true, t.choice)
 	steps := append(t.conn.SyncSettings(t.session.settings), j.prepare(t.conn)...)
-	opened, err := t.conn.Exchange(ctx, deadline, append(steps, t.beginStep(c))...)
+	index := len(steps)
+	answers, err := t.conn.ExchangeGuarded(ctx, deadline, index+1, append(steps, t.beginStep(c), statement.Step{Request: j.request})...)
 	if err != nil {
 		return statement.Answer{}, err
 	}
-	if a := opened[len(steps)]; a.Failure != nil {
-		return a, nil
+	if begun := answers[index]; begun.Failure != nil {
+		return begun, nil
 	}
-	answers, err := t.conn.Exchange(ctx, deadline, statement.Step{Request: j.request})
-	if err != nil {
-		return statement.Answer{}, err
-	}
-	return answers[0], nil
+	return answers[index+1], nil
 }
 
 // releaseFailed releases the connection after the first statement failed, and rolls back a transaction that is still
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -207,6 +208,20 @@
 
 // Exchange sends the steps to the holder and returns their answers in order. After an error the connection is closed.
 func (c *Conn) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
+	return c.exchange(ctx, deadline, 0, steps)
+}
+
+// ExchangeGuarded sends the steps to the holder, which divides them for the endpoint as described at connection.GuardedConn. Only
+// holders of workspaces' connections are asked to.
+func (c *Conn) ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) ([]statement.Answer, bool, error) {
+	if c.spread == nil {
+		return nil, false, nil
+	}
+	answers, err := c.exchange(ctx, deadline, guard, steps)
+	return answers, true, err
+}
+
+func (c *Conn) exchange(ctx context.Context, deadline time.Time, guard int, steps []statement.Step) ([]statement.Answer, error) {
 	if err := c.beginExchange(); err != nil {
 		return nil, err
 	}
@@ -214,7 +229,7 @@
 	remaining := deadline.Sub(c.clock.Now())
 	stop := context.AfterFunc(ctx, func() { c.fail(ctx.Err()) })
 	defer stop()
-	err := c.stream.Send(&wire.Frame{Body: &wire.Frame_Steps{Steps: toSteps(steps, remaining, c.class)}})
+	err := c.stream.Send(&wire.Frame{Body: &wire.Frame_Steps{Steps: toSteps(steps, guard, remaining, c.class)}})
 	if err != nil {
 		c.failByHolder(err)
 		return nil, c.lastError()
@@ -224,7 +239,8 @@
 		return nil, c.lastError()
 	}
 	answers := fromResults(r)
-	if r.GetBroken() || len(answers) != len(steps) {
+	complete := len(answers) == len(steps) || guard > 0 && len(answers) == guard && answers[guard-1].Failure != nil
+	if r.GetBroken() || !complete {
 		c.fail(errEndpointLost)
 		return answers, errEndpointLost
 	}
@@ -240,16 +256,20 @@
 	if c.otherHolder == nil {
 		return
 	}
+	refused := slices.IndexFunc(answers, func(a statement.Answer) bool { return a.Failure != nil && isHolderRefusal(a.Failure) })
+	if refused < 0 {
+		return
+	}
+	if answers[refused].Failure.Reason == verdict.Unreachable {
+		c.health.recordUnreachable(c.holder, c.endpoint)
+		c.retire()
+	}
+	if !c.otherHolder() {
+		return
+	}
+	loansRefused.Inc()
 	for i, a := range answers {
-		if a.Failure == nil || !isHolderRefusal(a.Failure) {
-			continue
-		}
-		if a.Failure.Reason == verdict.Unreachable {
-			c.health.recordUnreachable(c.holder, c.endpoint)
-			c.retire()
-		}
-		if c.otherHolder() {
-			loansRefused.Inc()
+		if a.Failure != nil && isHolderRefusal(a.Failure) {
 			answers[i].Failure = a.Failure.WithCause(errors.Mark(errors.Wrap(a.Failure, c.holder), connection.ErrLender))
 		}
 	}
--- a/loan/convert.go
+++ b/loan/convert.go
@@ -9,9 +9,9 @@
 	"siskincove/statement"
 )
 
-// toSteps returns the wire message for steps that must finish within the remaining time.
-func toSteps(steps []statement.Step, remaining time.Duration, class limit.Class) *wire.Steps {
-	out := &wire.Steps{Remaining: peer.Micros(remaining), Class: class.Name, Weight: uint32(max(class.Weight, 0))}
+// toSteps returns the wire message for steps that must finish within the remaining time, the first guard of them before the others.
+func toSteps(steps []statement.Step, guard int, remaining time.Duration, class limit.Class) *wire.Steps {
+	out := &wire.Steps{Remaining: peer.Micros(remaining), Class: class.Name, Weight: uint32(max(class.Weight, 0)), Guard: uint32(guard)}
 	for _, s := range steps {
 		out.Steps = append(out.Steps, &wire.Step{
 			Kind: uint32(s.Kind), Id: s.ID, Name: []byte(s.Name), Value: []byte(s.Value), Writes: s.Writes, Text: []byte(s.Text),
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -90,14 +90,19 @@
 func (l *loan) exchange(ctx context.Context, request *wire.Steps) *wire.Results {
 	steps := make([]statement.Step, 0, len(request.GetSteps()))
 	endpointSteps := make([]statement.Step, 0, len(request.GetSteps()))
-	for _, m := range request.GetSteps() {
+	guard := 0
+	for i, m := range request.GetSteps() {
 		s := fromStep(m)
 		steps = append(steps, s)
-		if !l.applySessionStep(s) {
-			endpointSteps = append(endpointSteps, s)
+		if l.applySessionStep(s) {
+			continue
+		}
+		endpointSteps = append(endpointSteps, s)
+		if i < int(request.GetGuard()) {
+			guard = len(endpointSteps)
 		}
 	}
-	answers, broken := l.runSteps(ctx, endpointSteps, request)
+	answers, broken := l.runSteps(ctx, endpointSteps, guard, request)
 	out := &wire.Results{Broken: broken, Retired: l.conn == nil && !l.available(), Crowded: l.isCrowded()}
 	for _, s := range steps {
 		switch {
@@ -147,8 +152,8 @@
 	return statement.Idle
 }
 
-// runSteps runs steps on a pooled connection. It returns true if the connection was lost before every step was answered.
-func (l *loan) runSteps(ctx context.Context, steps []statement.Step, request *wire.Steps) ([]statement.Answer, bool) {
+// runSteps runs steps on a pooled connection, those after the first guard steps only if the last of these succeeded. It returns true if the connection was lost before every step was answered.
+func (l *loan) runSteps(ctx context.Context, steps []statement.Step, guard int, request *wire.Steps) ([]statement.Answer, bool) {
 	if len(steps) == 0 {
 		return nil, false
 	}
@@ -170,7 +175,13 @@
 			setup = append(setup, l.conn.Prepare(s.Name, stmt.text, stmt.writes)...)
 		}
 	}
-	answers, err := l.conn.Exchange(ctx, deadline, append(setup, steps...)...)
+	var answers []statement.Answer
+	var err error
+	if all := append(setup, steps...); guard > 0 && guard < len(steps) {
+		answers, err = l.conn.ExchangeGuarded(ctx, deadline, len(setup)+guard, all...)
+	} else {
+		answers, err = l.conn.Exchange(ctx, deadline, all...)
+	}
 	answers = answers[min(len(setup), len(answers)):]
 	if err != nil {
 		l.release(false)
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -32,6 +32,8 @@
 	steps  []string
 	// silent leaves exchanges unanswered until their deadline.
 	silent bool
+	// refuses is the kind of the steps that are refused, 0 for none.
+	refuses statement.Kind
 }
 
 func (f *fakeEndpoint) Dial(context.Context, connection.Target, time.Duration) (connection.Conn, error) {
@@ -84,6 +86,10 @@
 	answers := make([]statement.Answer, 0, len(steps))
 	for _, s := range steps {
 		c.endpoint.steps = append(c.endpoint.steps, fmt.Sprintf("%d %s %s", c.number, s.Kind, s.Name))
+		if s.Kind == c.endpoint.refuses {
+			answers = append(answers, statement.Refusal(verdict.New(verdict.NotRun, verdict.NotPrimary, "refused"), c.state))
+			continue
+		}
 		switch s.Kind {
 		case statement.Begin:
 			c.state = statement.Open
--- a/loan/workspace_test.go
+++ b/loan/workspace_test.go
@@ -207,3 +207,37 @@
 	}
 	<-loan.Broken()
 }
+
+// TestGuardedExchange guards against a statement that runs by itself after its transaction was refused: the holder sends it only
+// once the transaction has begun, though the borrower asks for both at once.
+func TestGuardedExchange(t *testing.T) {
+	steps := []statement.Step{
+		statement.ProxySet("zone", "utc"), statement.ProxyStep(statement.Begin), read("q1"), statement.ProxyStep(statement.Rollback),
+	}
+	const guard = 2
+	tests := map[string]struct {
+		refuses statement.Kind
+		want    []string
+	}{
+		"begun":         {want: []string{"1 set zone", "1 begin ", "1 read ", "1 rollback "}},
+		"begin refused": {refuses: statement.Begin, want: []string{"1 set zone", "1 begin "}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newHolderNetwork(t)
+			n["first"].endpoint.refuses = test.refuses
+			loan := mustDial(t, n.workspaceDialer(t.Context()))
+			answers, supported, err := loan.ExchangeGuarded(t.Context(), deadlineIn(time.Second), guard, steps...)
+			if err != nil || !supported || len(answers) < guard {
+				t.Fatalf("%d answers, supported %t, %v", len(answers), supported, err)
+			}
+			if refused := answers[guard-1].Failure != nil; refused != (test.refuses != 0) {
+				t.Errorf("begin was answered with %+v", answers[guard-1])
+			}
+			if diff := cmp.Diff(test.want, n["first"].executed()); diff != "" {
+				t.Error(diff)
+			}
+			mustExchange(t, loan, read("q2"))
+		})
+	}
+}
