--- a/loan/convert.go
+++ b/loan/convert.go
@@ -9,10 +9,12 @@
 	"siskincove/statement"
 )
 
-// toSteps returns the wire message for steps that must finish within the remaining time and are on time within aim.
-func toSteps(steps []statement.Step, remaining, aim time.Duration, class limit.Class) *wire.Steps {
+// toSteps returns the wire message for steps that must finish within the remaining time and are on time within aim, the first guard
+// of them before the others.
+func toSteps(steps []statement.Step, guard int, remaining, aim time.Duration, class limit.Class) *wire.Steps {
 	out := &wire.Steps{
 		Remaining: peer.Micros(remaining), Aim: aim.Microseconds(), Class: class.Name, Weight: uint32(max(class.Weight, 0)),
+		Guard: uint32(guard),
 	}
 	for _, s := range steps {
 		out.Steps = append(out.Steps, &wire.Step{
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -22,6 +22,9 @@
 	// at most responseMarginMax is reserved.
 	responseMarginShare = 0.1
 	responseMarginMax   = 30 * time.Millisecond
+	// workspaceMargin is the least that is reserved for a workspace's loan, up to half of the remaining time. Its holder may be in
+	// another region, and an answer that comes too late hides that the endpoint was slow.
+	workspaceMargin = 20 * time.Millisecond
 	// idleGrace is added to the idle timeout of a transaction at the holder, so that the borrower ends it first.
 	idleGrace = 2 * time.Second
 	// rollbackTimeout bounds a rollback; after it the connection is closed, which also rolls back.
@@ -92,14 +95,19 @@
 func (l *loan) exchange(ctx context.Context, request *wire.Steps) *wire.Results {
 	steps := make([]statement.Step, 0, len(request.GetSteps()))
 	endpointSteps := make([]statement.Step, 0, len(request.GetSteps()))
-	for _, m := range request.GetSteps() {
+	guard := 0
+	for i, m := range request.GetSteps() {
 		s := fromStep(m)
 		steps = append(steps, s)
-		if !l.applySessionStep(s) {
-			endpointSteps = append(endpointSteps, s)
+		if l.applySessionStep(s) {
+			continue
+		}
+		endpointSteps = append(endpointSteps, s)
+		if i < int(request.GetGuard()) {
+			guard = len(endpointSteps)
 		}
 	}
-	answers, broken := l.runSteps(ctx, endpointSteps, request)
+	answers, broken := l.runSteps(ctx, endpointSteps, guard, request)
 	out := &wire.Results{Broken: broken, Retired: l.conn == nil && !l.available(), Crowded: l.isCrowded()}
 	for _, s := range steps {
 		switch {
@@ -149,15 +157,14 @@
 	return statement.Idle
 }
 
-// runSteps runs steps on a pooled connection. It returns true if the connection was lost before every step was answered.
-func (l *loan) runSteps(ctx context.Context, steps []statement.Step, request *wire.Steps) ([]statement.Answer, bool) {
+// runSteps runs steps on a pooled connection, those after the first guard steps only if the last of these succeeded. It returns true if the connection was lost before every step was answered.
+func (l *loan) runSteps(ctx context.Context, steps []statement.Step, guard int, request *wire.Steps) ([]statement.Answer, bool) {
 	if len(steps) == 0 {
 		return nil, false
 	}
 	now := l.lender.options.Clock.Now()
 	remaining := peer.Duration(request.GetRemaining())
-	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
-	deadline := now.Add(remaining - margin)
+	deadline := now.Add(remaining - l.responseMargin(remaining))
 	if l.conn == nil {
 		demand := connection.Demand{
 			Workspace: l.request.GetWorkspace(), Settings: l.settings, Deadline: deadline, Flow: l.flow(),
@@ -179,7 +186,13 @@
 			setup = append(setup, l.conn.Prepare(s.Name, stmt.text, stmt.writes)...)
 		}
 	}
-	answers, err := l.conn.Exchange(ctx, deadline, append(setup, steps...)...)
+	var answers []statement.Answer
+	var err error
+	if all := append(setup, steps...); guard > 0 && guard < len(steps) {
+		answers, err = l.conn.ExchangeGuarded(ctx, deadline, len(setup)+guard, all...)
+	} else {
+		answers, err = l.conn.Exchange(ctx, deadline, all...)
+	}
 	answers = answers[min(len(setup), len(answers)):]
 	if err != nil {
 		l.release(false)
@@ -193,6 +206,15 @@
 	return answers, false
 }
 
+// responseMargin returns how much of the borrower's remaining time is reserved for sending the answers back.
+func (l *loan) responseMargin(remaining time.Duration) time.Duration {
+	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
+	if l.request.GetWorkspace() != "" {
+		margin = max(margin, min(workspaceMargin, remaining/2))
+	}
+	return margin
+}
+
 // acquire takes a connection from the endpoint's pool. Its errors have the verdict verdict.NotRun.
 func (l *loan) acquire(ctx context.Context, demand connection.Demand) error {
 	pool, ok := l.lender.options.Pool(l.request)
