member: pause between probes of instances that answer

Cause: each statement that fails at a holder asks for heartbeats to all holders in use, ten times a second where endpoints are slow, two of three in other regions and with the leads of all databases in the replies. Change: an instance that was heard from is probed 0.2 s later at the earliest; only partners are asked for leads. The test counts 7 s of failures at 24 holders.

--- a/member/announce.go
+++ b/member/announce.go
@@ -16,7 +16,7 @@
 	for _, i := range d.PlacedPeers() {
 		wait.Go(func() {
 			d.exchange(ctx, i, func(h *wire.Heartbeat) {
-				h.Interests = nil
+				withoutInterests(h)
 				if extend != nil {
 					extend(h)
 				}
@@ -26,6 +26,9 @@
 	wait.Wait()
 }
 
+// withoutInterests makes a heartbeat ask for no leads in the reply. Leads come from partners.
+func withoutInterests(h *wire.Heartbeat) { h.Interests = nil }
+
 // Push requests a heartbeat to the partners without waiting for the next round, to spread something new. It does not wait
 // for the heartbeats.
 func (d *Driver) Push() {
--- a/member/driver.go
+++ b/member/driver.go
@@ -233,10 +233,15 @@
 func (d *Driver) sendRound(ctx context.Context) bool {
 	d.mu.Lock()
 	targets := d.table.Targets(d.options.Clock.Now())
+	partners := d.table.partners()
 	d.mu.Unlock()
 	var wait sync.WaitGroup
 	for _, i := range targets {
-		wait.Go(func() { d.exchange(ctx, i, nil) })
+		extend := withoutInterests
+		if slices.ContainsFunc(partners, func(p Instance) bool { return p.ID == i.ID }) {
+			extend = nil
+		}
+		wait.Go(func() { d.exchange(ctx, i, extend) })
 	}
 	wait.Wait()
 	return d.endRound()
--- a/member/table.go
+++ b/member/table.go
@@ -18,6 +18,9 @@
 	countDeadFor = 30 * time.Second
 	// deadRetryInterval is the pause between two heartbeats to a dead instance.
 	deadRetryInterval = 5 * time.Second
+	// probePause is the least time between an instance's answer and a heartbeat that ProbeSoon requests. Where endpoints are
+	// slow, statements fail all the time at instances that are well.
+	probePause = 200 * time.Millisecond
 	// maxRumours bounds the rumours sent with one heartbeat.
 	maxRumours = 8
 	// rumourRepeats is how many times each rumour is sent.
@@ -28,9 +31,11 @@
 type Table struct {
 	self      Instance
 	instances map[string]Instance
-	// urgent holds the instances to probe in the next period, and since when.
+	// urgent holds the instances to probe in the next period after a time.
 	urgent map[string]time.Time
 	listed map[string]bool
+	// heardAt is when an instance last answered a heartbeat or sent one.
+	heardAt map[string]time.Time
 	// rumourSends is how many more times each rumour is to be sent, and rumourQueue is the order of sending.
 	rumourSends map[string]int
 	rumourQueue []string
@@ -54,6 +59,7 @@
 		listed:      make(map[string]bool),
 		rumourSends: make(map[string]int),
 		turns:       make(map[meter.Distance]int),
+		heardAt:     make(map[string]time.Time),
 		version:     1,
 	}
 }
@@ -145,6 +151,7 @@
 		if i.State == Dead && !t.listed[id] && now.Sub(i.Since) > forgetDeadAfter {
 			delete(t.instances, id)
 			delete(t.urgent, id)
+			delete(t.heardAt, id)
 			t.partnerIDs = nil
 		}
 	}
@@ -193,6 +200,7 @@
 	next.Since = known.Since
 	next.State = known.State
 	next.Missed = 0
+	t.heardAt[from.ID] = now
 	t.instances[from.ID] = next.WithState(state, now)
 	delete(t.urgent, from.ID)
 	return t.recordChange(from.ID, known.State, wasPlaced)
@@ -254,11 +262,15 @@
 }
 
 // ProbeSoon requests a heartbeat to the instance at an address in the next period, as after a failed request there, if it takes
-// part in the placement.
+// part in the placement. One that has just answered gets it probePause after its answer, unless it is heard from before.
 func (t *Table) ProbeSoon(address string, now time.Time) {
 	for id, i := range t.instances {
-		if i.Address == address && t.placed(i) {
-			t.urgent[id] = now
+		if _, requested := t.urgent[id]; requested || i.Address != address || !t.placed(i) {
+			continue
+		}
+		t.urgent[id] = now
+		if due := t.heardAt[id].Add(probePause); due.After(now) {
+			t.urgent[id] = due
 		}
 	}
 }
--- a/member/targets.go
+++ b/member/targets.go
@@ -38,7 +38,7 @@
 			out = append(out, i)
 		}
 	}
-	for _, id := range t.urgentIDs() {
+	for _, id := range t.urgentIDs(now) {
 		add(t.instances[id])
 	}
 	partners := t.partners()
@@ -112,10 +112,12 @@
 
 // urgentIDs returns the instances to probe urgently in this period. They are taken in an order that starts after this
 // instance's own ID, so that instances that start together do not all probe the same ones.
-func (t *Table) urgentIDs() []string {
+func (t *Table) urgentIDs(now time.Time) []string {
 	ids := make([]string, 0, len(t.urgent))
-	for id := range t.urgent {
-		ids = append(ids, id)
+	for id, due := range t.urgent {
+		if !due.After(now) {
+			ids = append(ids, id)
+		}
 	}
 	ids = t.afterSelf(ids)
 	return ids[:min(len(ids), maxUrgent)]
--- a/member/traffic_test.go
+++ b/member/traffic_test.go
@@ -188,3 +188,31 @@
 		})
 	}
 }
+
+// TestProbesOfSlowInstances guards against heartbeats that grow with the statements that fail: where endpoints are slow or cut off,
+// statements fail at holders in all regions that are well, and each failure asks for a heartbeat to all of them.
+func TestProbesOfSlowInstances(t *testing.T) {
+	const (
+		seconds  = 7
+		failures = 10
+		holders  = 24
+	)
+	d := startDeployment(144)
+	d.run(20)
+	self := d.tables["i000"]
+	sent := make(map[meter.Distance]int)
+	for range seconds * failures {
+		d.now = d.now.Add(time.Second / failures)
+		for n := range holders {
+			self.ProbeSoon(fmt.Sprintf("10.0.0.%d:1", 1+n), d.now)
+		}
+		for _, target := range self.Targets(d.now) {
+			sent[self.distance(target)]++
+			d.exchange(self, target)
+		}
+	}
+	limit := holders * seconds * int(time.Second/probePause)
+	if n := sent[meter.OtherRegion] + sent[meter.SameRegion]; n > limit {
+		t.Errorf("%d heartbeats to other domains, want at most %d", n, limit)
+	}
+}
