--- a/commands/logs.go
+++ b/commands/logs.go
@@ -18,6 +18,7 @@
 type logsCommand struct {
 	Losses  lossesCommand  `cmd:"" help:"Count the requests that were refused, failed or late, by interval and cause."`
 	Request requestCommand `cmd:"" help:"Print one request's way through all instances."`
+	Traffic trafficCommand `cmd:"" help:"Sum what instances exchanged, by purpose and distance."`
 }
 
 // readLogs calls each with the lines of the files, or of standard input if files is empty.
--- a/directory/poll_test.go
+++ b/directory/poll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +153,78 @@
 		})
 	}
 }
+
+// countingRows counts the calls to an empty store.
+type countingRows struct{ calls atomic.Int64 }
+
+func (c *countingRows) Commit(context.Context, store.Transaction) (store.Version, error) {
+	c.calls.Add(1)
+	return 0, nil
+}
+
+func (c *countingRows) Range(context.Context, string, string, string, string) (store.Page, error) {
+	c.calls.Add(1)
+	return store.Page{Version: 1}, nil
+}
+
+func (c *countingRows) Follow(ctx context.Context, _ string, after store.Version, _ time.Duration) (store.Changes, error) {
+	c.calls.Add(1)
+	<-ctx.Done()
+	return store.Changes{Version: after}, ctx.Err()
+}
+
+// TestBootstrap guards against reads of the store by each instance that starts although a peer has supplied the directory: only
+// those that follow the configuration or poll the endpoints for their failure domain need versions of the store's own.
+func TestBootstrap(t *testing.T) {
+	offer := Offer{
+		Configuration:    store.Row{Key: store.Key{Table: "o", Key: "c"}, Value: []byte("abc"), Version: 2},
+		Endpoints:        rows(map[string]string{"a": "replica ready 1"}),
+		EndpointsVersion: 3,
+	}
+	tests := map[string]struct {
+		offer   Offer
+		follows bool
+		polls   bool
+		reads   bool
+	}{
+		"peer has both":                         {offer: offer},
+		"peer has nothing":                      {reads: true},
+		"peer has no endpoints":                 {offer: Offer{Configuration: offer.Configuration}, reads: true},
+		"peer has both, instance follows":       {offer: offer, follows: true, reads: true},
+		"peer has both, instance polls for all": {offer: offer, polls: true, reads: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			counted := &countingRows{}
+			accepted := make(chan struct{})
+			var d *Directory
+			d = New(ctx, Options{
+				Rows: counted, Decoder: wordDecoder{}, Clock: clock.System{}, Logger: event.Discard(),
+				Apply: func(*config.Catalog, map[string]string) {}, OnChange: func() {}, Regions: func() map[string]string { return nil },
+				ShouldFollow: func() bool { return test.follows }, ShouldPoll: func() bool { return test.polls },
+				Bootstrap: func(context.Context) {
+					<-accepted
+					if counted.calls.Load() > 0 {
+						t.Error("the store was read before the peers were asked")
+					}
+					d.Accept(test.offer)
+				},
+			})
+			close(accepted)
+			for end := time.Now().Add(50 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if reads := counted.calls.Load() > 0; reads && !test.reads {
+					t.Error("the store was read")
+					break
+				}
+			}
+			for end := time.Now().Add(5 * time.Second); test.reads && counted.calls.Load() == 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the store was not read")
+				}
+			}
+			cancel()
+			<-d.Done()
+		})
+	}
+}
--- a/hosted/traffic.go
+++ b/hosted/traffic.go
@@ -1,10 +1,6 @@
 package hosted
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -31,25 +27,9 @@
 	}
 	for {
 		err := clock.Wait(i.ctx, i.options.Clock, trafficInterval)
-		i.options.Logger.Log(event.TrafficCounted, log.Fields{"flows": formatFlows(i.options.Traffic.Totals())})
+		i.options.Logger.Log(event.TrafficCounted, log.Fields{"flows": meter.Format(i.options.Traffic.Totals())})
 		if err != nil {
 			return
 		}
 	}
 }
-
-// formatFlows returns the totals as a list of purpose@distance=count:bytes, the largest first.
-func formatFlows(totals map[meter.Flow]meter.Amount) string {
-	flows := make([]meter.Flow, 0, len(totals))
-	for flow := range totals {
-		flows = append(flows, flow)
-	}
-	slices.SortFunc(flows, func(a, b meter.Flow) int {
-		return cmp.Or(cmp.Compare(totals[b].Bytes, totals[a].Bytes), cmp.Compare(a.Purpose, b.Purpose), cmp.Compare(a.Distance, b.Distance))
-	})
-	parts := make([]string, 0, len(flows))
-	for _, flow := range flows {
-		parts = append(parts, fmt.Sprintf("%s@%s=%d:%d", flow.Purpose, flow.Distance, totals[flow].Count, totals[flow].Bytes))
-	}
-	return strings.Join(parts, " ")
-}
