--- a/caller/conn.go
+++ b/caller/conn.go
@@ -93,8 +93,8 @@
 )
 
 // next reads the next request. It returns errShutdown if the session has to end first because the server is draining or
-// closing, errWithdrawn if its key was withdrawn, and errIdle if an open transaction has been idle for the session's idle limit. While draining, the idle limit
-// is not applied, since wake also makes the deadline pass.
+// closing, errWithdrawn if its key was withdrawn, and errIdle if an open transaction has been idle for the session's idle
+// limit. While draining, the idle limit is not applied, since wake also makes the deadline pass.
 func (c *callerConn) next() (incoming, error) {
 	if c.shouldEnd() {
 		return incoming{}, errShutdown
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -88,7 +88,8 @@
 	}
 }
 
-// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other methods.
+// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other
+// methods.
 func (s *Session) CheckKey() *verdict.Error {
 	catalog := s.dispatcher.options.Catalogs.Catalog()
 	if catalog == nil {
@@ -134,7 +135,8 @@
 	return statement.Refusal(refused, s.state)
 }
 
-// checkKey checks the key again after a wait, and takes over the workspace that holds it now. It returns why the statement can't run.
+// checkKey checks the key again after a wait, and takes over the workspace that holds it now. It returns why the statement
+// can't run.
 func (w *workItem) checkKey() *verdict.Error {
 	catalog := w.session.dispatcher.options.Catalogs.Catalog()
 	holder, refused := identify(catalog, w.route, w.session.key)
