--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -44,6 +44,10 @@
 		w.recordFailure(j.request, c, err, statement.Answer{}, acquireStarted)
 		return statement.Answer{}, false
 	}
+	if refused := w.reauthorize(); refused != nil {
+		pool.Release(conn, true, 0)
+		return statement.Refusal(refused, statement.Idle), true
+	}
 	sent := w.session.dispatcher.now()
 	a, err := w.exchangeAndRelease(ctx, j, c, conn, pool)
 	if err != nil && a == nil {
@@ -110,10 +114,6 @@
 	conn, err := pool.Acquire(ctx, connection.Demand{
 		Workspace: w.workspace.Name, Class: w.class, Deadline: w.deadline, Settings: w.session.settings,
 	})
-	if holder := w.workspace.Name; err == nil && (w.checkKey() != nil || w.workspace.Name != holder) {
-		pool.Release(conn, true, 0)
-		return nil, nil, verdict.New(verdict.NotRun, verdict.Aborted, "key was withdrawn or moved while the statement waited")
-	}
 	if err == nil && !w.database.AcceptsWork(c.Endpoint.Name) {
 		// The endpoint is leaving, and its time for new work ended during the wait for a connection.
 		pool.Release(conn, true, 0)
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -97,6 +97,10 @@
 		w.recordFailure(j.request, c, err, statement.Answer{}, acquireStarted)
 		return statement.Answer{}, false
 	}
+	if refused := w.reauthorize(); refused != nil {
+		pool.Release(conn, true, 0)
+		return statement.Refusal(refused, statement.Failed), true
+	}
 	t.conn, t.pool, t.firstItem, t.choice, t.connSince = conn, pool, w, c, t.session.dispatcher.now()
 	a, err := t.beginAndRun(ctx, w, j, c)
 	if err != nil {
@@ -203,7 +207,10 @@
 		return verdict.New(verdict.NotRun, verdict.Aborted, "no free slot before the deadline; transaction was rolled back").WithRetryAfter(defaultRetryAfter)
 	}
 	w.attempts++
-	return w.pause(ctx, w.nextBackoff(), nil)
+	if refused := w.pause(ctx, w.nextBackoff(), nil); refused != nil {
+		return refused
+	}
+	return w.reauthorize()
 }
 
 // handleConnectionLost fails the transaction after its connection was lost; no effect of it is kept.
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -16,7 +16,8 @@
 // Freshness tells whether the configuration in force is known to have been the newest until recently, so that it shows
 // which keys are valid.
 type Freshness interface {
-	// Check returns nil if the configuration shows which keys are valid at the time of the call, and otherwise why not.
+	// Check returns nil if any configuration that is looked up after the call shows which keys are valid at the time of the call,
+	// and otherwise why not.
 	Check() *verdict.Error
 }
 
@@ -40,6 +41,9 @@
 // authorize checks the session's key before a statement that may reach an endpoint, and records the workspace that holds it. A
 // statement whose route is not configured is refused elsewhere.
 func (s *Session) authorize() *verdict.Error {
+	// The check comes first: a proof that arrives between the lookup and the check would say nothing about the configuration that
+	// was looked up.
+	unproven := s.dispatcher.unproven()
 	catalog := s.dispatcher.options.Catalogs.Catalog()
 	route, known := s.effectiveRoute(catalog)
 	if !known {
@@ -54,10 +58,31 @@
 		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the transaction began")
 	}
 	s.workspace = w
-	if w.Name == "" || s.dispatcher.options.Freshness == nil {
+	if w.Name == "" {
 		return nil
 	}
-	return s.dispatcher.options.Freshness.Check()
+	return unproven
+}
+
+// unproven returns why the configuration may not show which keys are valid, nil if it does.
+func (d *Dispatcher) unproven() *verdict.Error {
+	if d.options.Freshness == nil {
+		return nil
+	}
+	return d.options.Freshness.Check()
+}
+
+// reauthorize checks the session's key again after a statement has waited for a connection or slot.
+func (w *workItem) reauthorize() *verdict.Error {
+	s := w.session
+	if refused := s.authorize(); refused != nil {
+		return refused
+	}
+	if s.workspace.Name != w.workspace.Name {
+		// The endpoint knows the connection under the other workspace's name.
+		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the statement began")
+	}
+	return nil
 }
 
 // effectiveRoute returns the route under which a statement runs now: that of the transaction once it has run a statement,
@@ -135,8 +160,8 @@
 	return statement.Refusal(refused, s.state)
 }
 
-// checkKey checks the key again after a wait, and takes over the workspace that holds it now. It returns why the statement
-// can't run.
+// checkKey checks the key again before a connection is taken, and takes over the workspace that holds it now. It returns why
+// the statement can't run.
 func (w *workItem) checkKey() *verdict.Error {
 	catalog := w.session.dispatcher.options.Catalogs.Catalog()
 	holder, refused := identify(catalog, w.route, w.session.key)
--- a/dispatch/workspace_test.go
+++ b/dispatch/workspace_test.go
@@ -355,6 +355,50 @@
 	}
 }
 
+// TestKeyWithdrawnInRetry guards against a statement of an open transaction that is sent again after its key was withdrawn or
+// moved, because it had waited for a slot in the meantime.
+func TestKeyWithdrawnInRetry(t *testing.T) {
+	tests := map[string]struct {
+		after *config.Catalog
+		kind  statement.Kind
+		want  outcome
+	}{
+		"withdrawn, statement": {after: withKeys(nil), kind: statement.Write, want: outcome{Verdict: "not run", Reason: verdict.Unauthorized, State: statement.Failed}},
+		"withdrawn, commit":    {after: withKeys(nil), kind: statement.Commit, want: outcome{Verdict: "not run", Reason: verdict.Unauthorized}},
+		"moved, statement":     {after: withKeys(map[string][]string{"red": {"k"}}), kind: statement.Write, want: outcome{Verdict: "not run", Reason: verdict.Aborted, State: statement.Failed}},
+		"moved, commit":        {after: withKeys(map[string][]string{"red": {"k"}}), kind: statement.Commit, want: outcome{Verdict: "not run", Reason: verdict.Aborted}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := newKeyed(t, withKeys(map[string][]string{"blue": {"k"}}), nil)
+			s, refused := k.open("main", "k")
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			busy := func(steps []statement.Step) ([]statement.Answer, error) {
+				k.catalog.Store(test.after)
+				return fail(test.kind, verdict.Overload, statement.Open)(steps)
+			}
+			k.dialer.scripts = map[string][]script{"p": {succeed, succeed, busy}}
+			s.Run(context.Background(), control(statement.Begin))
+			s.Run(context.Background(), write("1"))
+			r := write("2")
+			if test.kind == statement.Commit {
+				r = control(statement.Commit)
+				r.ID = "2"
+			}
+			if diff := cmp.Diff(test.want, outcomeOf(s.Run(context.Background(), r))); diff != "" {
+				t.Error(diff)
+			}
+			k.end()
+			want := []string{"p: begin ", "p: write 1", "p: " + test.kind.String() + " 2", "p: rollback "}
+			if diff := cmp.Diff(want, k.dialer.sent); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // TestUnprovenStatement checks that a statement is refused without effect while it is not proved that its key is still valid,
 // and that the session goes on.
 func TestUnprovenStatement(t *testing.T) {
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -131,7 +131,7 @@
 		"dispatch/workspace.go", "s.tx.conn != nil && w.Name != s.workspace.Name:", "s.tx.conn != nil && false:", "./dispatch", "TestKeyChanges",
 	},
 	"key not checked again after a wait": {
-		"dispatch/workitem.go", "if refused := w.checkKey(); refused != nil {", "if refused := w.checkKey(); false {", "./dispatch", "TestKeyWithdrawnWhileWaiting",
+		"dispatch/workspace.go", "	if refused := s.authorize(); refused != nil {\n		return refused\n	}\n", "	_ = s.authorize()\n", "./dispatch", "TestKeyWithdrawnInRetry",
 	},
 	"idle sessions outlive their keys": {
 		"caller/server.go", "if c.waiting.Load() && c.session.CheckKey() != nil {", "if false {", "./caller", "TestEndWithdrawn",
