standin/cluster: reserve ports across test processes

Cause: one of four schedules of TestHistory failed once, as an instance could not listen on 28762 (address already in use), while tests of another clone ran on the machine; each process kept only its own record of the ports it had chosen. Not proved to be that process: ruled out are two instances of the same process and outgoing connections, whose ports are above 32768. Change: the UDP port of the same number stays open as a mark for other allocators.

--- a/standin/cluster/ports.go
+++ b/standin/cluster/ports.go
@@ -18,14 +18,15 @@
 )
 
 // portAllocator allocates loopback ports, each at most once in the life of this process, since an allocated port
-// appears free until its instance listens on it.
+// appears free until its instance listens on it. It keeps the UDP port of the same number open, by which the allocators of
+// other test processes on the machine see that the port is taken; instances use TCP only.
 type portAllocator struct {
 	mu        sync.Mutex
-	allocated map[int]bool
+	allocated map[int]net.PacketConn
 }
 
 // loopbackPorts is shared by all clusters of this process.
-var loopbackPorts = portAllocator{allocated: make(map[int]bool)}
+var loopbackPorts = portAllocator{allocated: make(map[int]net.PacketConn)}
 
 // freeAddresses returns n loopback addresses that were free when checked and are allocated to no other caller.
 func freeAddresses(n int) ([]string, error) {
@@ -45,15 +46,20 @@
 
 // allocate allocates a port unless it is allocated or in use; p.mu must be held.
 func (p *portAllocator) allocate(port int) (string, bool) {
-	if p.allocated[port] {
+	if p.allocated[port] != nil {
 		return "", false
 	}
 	address := fmt.Sprintf("127.0.0.1:%d", port)
+	reservation, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return "", false
+	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
+		_ = reservation.Close()
 		return "", false
 	}
 	_ = l.Close()
-	p.allocated[port] = true
+	p.allocated[port] = reservation
 	return address, true
 }
