--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -86,6 +86,7 @@
 		return refused
 	}
 	if s.workspace.Name != w.workspace.Name {
+		// The endpoint knows the connection under the other workspace's name.
 		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the statement began")
 	}
 	return nil
@@ -115,7 +116,8 @@
 	}
 }
 
-// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other methods.
+// CheckKey returns why the session must end: its key is no longer valid on its route. It may be called concurrently with other
+// methods.
 func (s *Session) CheckKey() *verdict.Error {
 	catalog := s.dispatcher.options.Catalogs.Catalog()
 	if catalog == nil {
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -157,14 +157,16 @@
 	return statement.Idle
 }
 
-// runSteps runs steps on a pooled connection, those after the first guard steps only if the last of these succeeded. It returns true if the connection was lost before every step was answered.
+// runSteps runs steps on a pooled connection, those after the first guard steps only if the last of these succeeded. It returns true
+// if the connection was lost before every step was answered.
 func (l *loan) runSteps(ctx context.Context, steps []statement.Step, guard int, request *wire.Steps) ([]statement.Answer, bool) {
 	if len(steps) == 0 {
 		return nil, false
 	}
 	now := l.lender.options.Clock.Now()
 	remaining := peer.Duration(request.GetRemaining())
-	deadline := now.Add(remaining - l.responseMargin(remaining))
+	margin := l.responseMargin(remaining)
+	deadline := now.Add(remaining - margin)
 	if l.conn == nil {
 		demand := connection.Demand{
 			Workspace: l.request.GetWorkspace(), Settings: l.settings, Deadline: deadline, Flow: l.flow(),
