--- a/database/database.go
+++ b/database/database.go
@@ -234,31 +234,30 @@
 		Endpoint: e, Dialer: d.options.Dialer, Clock: d.options.Clock, Logger: d.options.Logger, Limit: share.Limit, InFlight: share.InFlight,
 		ByWorkspace: share.ByWorkspace, Detour: d.options.Detour, Context: d.options.Context,
 	}
-	if d.options.Lending == nil || share.Holders == 0 {
-		d.setPool(d.pools, own, share)
+	hasHolders := d.options.Lending != nil && share.Holders > 0
+	holds := hasHolders && d.options.Lending.Holds(e, share)
+	borrowsToo := hasHolders && share.ByWorkspace
+	if holds && borrowsToo {
+		d.setPool(d.held, own, share)
+	} else {
 		d.closeHeld(e.Name)
-		return
 	}
-	holds := d.options.Lending.Holds(e, share)
-	borrowed := own
-	borrowed.Borrows, borrowed.Limit, borrowed.InFlight = true, maxBorrowed, 0
-	switch {
-	case share.ByWorkspace:
-		borrowed.Dialer, borrowed.Detour = d.options.Lending.WorkspaceDialer(), nil
-		if holds {
-			d.setPool(d.held, own, share)
-		} else {
-			d.closeHeld(e.Name)
-		}
-		d.setPool(d.pools, borrowed, share)
-		return
-	case holds:
+	if borrowsToo || hasHolders && !holds {
+		d.setPool(d.pools, d.borrowing(own), share)
+	} else {
 		d.setPool(d.pools, own, share)
-	default:
-		borrowed.Dialer = d.options.Lending.Dialer()
-		d.setPool(d.pools, borrowed, share)
 	}
-	d.closeHeld(e.Name)
+}
+
+// borrowing returns the options of a pool that borrows connections instead of opening its own.
+func (d *Database) borrowing(o connection.Options) connection.Options {
+	o.Borrows, o.Limit, o.InFlight = true, maxBorrowed, 0
+	if o.ByWorkspace {
+		o.Dialer, o.Detour = d.options.Lending.WorkspaceDialer(), nil
+	} else {
+		o.Dialer = d.options.Lending.Dialer()
+	}
+	return o
 }
 
 // setPool creates or resizes a pool. The pool is replaced if this instance starts or stops borrowing connections to the endpoint
