--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -287,7 +287,9 @@
 	if s.Proven {
 		fields["age"] = s.Age.String()
 	}
-	k.setState(refuses, refuses && (s.Alone || k.options.Sources.Split()), fields)
+	// After a suspension no peer has answered for some time, but one will.
+	asked := s.Fruitless > 0
+	k.setState(refuses, refuses && asked && (s.Alone || k.options.Sources.Split()), fields)
 }
 
 // setState records and logs when the instance starts or stops to refuse statements, and reports when it becomes isolated or stops
