freshness: wait briefly for the next proof when the last one has just become too old

Cause: when an instance wakes from a freeze its peers prove the configuration within ms, but the statements that waited were refused. Change: they wait for at most 0.1 s, and not at all once it is known that no proof comes.

--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -28,10 +28,11 @@
 	// storeTimeout and peerTimeout bound one question.
 	storeTimeout = 700 * time.Millisecond
 	peerTimeout  = 200 * time.Millisecond
-	// retrySoon and retryLater are when a refused caller should try again: soon if the instance has just noticed that its proof is too
-	// old, as after a suspension, since peers answer at once.
-	retrySoon  = 100 * time.Millisecond
-	retryLater = time.Second
+	// renewWait is how long a statement may wait for a new proof after the last one has become too old; peers answer within some ms.
+	renewWait = 100 * time.Millisecond
+	renewPoll = 5 * time.Millisecond
+	// retryAfter is when a refused caller should try again.
+	retryAfter = time.Second
 )
 
 var ages = metrics.NewHistogram("siskincove_proof_age_seconds")
@@ -86,6 +87,7 @@
 	peersAskedAt       time.Time
 	fruitless          int
 	refusing, isolated bool
+	refusingSince      time.Time
 }
 
 // New returns a keeper, which asks for proofs between Start and the end of Start's context.
@@ -119,8 +121,18 @@
 }
 
 // Check returns nil if a statement that has been read may run with the keys of any configuration that is looked up after the call,
-// and otherwise why not.
+// and otherwise why not. If the proof has just become too old, as after a suspension, it waits briefly for the next one.
 func (k *Keeper) Check() *verdict.Error {
+	started := k.options.Clock.Now()
+	refused := k.check()
+	for refused != nil && k.options.Clock.Now().Sub(started) < renewWait && !k.knownToRefuse() {
+		<-k.options.Clock.After(renewPoll)
+		refused = k.check()
+	}
+	return refused
+}
+
+func (k *Keeper) check() *verdict.Error {
 	withdrawal := k.options.Withdrawal()
 	if withdrawal == 0 {
 		return nil
@@ -132,19 +144,19 @@
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.Unproven, "no proof that the configuration is the newest%s", describe(proof, proven, now)).
-		WithRetryAfter(k.retryAfter())
+		WithRetryAfter(retryAfter)
 }
 
-// retryAfter returns when a refused caller should try again. It makes the keeper ask at once if that has not noticed yet that statements
-// are refused.
-func (k *Keeper) retryAfter() time.Duration {
+// knownToRefuse reports whether the instance has refused statements for so long that a new proof isn't expected at once. It makes the
+// keeper ask for one if that has not noticed yet.
+func (k *Keeper) knownToRefuse() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.refusing {
-		return retryLater
+	if !k.refusing {
+		k.Wake()
+		return false
 	}
-	k.Wake()
-	return retrySoon
+	return k.options.Clock.Now().Sub(k.refusingSince) >= renewWait
 }
 
 func describe(p Proof, proven bool, now time.Time) string {
@@ -297,6 +309,9 @@
 func (k *Keeper) setState(refuses, isolated bool, fields log.Fields) {
 	k.mu.Lock()
 	refused, wasIsolated := k.refusing, k.isolated
+	if refuses && !refused {
+		k.refusingSince = k.options.Clock.Now()
+	}
 	k.refusing, k.isolated = refuses, isolated
 	k.mu.Unlock()
 	fields["isolated"] = isolated
