freshness: ask the next peer after 60 ms without an answer

Cause: after a freeze of 6 s the connections to the first peers were broken, and each cost a timeout of 0.2 s; an instance got its proof after 0.6 s. Change: the next peer is asked after 60 ms, and the answers of both count.

--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -27,7 +27,9 @@
 	isolatedAfter = 2 * time.Second
 	// storeTimeout and peerTimeout bound one question.
 	storeTimeout = 700 * time.Millisecond
-	peerTimeout  = 200 * time.Millisecond
+	peerTimeout  = 250 * time.Millisecond
+	// nextPeerPause is after how long without an answer the next peer is asked too; a peer of another region takes some tens of ms.
+	nextPeerPause = 60 * time.Millisecond
 	// renewWait is how long a statement may wait for a new proof after the last one has become too old; peers answer within some ms.
 	renewWait = 100 * time.Millisecond
 	renewPoll = 5 * time.Millisecond
@@ -349,12 +351,7 @@
 		defer k.Wake()
 		defer k.setAsking(&k.askingPeers, false)
 		defer k.options.Logger.Contain("freshness")
-		found := false
-		for _, address := range k.options.Sources.Peers() {
-			if found = k.askPeer(ctx, address, recent); found {
-				break
-			}
-		}
+		found := k.askInTurn(ctx, k.options.Sources.Peers(), recent)
 		count(Peers, found)
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -364,6 +361,34 @@
 	})
 }
 
+// askInTurn asks the peers in turn and reports whether there is a recent proof then. It goes on to the next one if a peer does not answer
+// within nextPeerPause, as over connections that broke during a suspension, and still takes its answer.
+func (k *Keeper) askInTurn(ctx context.Context, peers []string, recent time.Duration) bool {
+	answers, open := make(chan bool, len(peers)), 0
+	for _, address := range peers {
+		open++
+		k.asks.Go(func() {
+			found := false
+			defer func() { answers <- found }()
+			defer k.options.Logger.Contain("freshness")
+			found = k.askPeer(ctx, address, recent)
+		})
+		select {
+		case found := <-answers:
+			if open--; found {
+				return true
+			}
+		case <-k.options.Clock.After(nextPeerPause):
+		}
+	}
+	for ; open > 0; open-- {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
 // askPeer asks a peer and reports whether there is a recent proof then.
 func (k *Keeper) askPeer(ctx context.Context, address string, recent time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
