--- a/allotment/account.go
+++ b/allotment/account.go
@@ -10,6 +10,8 @@
 	shortageDecay = time.Second
 	// maxPause is the longest time for which an account that has nothing to grant asks not to be asked.
 	maxPause = 500 * time.Millisecond
+	// aheadReserve is the share of an account's capacity that is kept for callers that wait.
+	aheadReserve = 0.5
 )
 
 // Grant is the answer of an account.
@@ -39,14 +41,18 @@
 	return a
 }
 
-// WithDraw returns the account after a request for operations, and the answer.
-func (a Account) WithDraw(wanted int, now time.Time) (Account, Grant) {
+// WithDraw returns the account after a request for operations that callers wait for and for more that are expected ahead, and the
+// answer. Operations are granted ahead only while the account is more than half full, since some of them expire unused.
+func (a Account) WithDraw(wanted, ahead int, now time.Time) (Account, Grant) {
 	if elapsed := now.Sub(a.bucket.at); elapsed > 0 {
 		a.shortage *= math.Exp(-elapsed.Seconds() / shortageDecay.Seconds())
 	}
 	var granted int
 	a.bucket, granted = a.bucket.taken(wanted, now)
-	g := Grant{Granted: granted, Lifetime: a.bucket.share.Lifetime}
+	var early int
+	spare := int(a.bucket.tokens - a.bucket.share.Capacity*aheadReserve)
+	a.bucket, early = a.bucket.taken(min(ahead, spare), now)
+	g := Grant{Granted: granted + early, Lifetime: a.bucket.share.Lifetime}
 	if granted < wanted {
 		a.shortage += float64(wanted - granted)
 		g.After = a.pause()
--- a/allotment/ask.go
+++ b/allotment/ask.go
@@ -12,15 +12,17 @@
 // Ask is a request to an account for operations.
 type Ask struct {
 	Address string
-	Wanted  int
+	// Wanted is how many operations callers wait for, and Ahead how many more are expected soon.
+	Wanted int
+	Ahead  int
 }
 
 // Asks returns the requests to send for a number of callers that wait, of which pending are covered by requests in flight to
-// the accounts asked already. available are the accounts that may be asked, the nearest first. extra operations
-// are wanted beyond those of the callers. A crowd asks several accounts at once, a few callers only the nearest.
-func Asks(available []string, waiting, pending, asked, extra int) []Ask {
+// the accounts asked already. available are the accounts that may be asked, the nearest first, and ahead
+// operations are expected beyond those of the callers. A crowd asks several accounts at once, a few callers only the nearest.
+func Asks(available []string, waiting, pending, asked, ahead int) []Ask {
 	missing := waiting - pending
-	if missing <= 0 && (extra <= 0 || asked > 0) {
+	if missing <= 0 && (ahead <= 0 || asked > 0) {
 		return nil
 	}
 	accounts := max(1, (waiting+operationsPerAsk-1)/operationsPerAsk) - asked
@@ -34,11 +36,12 @@
 		if n < max(0, missing)%accounts {
 			part++
 		}
+		a := Ask{Address: address, Wanted: part}
 		if n == 0 {
-			part += extra
+			a.Ahead = ahead
 		}
-		if part > 0 {
-			out = append(out, Ask{Address: address, Wanted: part})
+		if a != (Ask{Address: address}) {
+			out = append(out, a)
 		}
 	}
 	return out
--- a/allotment/desk.go
+++ b/allotment/desk.go
@@ -31,7 +31,9 @@
 	asked map[string]int
 	// empty holds the accounts that had too little, absent those that were none, silent those that did not answer.
 	empty, absent, silent Pauses
-	waiting               int
+	// aheadAfter is when operations may be requested ahead again.
+	aheadAfter time.Time
+	waiting    int
 	// refused counts the callers refused since the last grant.
 	refused int
 }
@@ -119,6 +121,9 @@
 	asks := Asks(available, d.waiting, pending, len(d.asked), d.ahead(exhausted, now))
 	for _, a := range asks {
 		d.asked[a.Address] = a.Wanted
+		if a.Ahead > 0 {
+			d.aheadAfter = now.Add(d.share.Lifetime / 2)
+		}
 	}
 	switch {
 	case len(d.asked) > 0 || d.waiting == 0:
@@ -133,7 +138,7 @@
 // ahead returns how many operations to request beyond those of the waiting callers: what a busy workspace is likely to start
 // while they are valid.
 func (d *Desk) ahead(exhausted bool, now time.Time) int {
-	if exhausted {
+	if exhausted || now.Before(d.aheadAfter) {
 		return 0
 	}
 	expected := d.demand.expected(d.share.Lifetime, now)
--- a/allotment/keeper.go
+++ b/allotment/keeper.go
@@ -14,8 +14,11 @@
 	"siskincove/peer/wire"
 )
 
-// reviewInterval is how often a keeper checks which accounts it keeps.
-const reviewInterval = 500 * time.Millisecond
+const (
+	// reviewInterval is how often a keeper checks which accounts it keeps, and firstReviewInterval the same while it settles.
+	reviewInterval      = 500 * time.Millisecond
+	firstReviewInterval = 100 * time.Millisecond
+)
 
 // Keeper keeps this instance's accounts and answers requests for operations.
 type Keeper struct {
@@ -25,8 +28,6 @@
 
 	mu       sync.Mutex
 	accounts map[string]Account
-	// reviewed is set once the accounts were reviewed with a configuration and the roster.
-	reviewed bool
 }
 
 // NewKeeper starts a keeper that stops when ctx ends.
@@ -43,7 +44,11 @@
 	defer close(k.done)
 	for {
 		k.review()
-		if clock.Wait(ctx, k.options.Clock, reviewInterval) != nil {
+		interval := reviewInterval
+		if k.options.Clock.Now().Sub(k.started) < settleTime {
+			interval = firstReviewInterval
+		}
+		if clock.Wait(ctx, k.options.Clock, interval) != nil {
 			return
 		}
 	}
@@ -63,18 +68,16 @@
 			probes[i.Address] = true
 		}
 	}
-	k.endReview(catalog)
+	k.closeRemoved(catalog)
 	for address := range probes {
 		k.options.Members.ProbeSoon(address)
 	}
 }
 
-// endReview closes the accounts of workspaces that are no longer configured.
-func (k *Keeper) endReview(catalog *config.Catalog) {
-	_, rosterKnown := k.options.Members.InstanceCount()
+// closeRemoved closes the accounts of workspaces that are no longer configured.
+func (k *Keeper) closeRemoved(catalog *config.Catalog) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.reviewed = k.reviewed || rosterKnown
 	for name := range k.accounts {
 		if _, ok := catalog.Workspace(name); !ok {
 			delete(k.accounts, name)
@@ -111,10 +114,10 @@
 	return kept, unmet
 }
 
-// since returns from when on an account that is opened now gains operations: from the start if it was this instance's before, as
-// nothing else has granted any since then.
+// since returns from when on an account that is opened now gains operations: from the start after a restart, as nothing else has
+// granted any of it since then.
 func (k *Keeper) since(s Standing, now time.Time) time.Time {
-	if s.Listed && !k.reviewed {
+	if s.Listed && s.Age <= settleTime+reviewInterval {
 		return k.started
 	}
 	return now
@@ -135,7 +138,7 @@
 func (k *Keeper) Serve(draw *wire.Draw) *wire.Grant {
 	out := &wire.Grant{}
 	for _, claim := range draw.GetClaims() {
-		g := k.draw(claim.GetWorkspace(), int(claim.GetWanted()))
+		g := k.draw(claim.GetWorkspace(), int(claim.GetWanted()), int(claim.GetAhead()))
 		out.Portions = append(out.Portions, &wire.Portion{
 			Workspace: claim.GetWorkspace(), Granted: uint32(g.Granted), Lifetime: uint64(g.Lifetime.Microseconds()),
 			After: uint64(g.After.Microseconds()), Absent: g.Absent,
@@ -145,7 +148,7 @@
 }
 
 // draw answers a request for operations of a workspace.
-func (k *Keeper) draw(workspace string, wanted int) Grant {
+func (k *Keeper) draw(workspace string, wanted, ahead int) Grant {
 	catalog := k.options.Catalog()
 	if catalog == nil {
 		return Grant{Absent: true}
@@ -163,7 +166,7 @@
 	if !open {
 		return Grant{Absent: true}
 	}
-	a, g := a.WithDraw(wanted, k.options.Clock.Now())
+	a, g := a.WithDraw(wanted, ahead, k.options.Clock.Now())
 	k.accounts[workspace] = a
 	return g
 }
--- a/allotment/limiter.go
+++ b/allotment/limiter.go
@@ -243,12 +243,12 @@
 // call sends a request for operations to an account.
 func (l *Limiter) call(workspace string, a Ask) (Grant, error) {
 	if a.Address == l.options.Self.Address {
-		return l.keeper.draw(workspace, a.Wanted), nil
+		return l.keeper.draw(workspace, a.Wanted, a.Ahead), nil
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, askTimeout)
 	defer cancel()
 	reply, err := peer.Call(ctx, l.options.Dialer, a.Address, &wire.Frame{Body: &wire.Frame_Draw{Draw: &wire.Draw{
-		Claims: []*wire.Claim{{Workspace: workspace, Wanted: uint32(a.Wanted)}},
+		Claims: []*wire.Claim{{Workspace: workspace, Wanted: uint32(a.Wanted), Ahead: uint32(a.Ahead)}},
 	}}})
 	if err != nil {
 		return Grant{}, err
--- a/allotment/standing.go
+++ b/allotment/standing.go
@@ -40,13 +40,23 @@
 	if rank < 0 || rank >= count || !s.RosterKnown {
 		return false, nil
 	}
-	if s.Listed {
-		return true, nil
-	}
 	for _, i := range ranked {
-		if i.ID != s.ID && i.Incarnation == 0 && (i.State != member.Dead || s.Age < abandonTime) {
+		if i.ID != s.ID && s.needsAnswer(i) {
 			unmet = append(unmet, i)
 		}
 	}
-	return len(unmet) == 0 && s.Age >= settleTime, unmet
+	return len(unmet) == 0 && (s.Listed || s.Age >= settleTime), unmet
+}
+
+// needsAnswer reports whether the instance must not keep an account yet because another one has not answered. After a restart
+// it keeps the accounts of before without those that do not answer, since nobody takes the accounts of a listed instance.
+func (s Standing) needsAnswer(i member.Instance) bool {
+	switch {
+	case i.Incarnation != 0:
+		return false
+	case s.Listed:
+		return i.State != member.Dead && i.Missed == 0 && s.Age < settleTime
+	default:
+		return i.State != member.Dead || s.Age < abandonTime
+	}
 }
--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -33,6 +33,8 @@
 	promotion *hosting.Promotion
 	instances []*Instance
 	addresses []string
+	// configure, if set, changes the settings of the instances that are started.
+	configure func(s *settings.Settings)
 }
 
 // newDeployment starts a group of three endpoints and the given number of instances, and waits until they are ready.
@@ -111,6 +113,9 @@
 	s.Listen = settings.Listen{Callers: ip + ":7101", Peers: ip + ":7102", Health: ip + ":7103", Metrics: ip + ":7104", Seeds: seeds}
 	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
 	s.Drain.Endpoint = document.Duration(7 * time.Second)
+	if d.configure != nil {
+		d.configure(&s)
+	}
 	clk := clock.Boot{}
 	i, err := New(context.Background(), Options{
 		Settings: s, Clock: clk, Logger: testLogger(), Rows: rows.New(d.store.Address()), Decoder: records.Decoder{},
