--- a/hosted/deployment_test.go
+++ b/hosted/deployment_test.go
@@ -37,6 +37,8 @@
 	// withdrawal is the bound on the withdrawal of keys for instances that start, and rows what they use as the store, if set.
 	withdrawal time.Duration
 	rows       func(instance int, rows store.Rows) store.Rows
+	// configure, if set, changes the settings of the instances that are started.
+	configure func(s *settings.Settings)
 }
 
 // newDeployment starts a group of three endpoints and the given number of instances, and waits until they are ready.
@@ -121,6 +123,9 @@
 	s.Regions = map[string]string{"a": "north", "b": "north", "c": "north"}
 	s.Drain.Endpoint = document.Duration(7 * time.Second)
 	s.Keys.Withdrawal = document.Duration(d.withdrawal)
+	if d.configure != nil {
+		d.configure(&s)
+	}
 	clk := clock.Boot{}
 	var rowStore store.Rows = rows.New(storeAddress)
 	if d.rows != nil {
