--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -344,18 +345,20 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s, e := open(t, test.route, test.scripts)
-			var got []outcome
-			for _, r := range test.requests {
-				got = append(got, outcomeOf(s.Run(context.Background(), r)))
-			}
-			s.dispatcher.background.Wait()
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Error(diff)
-			}
-			if diff := cmp.Diff(test.sent, e.sent); diff != "" {
-				t.Error(diff)
-			}
+			synctest.Test(t, func(t *testing.T) {
+				s, e := open(t, test.route, test.scripts)
+				var got []outcome
+				for _, r := range test.requests {
+					got = append(got, outcomeOf(s.Run(context.Background(), r)))
+				}
+				s.dispatcher.background.Wait()
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Error(diff)
+				}
+				if diff := cmp.Diff(test.sent, e.sent); diff != "" {
+					t.Error(diff)
+				}
+			})
 		})
 	}
 }
@@ -457,23 +460,25 @@
 // only one usable endpoint, a statement that gets a slot just before its deadline wastes the slot and loses its
 // connection.
 func TestNoAttemptShortOfTime(t *testing.T) {
-	overloaded := make([]script, 1000)
-	for i := range overloaded {
-		overloaded[i] = fail(statement.Write, verdict.Overload, statement.Idle)
-	}
-	s, e := open(t, "main", map[string][]script{"p": overloaded})
-	db, _ := s.dispatcher.options.Databases.Get("db")
-	for range 100 {
-		db.RecordServed("p", position, 80*time.Millisecond)
-	}
-	started := time.Now()
-	a := s.Run(context.Background(), write("1"))
-	if took := time.Since(started); took > 300*time.Millisecond-answerMargin-80*time.Millisecond {
-		t.Errorf("tried for %s at an endpoint that takes 80 ms, with a timeout of 300 ms", took)
-	}
-	if a.Failure == nil || a.Failure.Verdict != verdict.NotRun || len(e.sent) < 5 {
-		t.Errorf("got %+v after %d attempts", a.Failure, len(e.sent))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		overloaded := make([]script, 1000)
+		for i := range overloaded {
+			overloaded[i] = fail(statement.Write, verdict.Overload, statement.Idle)
+		}
+		s, e := open(t, "main", map[string][]script{"p": overloaded})
+		db, _ := s.dispatcher.options.Databases.Get("db")
+		for range 100 {
+			db.RecordServed("p", position, 80*time.Millisecond)
+		}
+		started := time.Now()
+		a := s.Run(context.Background(), write("1"))
+		if took := time.Since(started); took > 300*time.Millisecond-answerMargin-80*time.Millisecond {
+			t.Errorf("tried for %s at an endpoint that takes 80 ms, with a timeout of 300 ms", took)
+		}
+		if a.Failure == nil || a.Failure.Verdict != verdict.NotRun || len(e.sent) < 5 {
+			t.Errorf("got %+v after %d attempts", a.Failure, len(e.sent))
+		}
+	})
 }
 
 // slowDialer calls whileDialing when it connects to p.
