--- a/member/table.go
+++ b/member/table.go
@@ -241,16 +241,16 @@
 	if moved || i.State.Live() != before.Live() {
 		t.partnerIDs = nil
 	}
-	if i.State != Suspect && i.State != before && !isPresumptionConfirmed(i, before, wasPlaced) {
+	if i.State != Suspect && i.State != before && !t.isPresumptionConfirmed(i, before, wasPlaced) {
 		t.queueRumour(id)
 	}
 	return []Change{{Instance: i, Before: before, Moved: moved}}
 }
 
-// isPresumptionConfirmed reports whether an instance that has become alive was presumed to be. Others have presumed the same since
-// they read the roster or heard of it, so it is no news to them.
-func isPresumptionConfirmed(i Instance, before State, wasPlaced bool) bool {
-	return i.State == Alive && before == Unproven && wasPlaced
+// isPresumptionConfirmed reports whether an instance of another failure domain that has become alive was presumed to be. Its own
+// domain tells those that read the roster before it was listed.
+func (t *Table) isPresumptionConfirmed(i Instance, before State, wasPlaced bool) bool {
+	return i.State == Alive && before == Unproven && wasPlaced && t.distance(i) != meter.SameDomain
 }
 
 // relayPresumed passes on the rumour of an instance of which this one learned by it just now, if it takes part in the placement.
