freshness, hosted: distrust the first reads of a restored store, end a wait with its context

Cause (review): an instance that started alone after the store was restored from a copy took its first read, of an older version than its peers had, for a proof, and served a key that the lost version withdrew until a peer's newer version was in force. The wait for the last sessions turned without a pause once the instance's context had ended. Change: an era above 0 counts as a new one also if it is the first that is known, so reads prove nothing for the settling time; peers' proofs do. awaitNoSessions ends with the context. TestUsable has the case, which failed before.

--- a/freshness/ledger.go
+++ b/freshness/ledger.go
@@ -10,9 +10,9 @@
 type Ledger struct {
 	// current is the latest proof of a version that was in force when it was recorded, and next the latest one of a newer version.
 	current, next Proof
-	// era is the latest era of the store that is known, and restoredAt when a new one was first seen.
+	// era is the latest era of the store that is known, 0 for a store that was never restored, and restoredAt when a new one was
+	// first seen.
 	era        uint64
-	eraKnown   bool
 	restoredAt time.Time
 }
 
@@ -37,12 +37,12 @@
 }
 
 // WithEra returns the ledger after the store's era became known, from an answer of the store or from a peer. A new one means that the
-// store has been restored from a copy.
+// store has been restored from a copy. So may the first one that an instance learns of after its start: the copy may lack a
+// version that only its peers know.
 func (l Ledger) WithEra(era uint64, now time.Time) Ledger {
-	if l.eraKnown && era > l.era {
-		l.restoredAt = now
+	if era > l.era {
+		l.era, l.restoredAt = era, now
 	}
-	l.eraKnown, l.era = true, max(l.era, era)
 	return l
 }
 
--- a/freshness/ledger_test.go
+++ b/freshness/ledger_test.go
@@ -29,7 +29,11 @@
 		"of an older version than in force":  {Ledger{}.With(Proof{2, at(s)}, 3), 3, Proof{}},
 		"of an older version than was heard": {Ledger{}.With(Proof{5, at(s)}, 0).With(Proof{4, at(2 * s)}, 0), 4, Proof{}},
 		"a read of a restored store": {
-			Ledger{}.WithRead(Proof{3, at(s)}, 1, 3, at(s)).WithRead(Proof{3, at(2 * s)}, 2, 3, at(2*s)), 3, Proof{3, at(s)},
+			Ledger{}.WithRead(Proof{3, at(s)}, 0, 3, at(s)).WithRead(Proof{3, at(2 * s)}, 1, 3, at(2*s)), 3, Proof{3, at(s)},
+		},
+		// An instance that has just started does not know what the copy lacks.
+		"the first read, of a restored store": {
+			Ledger{}.WithRead(Proof{3, at(s)}, 1, 3, at(s)), 3, Proof{},
 		},
 		"a read some time after a restore": {
 			Ledger{}.WithEra(1, at(0)).WithEra(2, at(s)).WithRead(Proof{3, at(2 * s)}, 2, 3, at(2*s)), 3, Proof{3, at(2 * s)},
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -70,6 +70,8 @@
 // awaitNoSessions waits until no session is left, or until the deadline.
 func (i *Instance) awaitNoSessions(deadline time.Time) {
 	for i.callers.Sessions() > 0 && i.options.Clock.Now().Before(deadline) {
-		_ = clock.Wait(i.ctx, i.options.Clock, drainPollInterval)
+		if clock.Wait(i.ctx, i.options.Clock, drainPollInterval) != nil {
+			return
+		}
 	}
 }
