--- a/directory/follow.go
+++ b/directory/follow.go
@@ -125,7 +125,8 @@
 		}
 	}
 	d.recordPosition(position, sent)
-	if len(changes.Changes) > 0 && wait > 0 {
+	if early := d.options.Clock.Now().Sub(sent) < wait; wait > 0 && (early || len(changes.Changes) > 0) {
+		// A store that does not hold the call until there are changes must not be asked without a pause.
 		_ = clock.Wait(ctx, d.options.Clock, changeDelay)
 	}
 	return position, nil
