proof: mutate the check of a guarded exchange

The mutation "failed begin of a transaction ignored" changed a check in dispatch that moved to PooledConn.ExchangeGuarded. The new one makes TestSession fail, as the old one did.

--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -32,7 +32,7 @@
 		"dispatch/single.go", "if j.request.Writes || !c.Lead {", "if true {", "./dispatch", "TestSession",
 	},
 	"failed begin of a transaction ignored": {
-		"dispatch/transaction.go", "	if a := opened[len(steps)]; a.Failure != nil {\n		return a, nil\n	}\n", "	_ = opened\n", "./dispatch", "TestSession",
+		"connection/pooledconn.go", "if err != nil || answers[guard-1].Failure != nil {", "if err != nil {", "./dispatch", "TestSession",
 	},
 	"unanswered commit reported as not run": {
 		"dispatch/commit.go", "verdict.New(verdict.MayHaveRun, verdict.Broken, \"endpoint did not answer the commit\")", "verdict.New(verdict.NotRun, verdict.Broken, \"endpoint did not answer the commit\")", "./dispatch", "TestSession",
