connection: refuse a statement without time to connect as overload

A holder that opened connections for other workspaces refused statements that waited too long for their turn as unreachable; borrowers then paused it for all workspaces. For pools with connections of several workspaces the refusal is overload with a time to retry after, and a dial that ends with its statement's deadline is refused alike and leaves the circuit. Pools without workspaces refuse as before.

--- a/connection/pool.go
+++ b/connection/pool.go
@@ -309,6 +309,8 @@
 		p.recordOpenTime(p.options.Clock.Now().Sub(now))
 	case ctx.Err() != nil:
 		return nil, errGaveUp()
+	case p.isCutShort(err, limits, bounded, deadline):
+		return nil, p.tooLateLocked(len(p.waiters)).WithCause(err)
 	default:
 		p.recordDialFailure(workspace, err, bounded.connect == limits.connect)
 		return nil, err
--- a/connection/redial.go
+++ b/connection/redial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/event"
 	"siskincove/verdict"
@@ -101,6 +102,12 @@
 	}
 }
 
+// isCutShort reports whether an attempt to connect ended with its statement's deadline, before the endpoint had the full time to
+// answer. The endpoint may then be busy.
+func (p *Pool) isCutShort(err error, limits, bounded dialLimits, deadline time.Time) bool {
+	return p.options.ByWorkspace && bounded != limits && !p.options.Clock.Now().Before(deadline) && !errors.Is(err, ErrLender)
+}
+
 // recordDialSuccess records that the endpoint was reached. p.mu must be held.
 func (p *Pool) recordDialSuccess(conn Conn) {
 	p.circuit = p.circuit.WithSuccess()
--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -18,9 +18,26 @@
 	patience time.Duration
 }
 
-// errTooLate refuses a statement that can't get a connection in time.
-func errTooLate() error {
-	return verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
+// errTooLate refuses a statement that can't get a connection in time. Among the statements of several workspaces that is a lack of
+// capacity, which says nothing about the endpoint.
+func (p *Pool) errTooLate(w *waiter) error {
+	if !p.options.ByWorkspace {
+		return verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ahead := max(slices.Index(p.waiters, w), 0)
+	return p.tooLateLocked(ahead)
+}
+
+// tooLateLocked refuses a statement for lack of time, with so many others that open connections before it. p.mu must be held.
+func (p *Pool) tooLateLocked(ahead int) *verdict.Error {
+	openTime := p.openTime
+	if openTime == 0 {
+		openTime = minDialTime
+	}
+	return verdict.New(verdict.NotRun, verdict.Overload, "no time left to open a connection to the endpoint").
+		WithRetryAfter(time.Duration(ahead+1) * openTime)
 }
 
 // errGaveUp refuses a statement whose caller has gone.
@@ -40,7 +57,7 @@
 			return h, nil
 		case <-p.options.Clock.After(w.patience):
 		case <-latest:
-			return nil, errTooLate()
+			return nil, p.errTooLate(w)
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
@@ -50,7 +67,7 @@
 		return h, nil
 	case p.dialSlots <- struct{}{}:
 	case <-latest:
-		return nil, errTooLate()
+		return nil, p.errTooLate(w)
 	case <-ctx.Done():
 		return nil, errGaveUp()
 	}
@@ -74,7 +91,7 @@
 			return h, nil
 		case <-freed:
 		case <-latest:
-			return nil, errTooLate()
+			return nil, p.errTooLate(w)
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
