connection: leave the circuit closed when lenders fail

Refusals for lack of a holder of one workspace opened the circuit that all workspaces share, so others were refused though their holders were well. Failures marked ErrLender no longer count.

--- a/connection/busy_test.go
+++ b/connection/busy_test.go
@@ -1,6 +1,7 @@
 package connection
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -45,3 +46,28 @@
 		})
 	}
 }
+
+// lenderDialer borrows connections of all workspaces but one, whose holders fail.
+type lenderDialer struct {
+	countingDialer
+	failing string
+}
+
+func (d *lenderDialer) Dial(ctx context.Context, target Target, timeout time.Duration) (Conn, error) {
+	if target.Workspace == d.failing {
+		return nil, verdict.New(verdict.NotRun, verdict.Unreachable, "no holder answers").WithCause(ErrLender)
+	}
+	return d.countingDialer.Dial(ctx, target, timeout)
+}
+
+// TestFailingLenders checks that the holders of one workspace's connections do not keep others from theirs.
+func TestFailingLenders(t *testing.T) {
+	p := newWorkspacePool(&lenderDialer{failing: "a"}, 4, 4)
+	defer p.Close()
+	for range 2 * 3 {
+		if _, err := p.Acquire(t.Context(), demandOf("a")); !errors.Is(err, ErrLender) {
+			t.Errorf("error is %v, want one of the lender", err)
+		}
+	}
+	p.Release(p.mustAcquireFor(t, "b"), true, 0)
+}
--- a/connection/redial.go
+++ b/connection/redial.go
@@ -85,12 +85,16 @@
 }
 
 // recordDialFailure updates the circuit after a failed attempt to connect. If the endpoint had the full time to answer and did
-// not, the next attempt is started at once, over a detour. p.mu must be held.
+// not, the next attempt is started at once, over a detour. A failure of the lending instances does not count. p.mu must be held.
 func (p *Pool) recordDialFailure(workspace string, err error, fullTime bool) {
 	now := p.options.Clock.Now()
 	p.options.Logger.Log(event.ConnectionFailed, log.Fields{
 		"endpoint": p.options.Endpoint.Name, "address": p.options.Endpoint.Address, "error": err.Error(),
 	})
+	if errors.Is(err, ErrLender) {
+		// The holders of other workspaces' connections may be well.
+		return
+	}
 	if !fullTime || !isNetworkFailure(err) {
 		p.circuit = p.circuit.WithFailure(now)
 		return
