connection: open nothing in a closed pool

Statements that waited when a pool was closed, or were admitted later, each opened a connection beside those of the successor. With workspaces they are refused as leaving, and Close wakes the waiting ones. Idle connections are gone after Close. Pools without workspaces behave as before.

--- a/connection/busy_test.go
+++ b/connection/busy_test.go
@@ -71,3 +71,32 @@
 	}
 	p.Release(p.mustAcquireFor(t, "b"), true, 0)
 }
+
+// TestClosedPoolOpensNothing checks that statements which wait when the pool is closed, or come later, open no connections beside
+// those of its successor.
+func TestClosedPoolOpensNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &countingDialer{}
+		p := newWorkspacePool(d, 1, 4)
+		held := p.mustAcquireFor(t, "a")
+		refused := make(chan error, 2)
+		acquire := func() {
+			_, err := p.Acquire(t.Context(), demandOf("b"))
+			refused <- err
+		}
+		go acquire()
+		synctest.Wait()
+		p.Close()
+		p.Release(held, true, 0)
+		go acquire()
+		closed := time.Now()
+		for range 2 {
+			if got := verdict.From(<-refused); got == nil || got.Verdict != verdict.NotRun || got.Reason != verdict.Leaving {
+				t.Errorf("error is %v, want leaving", got)
+			}
+		}
+		if d.dialed != 1 || time.Since(closed) > 0 {
+			t.Errorf("%d connections were opened, %s passed; want 1 at once", d.dialed, time.Since(closed))
+		}
+	})
+}
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -99,6 +99,9 @@
 	// openTime is the mean time that opening a connection takes, 0 if unknown.
 	openTime time.Duration
 	closed   bool
+	// closing is closed with the pool if its connections are of several workspaces, so that nothing opens one beside those of
+	// the pool that succeeds it.
+	closing chan struct{}
 	// redialDone is closed when the last attempt to connect in the background has ended.
 	redialDone chan struct{}
 }
@@ -110,7 +113,7 @@
 	}
 	p := &Pool{
 		options: o, queue: queue.New(1, o.Clock), dialSlots: make(chan struct{}, maxConcurrentDials), maxDials: initialDials(o),
-		usage: newUsage(), placeFreed: make(chan struct{}), limit: o.Limit, window: initialWindow(o), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
+		usage: newUsage(), placeFreed: make(chan struct{}), closing: make(chan struct{}), limit: o.Limit, window: initialWindow(o), circuit: limit.NewCircuit(maxRedialPause), redialDone: make(chan struct{}),
 	}
 	close(p.redialDone)
 	p.ctx, p.cancel = context.WithCancel(o.Context)
@@ -189,6 +192,9 @@
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.closed && p.options.ByWorkspace {
+		close(p.closing)
+	}
 	p.closed = true
 	p.cancel()
 	p.closeIdleLocked()
--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -43,6 +43,11 @@
 // errGaveUp refuses a statement whose caller has gone.
 func errGaveUp() error { return verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up") }
 
+// errPoolClosed refuses a statement that needs a new connection of a closed pool.
+func errPoolClosed() error {
+	return verdict.New(verdict.NotRun, verdict.Leaving, "connections to the endpoint are no longer opened here")
+}
+
 // takeOrOpen returns a connection of the demand's workspace: an idle one, one that is released meanwhile or a new one.
 func (p *Pool) takeOrOpen(ctx context.Context, d Demand) (*PooledConn, error) {
 	h, w := p.takeOrWait(d)
@@ -58,6 +63,8 @@
 		case <-p.options.Clock.After(w.patience):
 		case <-latest:
 			return nil, p.errTooLate(w)
+		case <-p.closing:
+			return nil, errPoolClosed()
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
@@ -68,6 +75,8 @@
 	case p.dialSlots <- struct{}{}:
 	case <-latest:
 		return nil, p.errTooLate(w)
+	case <-p.closing:
+		return nil, errPoolClosed()
 	case <-ctx.Done():
 		return nil, errGaveUp()
 	}
@@ -92,6 +101,8 @@
 		case <-freed:
 		case <-latest:
 			return nil, p.errTooLate(w)
+		case <-p.closing:
+			return nil, errPoolClosed()
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
@@ -103,6 +114,9 @@
 func (p *Pool) tryReserve(w *waiter) (bool, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed && p.options.ByWorkspace {
+		return false, p.placeFreed
+	}
 	if len(w.released) == 0 && !p.options.ByWorkspace {
 		if h := p.takeIdle(w.demand); h != nil {
 			w.released <- h
