connection: close the circuit on an answer when no place is free to redial

After refused attempts to connect a workspace without a connection stayed refused while all places were in use, since the attempt in the background found no place. A successful exchange then closes the circuit, once an attempt is due.

--- a/connection/busy_test.go
+++ b/connection/busy_test.go
@@ -100,3 +100,31 @@
 		}
 	})
 }
+
+// TestAnswerEndsFailure checks that a workspace without a connection may wait for a place after refused attempts to connect, once
+// the endpoint answers others.
+func TestAnswerEndsFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &countingDialer{}
+		p := newWorkspacePool(d, 1, 4)
+		defer p.Close()
+		held := p.mustAcquireFor(t, "a")
+		p.mu.Lock()
+		for range 3 {
+			p.recordDialFailure("b", verdict.New(verdict.NotRun, verdict.Unreachable, "refused"), true)
+		}
+		p.mu.Unlock()
+		if _, err := p.Acquire(t.Context(), demandOf("b")); verdict.From(err).Reason != verdict.Unreachable {
+			t.Fatalf("error is %v, want unreachable", err)
+		}
+		time.Sleep(maxRedialPause)
+		if _, err := held.Exchange(t.Context(), time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			p.Release(held, true, 0)
+		}()
+		p.Release(p.mustAcquireFor(t, "b"), true, 0)
+	})
+}
--- a/connection/capacity.go
+++ b/connection/capacity.go
@@ -50,9 +50,21 @@
 	if reason != "" && !p.options.Borrows {
 		p.shrinkWindow(reason, now)
 	}
+	if err == nil && !busy {
+		p.endStuckFailure(now)
+	}
 	p.updateCapacityLocked()
 }
 
+// endStuckFailure closes the circuit after an answer of the endpoint if an attempt to connect is due but no place is free for one
+// in the background: statements may then wait for a place. p.mu must be held.
+func (p *Pool) endStuckFailure(now time.Time) {
+	full := p.usage.open >= p.limit && len(p.idle) == 0
+	if p.options.ByWorkspace && !p.options.Borrows && full && p.circuit.Failed() && p.circuit.Allows(now) {
+		p.circuit = p.circuit.WithSuccess()
+	}
+}
+
 // shrinkWindow narrows the window. p.mu must be held.
 func (p *Pool) shrinkWindow(reason string, now time.Time) {
 	before := p.window
