--- a/connection/busy_test.go
+++ b/connection/busy_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"siskincove/statement"
 	"siskincove/verdict"
 )
 
@@ -101,6 +102,28 @@
 	})
 }
 
+// guardedConn is a connection to another instance whose exchange panics.
+type guardedConn struct{ fakeConn }
+
+func (*guardedConn) ExchangeGuarded(context.Context, time.Time, int, ...statement.Step) ([]statement.Answer, bool, error) {
+	panic("exchange")
+}
+
+// TestGuardedExchangePanics checks that a connection whose guarded exchange panicked is not used again.
+func TestGuardedExchangePanics(t *testing.T) {
+	p := newWorkspacePool(&countingDialer{}, 1, 1)
+	defer p.Close()
+	h := p.mustAcquireFor(t, "a")
+	h.Conn = &guardedConn{fakeConn{broken: make(chan struct{})}}
+	func() {
+		defer func() { _ = recover() }()
+		_, _ = h.ExchangeGuarded(t.Context(), time.Now().Add(time.Second), 1, statement.Step{}, statement.Step{})
+	}()
+	if !h.isBroken() {
+		t.Error("the connection is still open")
+	}
+}
+
 // TestAnswerEndsFailure checks that a workspace without a connection may wait for a place after refused attempts to connect, once
 // the endpoint answers others.
 func TestAnswerEndsFailure(t *testing.T) {
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -33,6 +33,16 @@
 
 // Exchange sends the steps and returns their answers as Conn does. The pool adjusts its window to the outcome.
 func (h *PooledConn) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
+	answers, _, err := h.track(deadline, func() ([]statement.Answer, bool, error) {
+		answers, err := h.Conn.Exchange(ctx, deadline, steps...)
+		return answers, true, err
+	})
+	return answers, err
+}
+
+// track runs an exchange and reports it to the pool. The exchange returns false if it sent nothing since the connection does not
+// support it.
+func (h *PooledConn) track(deadline time.Time, exchange func() ([]statement.Answer, bool, error)) ([]statement.Answer, bool, error) {
 	h.setIdleInTx(false)
 	ended, sent := false, h.pool.beginExchange()
 	defer func() {
@@ -42,18 +52,24 @@
 			h.pool.forgetExchange(sent)
 		}
 	}()
-	answers, err := h.Conn.Exchange(ctx, deadline, steps...)
+	answers, supported, err := exchange()
 	ended = true
-	h.pool.endExchange(sent, answers, err, deadline)
-	return answers, err
+	if supported {
+		h.pool.endExchange(sent, answers, err, deadline)
+	} else {
+		h.pool.forgetExchange(sent)
+	}
+	return answers, supported, err
 }
 
 // ExchangeGuarded is Exchange of all steps, of which the endpoint gets the ones after the first guard steps only once the last of
 // those has succeeded. If it failed, the answers may end with it.
 func (h *PooledConn) ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) ([]statement.Answer, error) {
-	h.setIdleInTx(false)
 	if conn, ok := h.Conn.(GuardedConn); ok {
-		if answers, supported, err := conn.ExchangeGuarded(ctx, deadline, guard, steps...); supported {
+		answers, supported, err := h.track(deadline, func() ([]statement.Answer, bool, error) {
+			return conn.ExchangeGuarded(ctx, deadline, guard, steps...)
+		})
+		if supported {
 			return answers, err
 		}
 	}
