--- a/connection/redial.go
+++ b/connection/redial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/event"
 	"siskincove/verdict"
@@ -84,12 +85,16 @@
 }
 
 // recordDialFailure updates the circuit after a failed attempt to connect. If the endpoint had the full time to answer and did
-// not, the next attempt is started at once, over a detour. p.mu must be held.
+// not, the next attempt is started at once, over a detour. A failure of the lending instances does not count. p.mu must be held.
 func (p *Pool) recordDialFailure(workspace string, err error, fullTime bool) {
 	now := p.options.Clock.Now()
 	p.options.Logger.Log(event.ConnectionFailed, log.Fields{
 		"endpoint": p.options.Endpoint.Name, "address": p.options.Endpoint.Address, "error": err.Error(),
 	})
+	if errors.Is(err, ErrLender) {
+		// The holders of other workspaces' connections may be well.
+		return
+	}
 	if !fullTime || !isNetworkFailure(err) {
 		p.circuit = p.circuit.WithFailure(now)
 		return
@@ -101,6 +106,12 @@
 	}
 }
 
+// isCutShort reports whether an attempt to connect ended with its statement's deadline, before the endpoint had the full time to
+// answer. The endpoint may then be busy.
+func (p *Pool) isCutShort(err error, limits, bounded dialLimits, deadline time.Time) bool {
+	return p.options.ByWorkspace && bounded != limits && !p.options.Clock.Now().Before(deadline) && !errors.Is(err, ErrLender)
+}
+
 // recordDialSuccess records that the endpoint was reached. p.mu must be held.
 func (p *Pool) recordDialSuccess(conn Conn) {
 	p.circuit = p.circuit.WithSuccess()
--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -18,14 +18,36 @@
 	patience time.Duration
 }
 
-// errTooLate refuses a statement that can't get a connection in time.
-func errTooLate() error {
-	return verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
+// errTooLate refuses a statement that can't get a connection in time. Among the statements of several workspaces that is a lack of
+// capacity, which says nothing about the endpoint.
+func (p *Pool) errTooLate(w *waiter) error {
+	if !p.options.ByWorkspace {
+		return verdict.New(verdict.NotRun, verdict.Unreachable, "timed out waiting to open a connection to the endpoint")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ahead := max(slices.Index(p.waiters, w), 0)
+	return p.tooLateLocked(ahead)
+}
+
+// tooLateLocked refuses a statement for lack of time, with so many others that open connections before it. p.mu must be held.
+func (p *Pool) tooLateLocked(ahead int) *verdict.Error {
+	openTime := p.openTime
+	if openTime == 0 {
+		openTime = minDialTime
+	}
+	return verdict.New(verdict.NotRun, verdict.Overload, "no time left to open a connection to the endpoint").
+		WithRetryAfter(time.Duration(ahead+1) * openTime)
 }
 
 // errGaveUp refuses a statement whose caller has gone.
 func errGaveUp() error { return verdict.New(verdict.NotRun, verdict.Canceled, "caller gave up") }
 
+// errPoolClosed refuses a statement that needs a new connection of a closed pool.
+func errPoolClosed() error {
+	return verdict.New(verdict.NotRun, verdict.Leaving, "connections to the endpoint are no longer opened here")
+}
+
 // takeOrOpen returns a connection of the demand's workspace: an idle one, one that is released meanwhile or a new one.
 func (p *Pool) takeOrOpen(ctx context.Context, d Demand) (*PooledConn, error) {
 	h, w := p.takeOrWait(d)
@@ -40,7 +62,9 @@
 			return h, nil
 		case <-p.options.Clock.After(w.patience):
 		case <-latest:
-			return nil, errTooLate()
+			return nil, p.errTooLate(w)
+		case <-p.closing:
+			return nil, errPoolClosed()
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
@@ -50,7 +74,9 @@
 		return h, nil
 	case p.dialSlots <- struct{}{}:
 	case <-latest:
-		return nil, errTooLate()
+		return nil, p.errTooLate(w)
+	case <-p.closing:
+		return nil, errPoolClosed()
 	case <-ctx.Done():
 		return nil, errGaveUp()
 	}
@@ -74,7 +100,9 @@
 			return h, nil
 		case <-freed:
 		case <-latest:
-			return nil, errTooLate()
+			return nil, p.errTooLate(w)
+		case <-p.closing:
+			return nil, errPoolClosed()
 		case <-ctx.Done():
 			return nil, errGaveUp()
 		}
@@ -86,6 +114,9 @@
 func (p *Pool) tryReserve(w *waiter) (bool, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed && p.options.ByWorkspace {
+		return false, p.placeFreed
+	}
 	if len(w.released) == 0 && !p.options.ByWorkspace {
 		if h := p.takeIdle(w.demand); h != nil {
 			w.released <- h
