dispatch: return operations refused before they are sent

A refusal after the wait for a connection ended without giving the operation back, so it was lost to the next one. Both paths return it now. TestRefusedOperationIsReturned fails without the change.

--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -46,6 +46,7 @@
 	}
 	if refused := w.reauthorize(); refused != nil {
 		pool.Release(conn, true, 0)
+		w.returnOperation()
 		return statement.Refusal(refused, statement.Idle), true
 	}
 	sent := w.session.dispatcher.now()
@@ -185,9 +186,7 @@
 
 // refuse logs and returns the final answer to a statement that was given up without effect.
 func (w *workItem) refuse(r statement.Request, failure *verdict.Error) statement.Answer {
-	if w.giveBack != nil {
-		w.giveBack()
-	}
+	w.returnOperation()
 	return w.finish(r, statement.Refusal(failure, statement.Idle))
 }
 
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -99,6 +99,7 @@
 	}
 	if refused := w.reauthorize(); refused != nil {
 		pool.Release(conn, true, 0)
+		w.returnOperation()
 		return statement.Refusal(refused, statement.Failed), true
 	}
 	t.conn, t.pool, t.firstItem, t.choice, t.connSince = conn, pool, w, c, t.session.dispatcher.now()
--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -183,3 +183,12 @@
 	w.giveBack, refused = allotments.Take(ctx, w.workspace, w.deadline)
 	return refused
 }
+
+// returnOperation gives the operation back if nothing of it was sent to an endpoint.
+func (w *workItem) returnOperation() {
+	if w.giveBack == nil {
+		return
+	}
+	w.giveBack()
+	w.giveBack = nil
+}
--- a/dispatch/workspace_test.go
+++ b/dispatch/workspace_test.go
@@ -504,3 +504,50 @@
 		}
 	}
 }
+
+// countedAllotments grants each operation and counts those given back. After a grant it replaces the configuration.
+type countedAllotments struct {
+	taken, returned int
+	granted         func()
+}
+
+func (c *countedAllotments) Take(context.Context, config.Workspace, time.Time) (func(), *verdict.Error) {
+	c.taken++
+	c.granted()
+	return func() { c.returned++ }, nil
+}
+
+// lapsingFreshness has a proof until it has lapsed.
+type lapsingFreshness struct{ lapsed bool }
+
+func (f *lapsingFreshness) Check() *verdict.Error {
+	if f.lapsed {
+		return verdict.New(verdict.NotRun, verdict.Unproven, "no proof")
+	}
+	return nil
+}
+
+// TestRefusedOperationIsReturned guards against operations that are lost because a statement was refused before it was sent.
+func TestRefusedOperationIsReturned(t *testing.T) {
+	for name, begin := range map[string]bool{"single": false, "transaction": true} {
+		t.Run(name, func(t *testing.T) {
+			f := &lapsingFreshness{}
+			k := newKeyed(t, withKeys(map[string][]string{"blue": {"k"}}), f)
+			counted := &countedAllotments{granted: func() { f.lapsed = true }}
+			k.dispatcher.options.Allotments = counted
+			s, refused := k.open("main", "k")
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			if begin {
+				s.Run(context.Background(), control(statement.Begin))
+			}
+			if a := s.Run(context.Background(), write("1")); a.Failure == nil || a.Failure.Reason != verdict.Unproven {
+				t.Errorf("got %v", a.Failure)
+			}
+			if counted.taken != 1 || counted.returned != 1 {
+				t.Errorf("%d operations taken, %d returned", counted.taken, counted.returned)
+			}
+		})
+	}
+}
