dispatch: refuse a statement whose key moved after its operation was counted

checkKey took over the new workspace, so the operation was counted for the old one and ran under the new one uncounted. It is refused as aborted, not run. TestKeyMovesAfterOperationIsTaken fails without the change.

--- a/dispatch/workspace.go
+++ b/dispatch/workspace.go
@@ -167,10 +167,15 @@
 // proven to be the newest is checked once a connection is there.
 func (w *workItem) checkKey() *verdict.Error {
 	holder, refused := identify(w.session.dispatcher.options.Catalogs.Catalog(), w.route, w.session.key)
-	if refused == nil {
-		w.workspace, w.session.workspace = holder, holder
+	if refused != nil {
+		return refused
 	}
-	return refused
+	if w.session.dispatcher.options.Allotments != nil && holder.Name != w.workspace.Name {
+		// The operation was counted for the other workspace.
+		return verdict.New(verdict.NotRun, verdict.Aborted, "key belongs to another workspace since the statement began")
+	}
+	w.workspace, w.session.workspace = holder, holder
+	return nil
 }
 
 // takeOperation counts the operation that begins with this statement against the allotment of its workspace.
--- a/dispatch/workspace_test.go
+++ b/dispatch/workspace_test.go
@@ -551,3 +551,27 @@
 		})
 	}
 }
+
+// TestKeyMovesAfterOperationIsTaken guards against an operation that is counted for one workspace and runs under another.
+func TestKeyMovesAfterOperationIsTaken(t *testing.T) {
+	for name, begin := range map[string]bool{"single": false, "transaction": true} {
+		t.Run(name, func(t *testing.T) {
+			k := newKeyed(t, withKeys(map[string][]string{"blue": {"k"}}), nil)
+			counted := &countedAllotments{granted: func() { k.catalog.Store(withKeys(map[string][]string{"red": {"k"}})) }}
+			k.dispatcher.options.Allotments = counted
+			s, refused := k.open("main", "k")
+			if refused != nil {
+				t.Fatal(refused)
+			}
+			if begin {
+				s.Run(context.Background(), control(statement.Begin))
+			}
+			if a := s.Run(context.Background(), write("1")); a.Failure == nil || a.Failure.Reason != verdict.Aborted || a.Failure.Verdict != verdict.NotRun {
+				t.Errorf("got %v", a.Failure)
+			}
+			if counted.taken != 1 || counted.returned != 1 || len(k.dialer.sent) != 0 {
+				t.Errorf("%d operations taken, %d returned, sent %v", counted.taken, counted.returned, k.dialer.sent)
+			}
+		})
+	}
+}
