allotment: remove desks of removed workspaces, name callers that have gone

Desks stayed after their workspace left the configuration; they are removed when the configuration changes. A wait that the caller ended was refused with "no account answers". TestRemovedDesks and TestCallerGone fail without the change.

--- a/allotment/limiter.go
+++ b/allotment/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -41,6 +42,8 @@
 	mu      sync.Mutex
 	desks   map[string]*openDesk
 	stopped bool
+	// catalog is the configuration whose workspaces may have desks.
+	catalog *config.Catalog
 }
 
 // openDesk is a workspace's desk with the callers that wait at it.
@@ -106,6 +109,7 @@
 // wait returns the outcome for an operation.
 func (l *Limiter) wait(ctx context.Context, w config.Workspace, now, deadline time.Time) result {
 	l.mu.Lock()
+	l.closeRemoved()
 	d := l.desk(w)
 	if expires, ok := d.Arrive(now); ok {
 		l.advance(d, now)
@@ -122,11 +126,11 @@
 	case <-ctx.Done():
 	case <-l.options.Clock.After(min(maxWait, deadline.Sub(now))):
 	}
-	return l.giveUp(d, self)
+	return l.giveUp(ctx, d, self)
 }
 
 // giveUp ends the wait of a caller. It returns the outcome if there is one by now.
-func (l *Limiter) giveUp(d *openDesk, w *waiter) result {
+func (l *Limiter) giveUp(ctx context.Context, d *openDesk, w *waiter) result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	select {
@@ -136,9 +140,27 @@
 	}
 	d.waiters = slices.DeleteFunc(d.waiters, func(other *waiter) bool { return other == w })
 	d.GiveUp()
+	if ctx.Err() != nil {
+		return result{refused: verdict.New(verdict.NotRun, verdict.Unreachable, "caller gave up before an account of workspace %s answered", d.workspace.Name).
+			WithCause(ctx.Err()).WithRetryAfter(unreachableRetryAfter)}
+	}
 	return result{refused: verdict.New(verdict.NotRun, verdict.Unreachable, "no account of workspace %s answers", d.workspace.Name).WithRetryAfter(unreachableRetryAfter)}
 }
 
+// closeRemoved removes the desks of workspaces that are no longer configured; l.mu must be held. Callers that wait at one are
+// still answered.
+func (l *Limiter) closeRemoved() {
+	catalog := l.options.Catalog()
+	if catalog == nil || catalog == l.catalog {
+		return
+	}
+	l.catalog = catalog
+	maps.DeleteFunc(l.desks, func(name string, _ *openDesk) bool {
+		_, ok := catalog.Workspace(name)
+		return !ok
+	})
+}
+
 // desk returns the desk of a workspace, a new one after a change of its allotment; l.mu must be held.
 func (l *Limiter) desk(w config.Workspace) *openDesk {
 	d, ok := l.desks[w.Name]
@@ -268,6 +290,9 @@
 func (l *Limiter) giveBack(w config.Workspace, expires time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, open := l.desks[w.Name]; !open {
+		return
+	}
 	d := l.desk(w)
 	d.Return(expires)
 	l.advance(d, l.options.Clock.Now())
