--- a/allotment/keeper.go
+++ b/allotment/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -28,11 +29,20 @@
 
 	mu       sync.Mutex
 	accounts map[string]Account
+	// closed holds the accounts closed within the last window.
+	closed map[string]closing
+}
+
+// closing is the end of an account.
+type closing struct {
+	at time.Time
+	// left is what the account held.
+	left float64
 }
 
 // NewKeeper starts a keeper that stops when ctx ends.
 func NewKeeper(ctx context.Context, o Options) *Keeper {
-	k := &Keeper{options: o, started: o.Clock.Now(), done: make(chan struct{}), accounts: make(map[string]Account)}
+	k := &Keeper{options: o, started: o.Clock.Now(), done: make(chan struct{}), accounts: make(map[string]Account), closed: make(map[string]closing)}
 	go k.reviewLoop(ctx)
 	return k
 }
@@ -63,7 +73,7 @@
 	}
 	probes := make(map[string]bool)
 	for _, w := range catalog.Set.Workspaces {
-		_, unmet := k.account(w)
+		_, unmet := k.check(w.Name)
 		for _, i := range unmet {
 			probes[i.Address] = true
 		}
@@ -74,53 +84,79 @@
 	}
 }
 
-// closeRemoved closes the accounts of workspaces that are no longer configured.
+// closeRemoved closes the accounts of workspaces that are no longer configured, and forgets those closed before the last window.
 func (k *Keeper) closeRemoved(catalog *config.Catalog) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	now := k.options.Clock.Now()
 	for name := range k.accounts {
 		if _, ok := catalog.Workspace(name); !ok {
-			delete(k.accounts, name)
+			k.close(name, now)
 		}
 	}
+	maps.DeleteFunc(k.closed, func(_ string, c closing) bool { return now.Sub(c.at) > k.options.Bounds.Window+maxLifetime })
+}
+
+// check opens, closes or updates the account of a workspace. It returns as account does.
+func (k *Keeper) check(workspace string) (kept bool, unmet []member.Instance) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.account(workspace)
 }
 
 // account returns whether this instance keeps an account of a workspace, and opens, closes or updates it. It also returns the
-// instances that must answer first.
-func (k *Keeper) account(w config.Workspace) (kept bool, unmet []member.Instance) {
-	if !limits(w) {
+// instances that must answer first. k.mu must be held, and all that decides is read under it, so that an older decision can't undo a newer one.
+func (k *Keeper) account(workspace string) (kept bool, unmet []member.Instance) {
+	o := k.options
+	catalog := o.Catalog()
+	if catalog == nil {
+		return false, nil
+	}
+	w, ok := catalog.Workspace(workspace)
+	if !ok || !limits(w) {
 		return false, nil
 	}
-	o := k.options
 	share := Divide(w, o.Bounds, len(o.Regions))
 	now := o.Clock.Now()
+	a, open := k.accounts[workspace]
 	_, rosterKnown := o.Members.InstanceCount()
-	standing := Standing{ID: o.Self.ID, Listed: o.WasListed(), RosterKnown: rosterKnown, Age: now.Sub(k.started)}
-	candidates := ranked(o.Members.Known(), w.Name, k.region(), Candidates(share.PerRegion))
+	standing := Standing{ID: o.Self.ID, Listed: o.WasListed(), RosterKnown: rosterKnown, Age: now.Sub(k.started), Keeping: open}
+	candidates := ranked(o.Members.Known(), workspace, k.region(), Candidates(share.PerRegion))
 	kept, unmet = standing.Keeps(candidates, share.PerRegion)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	a, open := k.accounts[w.Name]
 	switch {
 	case kept && !open:
-		k.accounts[w.Name] = NewAccount(share, k.since(standing, now))
-		o.Logger.Log(event.AccountOpened, log.Fields{"workspace": w.Name, "rate": share.Rate, "capacity": share.Capacity})
+		k.accounts[workspace] = k.opened(workspace, share, standing, now)
+		o.Logger.Log(event.AccountOpened, log.Fields{"workspace": workspace, "rate": share.Rate, "capacity": share.Capacity})
 	case kept && a.bucket.share != share:
-		k.accounts[w.Name] = a.WithShare(share, now)
+		k.accounts[workspace] = a.WithShare(share, now)
 	case !kept && open:
-		delete(k.accounts, w.Name)
-		o.Logger.Log(event.AccountClosed, log.Fields{"workspace": w.Name})
+		k.close(workspace, now)
+		o.Logger.Log(event.AccountClosed, log.Fields{"workspace": workspace})
 	}
 	return kept, unmet
 }
 
-// since returns from when on an account that is opened now gains operations: from the start after a restart, as nothing else has
-// granted any of it since then.
-func (k *Keeper) since(s Standing, now time.Time) time.Time {
-	if s.Listed && s.Age <= settleTime+reviewInterval {
-		return k.started
+// opened returns an account that is opened now. After a restart it gains operations from the start on, as nothing else has granted
+// any of it since then. One that was closed within the last window starts with no more than it held, since the
+// reserve pays only for restarts.
+func (k *Keeper) opened(workspace string, share Share, s Standing, now time.Time) Account {
+	before, closed := k.closed[workspace]
+	switch {
+	case closed && now.Sub(before.at) <= k.options.Bounds.Window+maxLifetime:
+		a := NewAccount(share, now)
+		a.bucket.tokens = min(share.Initial, before.left)
+		return a
+	case s.Listed && s.Age <= settleTime+reviewInterval:
+		return NewAccount(share, k.started)
+	default:
+		return NewAccount(share, now)
 	}
-	return now
+}
+
+// close closes an account; k.mu must be held.
+func (k *Keeper) close(workspace string, now time.Time) {
+	k.closed[workspace] = closing{at: now, left: k.accounts[workspace].bucket.advanced(now).tokens}
+	delete(k.accounts, workspace)
 }
 
 // region returns the region whose accounts this instance may keep.
@@ -149,23 +185,12 @@
 
 // draw answers a request for operations of a workspace.
 func (k *Keeper) draw(workspace string, wanted, ahead int) Grant {
-	catalog := k.options.Catalog()
-	if catalog == nil {
-		return Grant{Absent: true}
-	}
-	w, ok := catalog.Workspace(workspace)
-	if !ok {
-		return Grant{Absent: true}
-	}
-	if kept, _ := k.account(w); !kept {
-		return Grant{Absent: true}
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	a, open := k.accounts[workspace]
-	if !open {
+	if kept, _ := k.account(workspace); !kept {
 		return Grant{Absent: true}
 	}
+	a := k.accounts[workspace]
 	a, g := a.WithDraw(wanted, ahead, k.options.Clock.Now())
 	k.accounts[workspace] = a
 	return g
--- a/allotment/standing.go
+++ b/allotment/standing.go
@@ -27,6 +27,8 @@
 	RosterKnown bool
 	// Age is the time since the instance started.
 	Age time.Duration
+	// Keeping is set if the instance keeps the account already, which then ends only by its rank.
+	Keeping bool
 }
 
 // Candidates returns how many of the highest-ranked instances Keeps needs to know if count of them keep accounts.
@@ -40,6 +42,9 @@
 	if rank < 0 || rank >= count || !s.RosterKnown {
 		return false, nil
 	}
+	if s.Keeping {
+		return true, nil
+	}
 	for _, i := range ranked {
 		if i.ID != s.ID && s.needsAnswer(i) {
 			unmet = append(unmet, i)
--- a/allotment/standing_test.go
+++ b/allotment/standing_test.go
@@ -7,6 +7,9 @@
 
 	"pgregory.net/rapid"
 
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/event"
 	"siskincove/member"
 )
 
@@ -19,6 +22,8 @@
 	running bool
 	// met is set once it has exchanged heartbeats with all others that it knew.
 	met bool
+	// keeping is set while it keeps the account.
+	keeping bool
 }
 
 func (v *view) hasMetAll() bool {
@@ -84,9 +89,10 @@
 		if i == nil || !i.running {
 			continue
 		}
-		standing := Standing{ID: i.id.ID, Listed: i.listed, RosterKnown: true, Age: v.now.Sub(i.started)}
+		standing := Standing{ID: i.id.ID, Listed: i.listed, RosterKnown: true, Age: v.now.Sub(i.started), Keeping: i.keeping}
 		keeps, _ := standing.Keeps(ranked(member.NewPlacement(i.table.Known()), "w", "r", Candidates(count)), count)
 		i.met = i.met || i.listed || i.hasMetAll()
+		i.keeping = keeps
 		if keeps {
 			n++
 		}
@@ -143,3 +149,79 @@
 		}
 	})
 }
+
+// TestKeepsBesideNewInstance guards against an account that closes while a new instance has not answered yet.
+func TestKeepsBesideNewInstance(t *testing.T) {
+	self, added := member.Instance{ID: "a"}, member.Instance{ID: "b"}
+	standing := Standing{ID: "a", RosterKnown: true, Age: settleTime}
+	if keeps, unmet := standing.Keeps([]member.Instance{self, added}, 1); keeps || len(unmet) != 1 {
+		t.Errorf("opens with %d unmet: %v", len(unmet), keeps)
+	}
+	standing.Keeping = true
+	if keeps, _ := standing.Keeps([]member.Instance{self, added}, 1); !keeps {
+		t.Error("closes beside a new instance that ranks lower")
+	}
+	if keeps, _ := standing.Keeps([]member.Instance{added, self}, 1); keeps {
+		t.Error("keeps an account that another one ranks higher for")
+	}
+	standing.RosterKnown = false
+	if keeps, _ := standing.Keeps([]member.Instance{self, added}, 1); keeps {
+		t.Error("keeps an account without the roster")
+	}
+}
+
+// TestReopenedAccount guards against an account that gains operations by closing and opening again.
+func TestReopenedAccount(t *testing.T) {
+	share := Share{Rate: 10, Capacity: 20, Initial: 3}
+	k := &Keeper{started: testStart, options: Options{Bounds: testBounds}, accounts: make(map[string]Account), closed: make(map[string]closing)}
+	listed := Standing{Listed: true, Age: settleTime}
+	now := testStart.Add(settleTime)
+	a := k.opened("w", share, listed, now)
+	for range 5 {
+		a, _ = a.WithDraw(100, 0, now)
+		k.accounts["w"] = a
+		k.close("w", now)
+		a = k.opened("w", share, listed, now)
+		if _, g := a.WithDraw(100, 0, now); g.Granted != 0 {
+			t.Fatalf("grants %d operations after it was closed empty", g.Granted)
+		}
+	}
+	_, g := k.opened("w", share, listed, now.Add(testBounds.Window+2*maxLifetime)).WithDraw(100, 0, now.Add(testBounds.Window+2*maxLifetime))
+	if want := 3; g.Granted < want {
+		t.Errorf("grants %d operations a window later, want %d", g.Granted, want)
+	}
+}
+
+// lockedMembers reports whether a keeper's mutex was free when its rank was read.
+type lockedMembers struct {
+	keeper *Keeper
+	free   bool
+}
+
+// Known returns a placement of one instance.
+func (m *lockedMembers) Known() *member.Placement {
+	if m.keeper.mu.TryLock() {
+		m.free = true
+		m.keeper.mu.Unlock()
+	}
+	return member.NewPlacement([]member.Instance{{ID: "a", Domain: "r/a"}})
+}
+
+func (m *lockedMembers) InstanceCount() (int, bool) { return 1, true }
+
+func (m *lockedMembers) ProbeSoon(string) {}
+
+// TestDecidesUnderMutex guards against an older decision that opens an account again after a newer one has closed it.
+func TestDecidesUnderMutex(t *testing.T) {
+	members := &lockedMembers{}
+	catalog := config.NewCatalog(config.Set{Workspaces: []config.Workspace{{Name: "w", Rate: 10, Burst: 10}}})
+	k := &Keeper{accounts: make(map[string]Account), closed: make(map[string]closing), options: Options{
+		Self: member.Instance{ID: "a", Domain: "r/a"}, Clock: clock.System{}, Logger: event.Discard(), Members: members, Bounds: testBounds,
+		Regions: []string{""}, Catalog: func() *config.Catalog { return catalog }, WasListed: func() bool { return true },
+	}}
+	members.keeper = k
+	k.review()
+	if g := k.draw("w", 1, 0); g.Absent || members.free {
+		t.Errorf("absent %v, decided without the mutex %v", g.Absent, members.free)
+	}
+}
