--- a/allotment/keeper.go
+++ b/allotment/keeper.go
@@ -105,7 +105,8 @@
 }
 
 // account returns whether this instance keeps an account of a workspace, and opens, closes or updates it. It also returns the
-// instances that must answer first. k.mu must be held, and all that decides is read under it, so that an older decision can't undo a newer one.
+// instances that must answer first. k.mu must be held, and all that decides is read under it, so that an older decision can't undo a
+// newer one.
 func (k *Keeper) account(workspace string) (kept bool, unmet []member.Instance) {
 	o := k.options
 	catalog := o.Catalog()
--- a/connection/conn.go
+++ b/connection/conn.go
@@ -48,8 +48,8 @@
 
 // Dialer opens connections to endpoints.
 type Dialer interface {
-	// Dial connects to an endpoint on behalf of a workspace and verifies its identity. connectTimeout bounds the wait for the first answer from the
-	// endpoint's address. Errors are verdict errors with NotRun.
+	// Dial connects to an endpoint on behalf of a workspace and verifies its identity. connectTimeout bounds the wait for the first
+	// answer from the endpoint's address. Errors are verdict errors with NotRun.
 	Dial(ctx context.Context, target Target, connectTimeout time.Duration) (Conn, error)
 	// DialOver does the same over an existing link to the endpoint. It closes the link on failure.
 	DialOver(ctx context.Context, target Target, link net.Conn) (Conn, error)
--- a/database/registry.go
+++ b/database/registry.go
@@ -32,8 +32,8 @@
 // Lending tells which instances are an endpoint's holders: the ones that connect to it and lend their connections to the
 // other instances. An endpoint has holders if it has too few connections or slots for all instances.
 type Lending interface {
-	// Nearby returns how many instances can hold an endpoint's connections that belong to workspaces, at most as many as asked for.
-	Nearby(e config.Endpoint, most int) int
+	// HolderCount returns how many instances can hold an endpoint's connections that belong to workspaces, at most as many as asked for.
+	HolderCount(e config.Endpoint, most int) int
 	// Holds reports whether this instance is one of the holders for a share.
 	Holds(e config.Endpoint, share Share) bool
 	// Dialer returns a dialer that borrows connections from the holders.
@@ -132,17 +132,17 @@
 	for _, d := range r.All() {
 		declared, _ := catalog.Database(d.name)
 		d.configure(catalog.Members(d.name), claims[d.name], func(e config.Endpoint) Share {
-			return ShareOf(catalog, declared.Connections, e, instances, func(most int) int { return r.nearby(e, instances, most) })
+			return ShareOf(catalog, declared.Connections, e, instances, func(most int) int { return r.holderCount(e, instances, most) })
 		})
 	}
 }
 
-// nearby returns how many instances can be holders of an endpoint's connections, at most as many as asked for.
-func (r *Registry) nearby(e config.Endpoint, instances, most int) int {
+// holderCount returns how many instances can be holders of an endpoint's connections, at most as many as asked for.
+func (r *Registry) holderCount(e config.Endpoint, instances, most int) int {
 	if r.options.Lending == nil {
 		return min(instances, most)
 	}
-	return r.options.Lending.Nearby(e, most)
+	return r.options.Lending.HolderCount(e, most)
 }
 
 // Share is the division of an endpoint's connections among instances.
@@ -158,11 +158,11 @@
 	ByWorkspace bool
 }
 
-// ShareOf returns the division of an endpoint's connections among a number of instances, 0 while that is unknown. nearby returns how
+// ShareOf returns the division of an endpoint's connections among a number of instances, 0 while that is unknown. holderCount returns how
 // many instances can be its holders, at most as many as asked for.
-func ShareOf(catalog *config.Catalog, connections int, e config.Endpoint, instances int, nearby func(most int) int) Share {
+func ShareOf(catalog *config.Catalog, connections int, e config.Endpoint, instances int, holderCount func(most int) int) Share {
 	if catalog.HasWorkspaces() {
-		return DivideByWorkspace(connections, e.Slots, instances, nearby)
+		return DivideByWorkspace(connections, e.Slots, instances, holderCount)
 	}
 	return Divide(connections, e.Slots, instances)
 }
@@ -191,9 +191,9 @@
 
 // DivideByWorkspace divides an endpoint's connections among holders where each connection belongs to a workspace. There are few
 // holders, so that a workspace's statements find its connections. The endpoint may count those of a holder that lost power for
-// some seconds more, while those of its successor are opened. nearby returns how many instances can be holders, at most as many as
+// some seconds more, while those of its successor are opened. holderCount returns how many instances can be holders, at most as many as
 // asked for.
-func DivideByWorkspace(connections, slots, instances int, nearby func(most int) int) Share {
+func DivideByWorkspace(connections, slots, instances int, holderCount func(most int) int) Share {
 	share := Divide(connections, slots, instances)
 	share.ByWorkspace = true
 	if instances <= minHolders {
@@ -204,7 +204,7 @@
 	if slots > 0 {
 		holders = min(holders, max(maxHoldersPerSlot*slots, minHolders))
 	}
-	holders = max(nearby(holders), 1)
+	holders = max(holderCount(holders), 1)
 	share.Holders, share.Limit, share.InFlight = holders, max(usable/(holders+1), 1), 0
 	if slots > 0 {
 		share.InFlight = (inFlightPerSlot*slots + holders - 1) / holders
--- a/hosted/lending.go
+++ b/hosted/lending.go
@@ -15,8 +15,8 @@
 )
 
 // lending implements database.Lending: if an endpoint has too few connections or slots for all instances, or its connections
-// belong to workspaces, some instances, the holders, connect to it, and the others, the borrowers, use the holders' connections. The holders are instances in
-// the endpoint's failure domain if there are any.
+// belong to workspaces, some instances, the holders, connect to it, and the others, the borrowers, use the holders' connections. The
+// holders are instances in the endpoint's failure domain if there are any.
 type lending struct{ instance *Instance }
 
 // Holds reports whether this instance is one of the holders of the endpoint's connections.
@@ -61,8 +61,8 @@
 	return out
 }
 
-// Nearby returns how many instances can hold an endpoint's connections that belong to workspaces, at most as many as asked for.
-func (l lending) Nearby(e config.Endpoint, most int) int {
+// HolderCount returns how many instances can hold an endpoint's connections that belong to workspaces, at most as many as asked for.
+func (l lending) HolderCount(e config.Endpoint, most int) int {
 	return len(l.rankedWorkspaceHolders(e, most))
 }
 
@@ -114,7 +114,7 @@
 		return nil
 	}
 	return l.sharing(e, database.ShareOf(catalog, databaseConfig.Connections, e, i.instanceCount(), func(most int) int {
-		return l.Nearby(e, most)
+		return l.HolderCount(e, most)
 	}))
 }
 
