--- a/directory/offer.go
+++ b/directory/offer.go
@@ -17,6 +17,15 @@
 	EndpointsVersion store.Version
 }
 
+// Bytes returns the size of the rows in the offer.
+func (o Offer) Bytes() int {
+	n := len(o.Configuration.Value)
+	for _, row := range o.Endpoints {
+		n += len(row.Value)
+	}
+	return n
+}
+
 // Versions are the version that the operator gave an instance's configuration, which a restored store does not change, and
 // the store version of its endpoints.
 type Versions struct {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -55,6 +55,8 @@
 	ConfigurationApplied = define(313, log.InfoLevel, "directory", "configuration applied", "The operator's configuration of this version is in use; from tells whether the store or a peer supplied it.")
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
+	DirectoryReceived    = define(317, log.InfoLevel, "directory", "directory received", "A peer supplied a newer configuration or endpoints; bytes and took are the size and duration of the transfer.")
+	DirectoryFailed      = define(318, log.WarnLevel, "directory", "directory not received", "A peer announced a newer configuration or endpoints but did not supply them; took is how long it was waited for. The next heartbeat of any peer that has them leads to another request.")
 	ProofLost            = define(325, log.WarnLevel, "freshness", "no proof of the newest configuration", "Statements whose callers present keys are refused, as their keys may have been withdrawn: neither the store nor a peer has confirmed recently enough that the configuration of this version is the newest. age is that of the last proof; isolated is set if peers do not answer either, so that others may have a proof; idle sessions are then asked to reconnect.")
 	ProofRegained        = define(326, log.InfoLevel, "freshness", "newest configuration proven again", "Statements with keys are served again; age is the time since the configuration was known to be the newest.")
 	StoreRestored        = define(316, log.WarnLevel, "directory", "store restored from a copy", "The store lost what was written in its last seconds; era counts the restores. The instance registers itself again if its row is missing.")
@@ -117,6 +119,7 @@
 	MemberLeaving    = define(602, log.InfoLevel, "member", "instance leaving", "An instance announced that it is shutting down; its endpoints are reassigned.")
 	RosterFailed     = define(603, log.WarnLevel, "member", "list of instances not read", "The list of instances in the store, or an entry of it, could not be read or changed; heartbeats continue among the known instances.")
 	PeerRefused      = define(604, log.WarnLevel, "peer", "peer refused", "A connection between instances failed or was refused.")
+	HeartbeatLate    = define(606, log.WarnLevel, "member", "heartbeat answered late", "This instance took longer to answer a peer's heartbeat than the peer waits, so that the peer may take it for dead; took is the time.")
 	PlacementChanged = define(605, log.InfoLevel, "member", "placement changed", "Another instance owns the endpoint from now on.")
 )
 
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -74,11 +74,19 @@
 		return
 	}
 	for _, acceptsChanges := range []bool{true, false} {
+		started := i.options.Clock.Now()
 		offer, err := i.inquire(i.ctx, address, ownVersions, acceptsChanges)
+		fields := log.Fields{
+			"address": address, "configuration": peerVersions.Configuration, "endpoints": peerVersions.Endpoints,
+			"took": i.options.Clock.Now().Sub(started).String(),
+		}
 		if err != nil {
-			i.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
+			fields["error"] = err.Error()
+			i.options.Logger.Log(event.DirectoryFailed, fields)
 			return
 		}
+		fields["bytes"] = offer.Bytes()
+		i.options.Logger.Log(event.DirectoryReceived, fields)
 		if i.directory.Accept(offer) {
 			return
 		}
--- a/member/driver.go
+++ b/member/driver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"siskincove/clock"
@@ -333,12 +334,24 @@
 	if h == nil {
 		return false
 	}
+	received := d.options.Clock.Now()
 	d.ApplyHeartbeat(h)
 	d.notifyHeartbeat(h, time.Time{})
 	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: d.heartbeat(h)}})
+	d.recordAnswer(h, d.options.Clock.Now().Sub(received))
 	return true
 }
 
+var answerTimes = metrics.NewHistogram("siskincove_heartbeat_answer_seconds")
+
+// recordAnswer records how long it took to answer a peer's heartbeat.
+func (d *Driver) recordAnswer(h *wire.Heartbeat, took time.Duration) {
+	answerTimes.Update(took.Seconds())
+	if took >= heartbeatTimeout {
+		d.options.Logger.Log(event.HeartbeatLate, log.Fields{"instance": h.GetId(), "address": h.GetAddress(), "took": took.String()})
+	}
+}
+
 // applyReply applies the reply to a heartbeat that this instance sent. A peer that knows the other instances names all of
 // them in the reply to one that does not.
 func (d *Driver) applyReply(request, reply *wire.Heartbeat) {
