--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -109,7 +109,7 @@
 func (i *Instance) start(l listeners) {
 	o, s := i.options, i.options.Settings
 	i.node = peer.New(i.ctx, peer.Options{
-		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Domain: s.Instance.Domain},
+		Listener: l.peers, Self: s.Listen.Peers, Handler: i, Logger: o.Logger, Connector: peer.Connector{Proxy: s.Listen.Proxy, Domain: s.Instance.Domain},
 		Traffic: o.Traffic, Distance: i.distance,
 	})
 	i.holderHealth, i.spread = loan.NewHealth(o.Clock), loan.NewSpread(o.Clock)
--- a/standin/link/doc.go
+++ b/standin/link/doc.go
@@ -1,2 +1,2 @@
-// Package link adds network delay and partitions to connections between the processes of a test or experiment.
+// Package link adds network delay, bandwidth and partitions to connections between the processes of a test or experiment.
 package link
--- a/standin/link/proxy.go
+++ b/standin/link/proxy.go
@@ -25,7 +25,9 @@
 	// domains are the failure domains by address.
 	domains map[string]string
 	cuts    map[direction]bool
-	tunnels map[*tunnel]struct{}
+	// bandwidths limit connections by failure domain.
+	bandwidths map[string]*Bandwidth
+	tunnels    map[*tunnel]struct{}
 }
 
 // direction is an ordered pair of failure domains: the one that dials and the one dialled.
@@ -39,11 +41,12 @@
 	direction direction
 	client    net.Conn
 	target    net.Conn
+	links     []*Bandwidth
 }
 
 // NewProxy returns a proxy with the given one-way delays; SetDomain gives it the failure domains of addresses.
 func NewProxy(delay func(a, b string) time.Duration) *Proxy {
-	return &Proxy{delay: delay, domains: make(map[string]string), cuts: make(map[direction]bool), tunnels: make(map[*tunnel]struct{})}
+	return &Proxy{delay: delay, domains: make(map[string]string), cuts: make(map[direction]bool), bandwidths: make(map[string]*Bandwidth), tunnels: make(map[*tunnel]struct{})}
 }
 
 // SetDomain sets the failure domain of an address.
@@ -115,6 +118,10 @@
 		return nil, err
 	}
 	t := &tunnel{direction: direction{from: from, to: to}, client: client, target: Delay(conn, delay)}
+	if t.links = p.limit(t.direction); len(t.links) > 0 {
+		limitBuffers(client)
+		limitBuffers(conn)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tunnels[t] = struct{}{}
@@ -136,7 +143,11 @@
 }
 
 func (t *tunnel) copy(to io.Writer, from io.Reader) {
-	_, _ = io.Copy(to, from)
+	if len(t.links) == 0 {
+		_, _ = io.Copy(to, from)
+	} else {
+		copyLimited(to, from, t.links)
+	}
 	_ = t.client.Close()
 	_ = t.target.Close()
 }
