hosted: fetch the directory apart from heartbeats

A heartbeat with a newer version was answered only after the directory had been fetched from the peer or the fetch had failed, up to 0.5 s each and one after the other, while a peer waits 0.2 s.

Heartbeats now record the peer among directory.Sources, and one goroutine takes newer directories from the nearest of them. A peer that fails is asked again once a heartbeat names it, as before.

Ruled out: processor time (10% at most) and the store (no failed call).

--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"siskincove/clock"
+	"github.com/apex/log"
+
 	"siskincove/directory"
+	"siskincove/event"
 	"siskincove/meter"
 )
 
@@ -16,6 +19,8 @@
 	// instance of a region to ask can pass the answer on before the others do.
 	regionFetchDelay = 50 * time.Millisecond
 	farFetchDelay    = 200 * time.Millisecond
+	// nextFetchPause is how long a peer that has more to offer is left alone after a fetch.
+	nextFetchPause = 50 * time.Millisecond
 )
 
 // fetchDelay returns how long to wait for nearer peers before a peer at a distance is asked for its directory. spread is from 0 to
@@ -31,46 +36,117 @@
 	return time.Duration(float64(delay) * (1 + spread))
 }
 
-// fetches are the requests for directories that wait for their delay, at most one for each distance.
-type fetches struct {
+// fetcher takes newer directories from peers, from one at a time, apart from the heartbeats that announce them.
+type fetcher struct {
+	instance *Instance
+	// woken holds a value after announce until the sources are looked at.
+	woken chan struct{}
+	done  chan struct{}
+
 	mu      sync.Mutex
-	waiting map[meter.Distance]bool
-	running sync.WaitGroup
+	sources directory.Sources
+}
+
+func newFetcher(i *Instance) *fetcher {
+	return &fetcher{instance: i, woken: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// announce records that the peer at an address, in a failure domain, has a directory, which is fetched if it is newer than this
+// instance's.
+func (f *fetcher) announce(v directory.Versions, address, domain string) {
+	own := f.instance.directory.Versions()
+	if !v.NewerThan(own) {
+		return
+	}
+	distance := meter.DistanceBetween(f.instance.options.Settings.Instance.Domain, domain)
+	notBefore := f.instance.options.Clock.Now().Add(fetchDelay(distance, rand.Float64()))
+	f.change(func(s directory.Sources) directory.Sources {
+		return s.Newer(own).With(directory.Source{Address: address, Distance: distance, Versions: v, NotBefore: notBefore})
+	})
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
 }
 
-// begin reports whether no request waits for that distance yet, and makes one wait until end.
-func (f *fetches) begin(d meter.Distance) bool {
+func (f *fetcher) change(next func(s directory.Sources) directory.Sources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.waiting[d] {
-		return false
-	}
-	f.waiting[d] = true
-	return true
+	f.sources = next(f.sources)
 }
 
-func (f *fetches) end(d meter.Distance) {
+func (f *fetcher) next() (directory.Source, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.waiting, d)
+	return f.sources.Next(f.instance.directory.Versions(), f.instance.options.Clock.Now())
 }
 
-// fetchSoon requests the directory of a peer that has a newer one, unless a nearer peer supplies it in time. If the request fails,
-// the next heartbeat of any peer that has it leads to another.
-func (i *Instance) fetchSoon(peerVersions directory.Versions, address, domain string) {
-	distance := meter.DistanceBetween(i.options.Settings.Instance.Domain, domain)
-	delay := fetchDelay(distance, rand.Float64())
-	if delay == 0 {
-		i.fetchDirectory(peerVersions, address)
-		return
+// run fetches from the sources until ctx ends.
+func (f *fetcher) run(ctx context.Context) {
+	defer close(f.done)
+	<-f.instance.initialized
+	for ctx.Err() == nil {
+		source, wait, pending := f.next()
+		switch {
+		case source.Address != "":
+			f.fetch(ctx, source)
+		case pending:
+			select {
+			case <-ctx.Done():
+			case <-f.woken:
+			case <-f.instance.options.Clock.After(wait):
+			}
+		default:
+			select {
+			case <-ctx.Done():
+			case <-f.woken:
+			}
+		}
+	}
+}
+
+// fetch takes what is newer from a source and records when to ask the source again.
+func (f *fetcher) fetch(ctx context.Context, source directory.Source) {
+	defer f.instance.options.Logger.Contain("fetch")
+	clk := f.instance.options.Clock
+	started, before := clk.Now(), f.instance.directory.Versions()
+	received, err := f.take(ctx, source)
+	progress := f.instance.directory.Versions() != before
+	if err == nil && progress {
+		f.pause(source, nextFetchPause)
+	} else {
+		// The next heartbeat of any peer that has it leads to another attempt.
+		f.change(func(s directory.Sources) directory.Sources { return s.Without(source.Address) })
+	}
+	fields := log.Fields{
+		"address": source.Address, "configuration": source.Versions.Configuration, "endpoints": source.Versions.Endpoints,
+		"bytes": received, "took": clk.Now().Sub(started).String(),
 	}
-	if !i.fetches.begin(distance) {
+	if err != nil {
+		fields["error"] = err.Error()
+		f.instance.options.Logger.Log(event.DirectoryFailed, fields)
 		return
 	}
-	i.fetches.running.Go(func() {
-		defer i.fetches.end(distance)
-		if clock.Wait(i.ctx, i.options.Clock, delay) == nil {
-			i.fetchDirectory(peerVersions, address)
+	f.instance.options.Logger.Log(event.DirectoryReceived, fields)
+}
+
+func (f *fetcher) pause(source directory.Source, d time.Duration) {
+	until := f.instance.options.Clock.Now().Add(d)
+	f.change(func(s directory.Sources) directory.Sources { return s.WithPause(source.Address, until) })
+}
+
+// take asks a source for what is newer and applies it. It returns how many bytes it received.
+func (f *fetcher) take(ctx context.Context, source directory.Source) (int, error) {
+	received := 0
+	for _, acceptsChanges := range []bool{true, false} {
+		offer, err := f.instance.inquire(ctx, source.Address, f.instance.directory.Versions(), acceptsChanges)
+		if err != nil {
+			return received, err
 		}
-	})
+		received += offer.Bytes()
+		if f.instance.directory.Accept(offer) {
+			break
+		}
+	}
+	return received, nil
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +18,6 @@
 	"siskincove/freshness"
 	"siskincove/loan"
 	"siskincove/member"
-	"siskincove/meter"
 	"siskincove/peer"
 	"siskincove/settings"
 	"siskincove/succession"
@@ -78,9 +76,7 @@
 	era atomic.Uint64
 	// checkedKeys is the catalog against which the keys of open sessions were last checked, nil before the first.
 	checkedKeys atomic.Pointer[config.Catalog]
-	// fetchMu is held while a peer's directory is fetched, so that only one is fetched at a time.
-	fetchMu sync.Mutex
-	fetches fetches
+	fetcher     *fetcher
 }
 
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. It returns an error if the instance
@@ -92,7 +88,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
-	i.fetches.waiting = make(map[meter.Distance]bool)
+	i.fetcher = newFetcher(i)
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
@@ -126,6 +122,7 @@
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
 		ShouldFollow: i.isFollower, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
 	})
+	go i.fetcher.run(i.ctx)
 	i.startAllotments()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger, Freshness: i.freshness,
@@ -298,7 +295,7 @@
 	<-i.health.done
 	<-i.trimDone
 	<-i.trafficDone
-	i.fetches.running.Wait()
+	<-i.fetcher.done
 }
 
 // Close stops the instance immediately, without draining, and waits until it has stopped.
