transfer: pull a large configuration in pieces

Cause: a configuration was sent whole in one frame that had to arrive within 0.5 s, and each attempt started from nothing. Above 0.2 to 0.4 MB on links of 10 Mbit/s the attempts filled the links and none ended: 125 of 287 MB between instances belonged to no complete frame, and the traffic went on for 29 s after the last change. Class: work that grows with the size of the deployment under a fixed bound of time, without progress, and retried.

A configuration above 16 KB is now cut into pieces by its content. A receiver pulls the ones it lacks, 32 KB in a request, compressed, from one peer at a time, and keeps what has arrived; a sender serves two receivers at once and tells the others when to come back. No bound is left on a whole transfer.

TestLargeConfigurationSpreads models the load for 20 to 1,000 instances. Ruled out: a longer bound, compression alone (docs/design/configuration.md).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -12,6 +12,7 @@
 	"siskincove/config"
 	"siskincove/event"
 	"siskincove/store"
+	"siskincove/transfer"
 )
 
 // Sources of configurations and endpoints, as they appear in logs.
@@ -23,6 +24,9 @@
 // maxRefusalsLogged bounds the malformed objects of one configuration that are logged.
 const maxRefusalsLogged = 20
 
+// minDocumentBytes is the size from which peers pull a configuration in pieces.
+const minDocumentBytes = 16 << 10
+
 // Options configure a Directory.
 type Options struct {
 	Rows    store.Rows
@@ -67,6 +71,8 @@
 	indexed *config.Catalog
 	// configurationRow is the row from which configuration was decoded.
 	configurationRow store.Row
+	// document holds the pieces of configurationRow if that is at least minDocumentBytes long.
+	document transfer.Document
 	// snapshot holds the registered endpoints. endpointsLoaded is set once it has been read from the store or taken from a
 	// peer, for the first time at endpointsLoadedAt.
 	snapshot          Snapshot
@@ -145,7 +151,10 @@
 		d.options.Logger.Log(event.WorkspaceRefused, log.Fields{"version": configuration.Version, "cause": cause})
 	}
 	configuration.Relayed, configuration.Refused = nil, nil
-	d.configurationRow, d.configuration = row, configuration
+	d.configurationRow, d.configuration, d.document = row, configuration, transfer.Document{}
+	if len(row.Value) >= minDocumentBytes {
+		d.document = transfer.NewDocument(row.Value)
+	}
 	d.indexed = config.NewCatalog(configuration.Set).WithIdleTimeout(configuration.IdleTimeout).WithKeysRequired(configuration.KeysRequired)
 	d.options.Logger.Log(event.ConfigurationApplied, log.Fields{
 		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes), "workspaces": len(configuration.Set.Workspaces),
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -1,11 +1,19 @@
 package directory
 
-import "siskincove/store"
+import (
+	"siskincove/store"
+	"siskincove/transfer"
+)
 
 // Offer holds the configuration and endpoints that an instance offers to a peer. A part that is not newer than the peer's is
 // zero.
 type Offer struct {
 	Configuration store.Row
+	// Document holds the pieces of Configuration if that is large. In an offer that was received, the value of Configuration may be
+	// missing; Manifest then lists its pieces and Offered is its version.
+	Document transfer.Document
+	Manifest transfer.Manifest
+	Offered  uint64
 	// Endpoints holds all rows, or only those that have changed since the peer's version if Partial is set. Delisted then
 	// names the endpoints that are no longer listed.
 	Endpoints []store.Row
@@ -52,7 +60,7 @@
 	defer d.mu.Unlock()
 	var o Offer
 	if d.configuration.Version > peer.Configuration {
-		o.Configuration = d.configurationRow
+		o.Configuration, o.Document, o.Offered = d.configurationRow, d.document, d.configuration.Version
 	}
 	if d.snapshot.Version() <= peer.Endpoints {
 		return o
@@ -67,6 +75,13 @@
 	return o
 }
 
+// Document returns the pieces of the current configuration if that is large, and otherwise a document without pieces.
+func (d *Directory) Document() transfer.Document {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.document
+}
+
 // Accept applies the parts of a peer's offer that are newer than the current configuration or endpoints. It returns false if
 // the offered changes of the endpoints do not lead to the peer's endpoints, so that all of them are needed.
 func (d *Directory) Accept(o Offer) bool {
--- a/hosted/bootstrap.go
+++ b/hosted/bootstrap.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"siskincove/clock"
 	"siskincove/directory"
 	"siskincove/member"
 	"siskincove/meter"
@@ -16,27 +18,49 @@
 	bootstrapTimeout = 60 * time.Millisecond
 	// bootstrapPeers is how many near instances are asked.
 	bootstrapPeers = 2
+	// bootstrapTransfer bounds the wait for a large configuration that they offer, and bootstrapPoll is how often it is looked for.
+	bootstrapTransfer = time.Second
+	bootstrapPoll     = 5 * time.Millisecond
 )
 
 // bootstrap takes the directory from instances of the own failure domain, or else of the region. After a restart of this instance
 // alone they have the newest, and nothing has to be read from the store; after a restart of all they have nothing.
 func (i *Instance) bootstrap(ctx context.Context) {
 	<-i.initialized
-	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, bootstrapTimeout)
 	defer cancel()
-	i.members.AwaitRoster(ctx)
+	i.members.AwaitRoster(askCtx)
 	own := i.options.Settings.Instance.Domain
 	near := nearestPeers(own, i.members.PlacedPeers(), bootstrapPeers, rand.Perm)
 	var wait sync.WaitGroup
+	var offered atomic.Bool
 	for _, p := range near {
 		wait.Go(func() {
-			offer, err := i.inquire(ctx, p.Address, directory.Versions{}, false)
-			if err == nil {
-				i.directory.Accept(offer)
+			offer, err := i.inquire(askCtx, p.Address, directory.Versions{}, false)
+			if err != nil {
+				return
+			}
+			i.directory.Accept(offer)
+			if len(offer.Manifest.Hashes) > 0 {
+				offered.Store(true)
+				i.fetcher.announce(directory.Versions{Configuration: offer.Offered}, p.Address, p.Domain)
 			}
 		})
 	}
 	wait.Wait()
+	if offered.Load() {
+		i.awaitConfiguration(ctx)
+	}
+}
+
+// awaitConfiguration waits for the first configuration while peers transfer it, for bootstrapTransfer at most.
+func (i *Instance) awaitConfiguration(ctx context.Context) {
+	started := i.options.Clock.Now()
+	for i.directory.Versions().Configuration == 0 && i.options.Clock.Now().Sub(started) < bootstrapTransfer {
+		if clock.Wait(ctx, i.options.Clock, bootstrapPoll) != nil {
+			return
+		}
+	}
 }
 
 // nearestPeers returns up to n instances of a failure domain, or of its region if the domain has no others, in the random order of
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/directory"
 	"siskincove/event"
 	"siskincove/meter"
+	"siskincove/transfer"
 )
 
 const (
@@ -42,6 +44,8 @@
 	// woken holds a value after announce until the sources are looked at.
 	woken chan struct{}
 	done  chan struct{}
+	// arrived holds the pieces of a configuration whose transfer has not ended. Only the fetcher's goroutine uses it.
+	arrived transfer.Assembly
 
 	mu      sync.Mutex
 	sources directory.Sources
@@ -105,16 +109,33 @@
 	}
 }
 
+// errBusy is returned if a peer serves others and wants to be asked again later.
+type errBusy struct{ after time.Duration }
+
+func (e errBusy) Error() string { return "peer serves others for " + e.after.String() }
+
+var (
+	// errMoved is returned if a peer no longer has the configuration that it offered.
+	errMoved = errors.New("peer has another configuration by now")
+	// errSuperseded is returned if another peer has a newer configuration than the one that is being pulled.
+	errSuperseded = errors.New("another peer has a newer configuration")
+)
+
 // fetch takes what is newer from a source and records when to ask the source again.
 func (f *fetcher) fetch(ctx context.Context, source directory.Source) {
 	defer f.instance.options.Logger.Contain("fetch")
 	clk := f.instance.options.Clock
 	started, before := clk.Now(), f.instance.directory.Versions()
 	received, err := f.take(ctx, source)
+	var busy errBusy
 	progress := f.instance.directory.Versions() != before
-	if err == nil && progress {
+	switch {
+	case errors.As(err, &busy):
+		f.pause(source, time.Duration(float64(busy.after)*(1+rand.Float64()/2)))
+		return
+	case err == nil && progress, errors.Is(err, errMoved), errors.Is(err, errSuperseded):
 		f.pause(source, nextFetchPause)
-	} else {
+	default:
 		// The next heartbeat of any peer that has it leads to another attempt.
 		f.change(func(s directory.Sources) directory.Sources { return s.Without(source.Address) })
 	}
@@ -135,7 +156,7 @@
 	f.change(func(s directory.Sources) directory.Sources { return s.WithPause(source.Address, until) })
 }
 
-// take asks a source for what is newer and applies it. It returns how many bytes it received.
+// take asks a source for what is newer, pulls a large configuration in pieces and applies it. It returns how many bytes it received.
 func (f *fetcher) take(ctx context.Context, source directory.Source) (int, error) {
 	received := 0
 	for _, acceptsChanges := range []bool{true, false} {
@@ -144,9 +165,60 @@
 			return received, err
 		}
 		received += offer.Bytes()
-		if f.instance.directory.Accept(offer) {
-			break
+		accepted := f.instance.directory.Accept(offer)
+		n, err := f.pullAll(ctx, source, offer)
+		received += n
+		if err != nil || accepted {
+			return received, err
 		}
 	}
 	return received, nil
 }
+
+// pullAll pulls the pieces of an offered configuration that this instance does not have, and applies it once it has all. If the pull ends
+// early, the pieces that have arrived are kept.
+func (f *fetcher) pullAll(ctx context.Context, source directory.Source, offer directory.Offer) (received int, err error) {
+	if len(offer.Manifest.Hashes) == 0 {
+		return 0, nil
+	}
+	i := f.instance
+	if f.arrived, err = transfer.NewAssembly(offer.Manifest, i.directory.Document(), f.arrived); err != nil {
+		return 0, err
+	}
+	for f.arrived.Missing() > 0 {
+		if i.directory.Versions().Configuration >= offer.Offered {
+			return received, nil
+		}
+		if f.superseded(source, offer.Offered) {
+			return received, errSuperseded
+		}
+		pieces, n, after, err := i.pull(ctx, source.Address, f.arrived.Next(transfer.RequestBytes), f.arrived.Missing())
+		received += n
+		if err != nil {
+			return received, err
+		}
+		if after > 0 {
+			return received, errBusy{after}
+		}
+		added := 0
+		if f.arrived, added, err = f.arrived.With(pieces); err != nil {
+			return received, err
+		}
+		if added == 0 {
+			return received, errMoved
+		}
+	}
+	row := offer.Configuration
+	row.Value, err = f.arrived.Value()
+	f.arrived = transfer.Assembly{}
+	if err == nil {
+		i.directory.Accept(directory.Offer{Configuration: row})
+	}
+	return received, err
+}
+
+// superseded reports whether a newer version of the configuration can be had from another source that is not farther.
+func (f *fetcher) superseded(source directory.Source, version uint64) bool {
+	next, _, _ := f.next()
+	return next.Address != "" && next.Address != source.Address && next.Versions.Configuration > version
+}
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"siskincove/directory"
 	"siskincove/freshness"
 	"siskincove/member"
 	"siskincove/peer"
@@ -142,6 +143,7 @@
 	offer, err := p.instance.inquire(ctx, address, p.instance.directory.Versions(), true)
 	if err == nil {
 		p.instance.directory.Accept(offer)
+		p.instance.fetcher.announce(directory.Versions{Configuration: offer.Offered}, address, p.instance.members.DomainOf(address))
 	}
 	return err
 }
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -77,6 +77,9 @@
 	if draw := first.GetDraw(); draw != nil {
 		return i.allotments.serve(draw, stream)
 	}
+	if pull := first.GetPull(); pull != nil {
+		return i.servePull(pull, stream)
+	}
 	inquiry := first.GetInquiry()
 	if inquiry == nil {
 		return false
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -14,7 +14,7 @@
 // importLayers lists the packages from the lowest layer up. A package may import only packages of lower layers.
 var importLayers = [][]string{
 	{"meter"},
-	{"verdict", "clock", "singleflight", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "standin/authority", "standin/hosting"},
+	{"verdict", "clock", "singleflight", "transfer", "document", "endpoint", "message", "store", "layout", "peer/wire", "verifier", "standin/authority", "standin/hosting"},
 	{"event", "session", "limit", "statement", "endpoint/postgres", "endpoint/managed", "platform/rows"},
 	{"config", "peer", "certificate", "queue", "standin/history", "logs"},
 	{"settings", "connection", "group", "directory", "freshness"},
@@ -29,7 +29,7 @@
 }
 
 // purePackages contain only decision logic. They may not use clocks, sockets or goroutines.
-var purePackages = []string{"session", "limit", "route", "verdict", "endpoint", "statement", "group"}
+var purePackages = []string{"session", "limit", "route", "verdict", "endpoint", "statement", "group", "transfer"}
 
 // pureFiles are the files with decision logic in packages that also contain a driver.
 var pureFiles = []string{
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -24,7 +24,7 @@
 	switch frame.GetBody().(type) {
 	case *wire.Frame_Heartbeat:
 		return purposeHeartbeats
-	case *wire.Frame_Inquiry, *wire.Frame_Offer:
+	case *wire.Frame_Inquiry, *wire.Frame_Offer, *wire.Frame_Pull, *wire.Frame_Pieces:
 		return purposeDirectory
 	case *wire.Frame_Loan, *wire.Frame_Steps, *wire.Frame_Results:
 		return purposeLoans
--- /dev/null
+++ b/transfer/document.go
@@ -0,0 +1,50 @@
+package transfer
+
+import "github.com/cespare/xxhash/v2"
+
+// Manifest lists the pieces of which a value consists.
+type Manifest struct {
+	Hashes []Hash
+	// Sizes are those of the pieces, in bytes.
+	Sizes []int
+	// Digest is a hash of the whole value.
+	Digest uint64
+}
+
+// Size returns the size of the value in bytes.
+func (m Manifest) Size() int {
+	size := 0
+	for _, n := range m.Sizes {
+		size += n
+	}
+	return size
+}
+
+// Document is a value with its pieces. It is immutable; the zero value has no pieces.
+type Document struct {
+	manifest Manifest
+	pieces   map[Hash][]byte
+}
+
+// NewDocument returns the document of a value, which must not change afterwards.
+func NewDocument(value []byte) Document {
+	d := Document{manifest: Manifest{Digest: xxhash.Sum64(value)}, pieces: make(map[Hash][]byte)}
+	for _, p := range Split(value) {
+		d.manifest.Hashes = append(d.manifest.Hashes, p.Hash)
+		d.manifest.Sizes = append(d.manifest.Sizes, len(p.Data))
+		d.pieces[p.Hash] = p.Data
+	}
+	return d
+}
+
+// Manifest returns the list of the document's pieces.
+func (d Document) Manifest() Manifest { return d.manifest }
+
+// Empty reports whether the document has no pieces.
+func (d Document) Empty() bool { return len(d.pieces) == 0 }
+
+// Piece returns the content of a piece, and false if the document has no such piece.
+func (d Document) Piece(h Hash) ([]byte, bool) {
+	data, ok := d.pieces[h]
+	return data, ok
+}
