store: bound large reads by their progress

Reads of the configuration, the endpoint table, the roster and questions for a proof now end when no bytes arrive for that time, and at the latest after ten times of it. Fakes that send no bytes see the bounds of before.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -19,7 +19,8 @@
 	followWait = 10 * time.Second
 	// followGrace is added to followWait for the answer to arrive.
 	followGrace = 2 * time.Second
-	// readTimeout bounds a read that the store normally answers at once; the store may be some tens of times slower.
+	// readTimeout bounds how long a read that the store normally answers at once makes no progress; the store may be some tens
+	// of times slower.
 	readTimeout = 1500 * time.Millisecond
 	// changeDelay batches configurations published in quick succession. It must stay short, as a configuration must be in
 	// force within seconds.
@@ -87,7 +88,7 @@
 
 // readConfiguration reads and applies the configuration row. It returns the position at which it was read.
 func (d *Directory) readConfiguration(ctx context.Context, table, key string) (feed, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := store.WithProgress(ctx, readTimeout)
 	defer cancel()
 	sent := d.options.Clock.Now()
 	page, err := d.options.Rows.Range(ctx, table, "", key, "")
@@ -107,7 +108,7 @@
 // followChanges waits for at most wait for changes after a position and applies those of the configuration row. It returns the
 // position up to which it has seen all changes.
 func (d *Directory) followChanges(ctx context.Context, table, key string, from feed, wait time.Duration) (feed, error) {
-	callCtx, cancel := context.WithTimeout(ctx, wait+followGrace)
+	callCtx, cancel := store.WithProgress(ctx, wait+followGrace)
 	defer cancel()
 	sent := d.options.Clock.Now()
 	changes, err := d.options.Rows.Follow(callCtx, table, from.after, wait)
@@ -211,7 +212,7 @@
 
 // readEndpoints reads and applies the whole endpoint table.
 func (d *Directory) readEndpoints(ctx context.Context) (store.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := store.WithProgress(ctx, readTimeout)
 	defer cancel()
 	table := d.options.Decoder.EndpointTable()
 	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -25,7 +25,7 @@
 		return feed.readFrom(page, started), false, nil
 	}
 	wait := d.endpointWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+followGrace)
+	ctx, cancel := store.WithProgress(ctx, wait+followGrace)
 	defer cancel()
 	changes, err := d.options.Rows.Follow(ctx, d.options.Decoder.EndpointTable(), feed.version, wait)
 	now := d.options.Clock.Now()
--- a/freshness/keeper.go
+++ b/freshness/keeper.go
@@ -12,6 +12,7 @@
 
 	"siskincove/clock"
 	"siskincove/event"
+	"siskincove/store"
 	"siskincove/verdict"
 )
 
@@ -25,7 +26,7 @@
 	startGrace = 2 * time.Second
 	// isolatedAfter is the time without a reply of any peer from which an instance counts as isolated.
 	isolatedAfter = 2 * time.Second
-	// storeTimeout and peerTimeout bound one question.
+	// storeTimeout bounds how long a question to the store makes no progress, and peerTimeout one to a peer.
 	storeTimeout = 700 * time.Millisecond
 	peerTimeout  = 250 * time.Millisecond
 	// nextPeerPause is after how long without an answer the next peer is asked too; a peer of another region takes some tens of ms.
@@ -336,7 +337,7 @@
 		defer k.Wake()
 		defer k.setAsking(&k.askingStore, false)
 		defer k.options.Logger.Contain("freshness")
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := store.WithProgress(ctx, storeTimeout)
 		defer cancel()
 		count(Store, k.options.Sources.AskStore(ctx) == nil)
 	})
--- a/hosted/transfer_test.go
+++ b/hosted/transfer_test.go
@@ -72,6 +72,27 @@
 	}
 }
 
+// TestLargeConfigurationFromSlowStore guards against a configuration that is never read from the store, since its row takes longer to
+// arrive than a read may take.
+func TestLargeConfigurationFromSlowStore(t *testing.T) {
+	t.Parallel()
+	const routes = 12_000
+	d := newDeployment(t, 0)
+	d.store.Write("op", "config", largeConfiguration(10, routes))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go link.Forward(listener, d.store.Address(), link.NewBandwidth(linkBytesPerSecond))
+	started := time.Now()
+	alone := d.startIn(listener.Addr().String(), "n0", "north/a")
+	d.eventually("large configuration in force", func() bool { return alone.directory.ConfigurationVersion() == 10 })
+	if took := time.Since(started); took > applyBound {
+		t.Errorf("in force after %s, want at most %s", took, applyBound)
+	}
+}
+
 // slowPeer answers heartbeats, and nothing else before its context ends.
 type slowPeer struct{ self *wire.Heartbeat }
 
--- a/member/rosterloop.go
+++ b/member/rosterloop.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"siskincove/event"
+	"siskincove/store"
 )
 
 func (d *Driver) rosterLoop(ctx context.Context) {
@@ -53,7 +54,7 @@
 
 // readRoster reads the roster once and reports whether rosterKnown is set by now.
 func (d *Driver) readRoster(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	ctx, cancel := store.WithProgress(ctx, rosterTimeout)
 	defer cancel()
 	list, err := d.options.Roster.List(ctx)
 	if err != nil {
--- a/standin/link/bandwidth.go
+++ b/standin/link/bandwidth.go
@@ -76,3 +76,26 @@
 		_ = tcp.SetWriteBuffer(bufferBytes)
 	}
 }
+
+// Forward passes connections on to a target, over a link, until the listener is closed.
+func Forward(listener net.Listener, target string, b *Bandwidth) {
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		for _, ends := range [][2]net.Conn{{client, server}, {server, client}} {
+			limitBuffers(ends[0])
+			go func() {
+				copyLimited(ends[0], ends[1], []*Bandwidth{b})
+				_ = ends[0].Close()
+				_ = ends[1].Close()
+			}()
+		}
+	}
+}
