--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,8 +24,8 @@
 // maxRefusalsLogged bounds the malformed objects of one configuration that are logged.
 const maxRefusalsLogged = 20
 
-// minDocumentBytes is the size from which peers pull a configuration in pieces.
-const minDocumentBytes = 16 << 10
+// MinDocumentBytes is the size from which peers pull a configuration or the endpoints in pieces.
+const MinDocumentBytes = 16 << 10
 
 // Options configure a Directory.
 type Options struct {
@@ -71,7 +71,7 @@
 	indexed *config.Catalog
 	// configurationRow is the row from which configuration was decoded.
 	configurationRow store.Row
-	// document holds the pieces of configurationRow if that is at least minDocumentBytes long.
+	// document holds the pieces of configurationRow if that is at least MinDocumentBytes long.
 	document transfer.Document
 	// snapshot holds the registered endpoints. endpointsLoaded is set once it has been read from the store or taken from a
 	// peer, for the first time at endpointsLoadedAt.
@@ -152,7 +152,7 @@
 	}
 	configuration.Relayed, configuration.Refused = nil, nil
 	d.configurationRow, d.configuration, d.document = row, configuration, transfer.Document{}
-	if len(row.Value) >= minDocumentBytes {
+	if len(row.Value) >= MinDocumentBytes {
 		d.document = transfer.NewDocument(row.Value)
 	}
 	d.indexed = config.NewCatalog(configuration.Set).WithIdleTimeout(configuration.IdleTimeout).WithKeysRequired(configuration.KeysRequired)
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -23,6 +23,20 @@
 	Digest uint64
 	// EndpointsVersion is the store version at which the endpoints last changed.
 	EndpointsVersion store.Version
+	// Table, in an offer that was received without Endpoints, lists the pieces of all of them.
+	Table transfer.Manifest
+}
+
+// Pending returns the versions of what an offer that was received only lists the pieces of.
+func (o Offer) Pending() Versions {
+	var out Versions
+	if len(o.Manifest.Hashes) > 0 {
+		out.Configuration = o.Offered
+	}
+	if len(o.Table.Hashes) > 0 {
+		out.Endpoints = o.EndpointsVersion
+	}
+	return out
 }
 
 // Bytes returns the size of the rows in the offer.
@@ -82,13 +96,13 @@
 	return d.document
 }
 
-// Accept applies the parts of a peer's offer that are newer than the current configuration or endpoints. It returns false if
+// Accept applies the parts of a peer's offer that it holds whole and that are newer than the current configuration or endpoints. It returns false if
 // the offered changes of the endpoints do not lead to the peer's endpoints, so that all of them are needed.
 func (d *Directory) Accept(o Offer) bool {
 	if len(o.Configuration.Value) > 0 {
 		d.updateConfiguration(o.Configuration, sourcePeer)
 	}
-	if o.EndpointsVersion == 0 {
+	if o.EndpointsVersion == 0 || len(o.Table.Hashes) > 0 {
 		return true
 	}
 	rows := o.Endpoints
--- a/hosted/bootstrap.go
+++ b/hosted/bootstrap.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"siskincove/clock"
@@ -18,7 +18,7 @@
 	bootstrapTimeout = 60 * time.Millisecond
 	// bootstrapPeers is how many near instances are asked.
 	bootstrapPeers = 2
-	// bootstrapTransfer bounds the wait for a large configuration that they offer, and bootstrapPoll is how often it is looked for.
+	// bootstrapTransfer bounds the wait for a large configuration or many endpoints that they offer, and bootstrapPoll is how often it is looked for.
 	bootstrapTransfer = time.Second
 	bootstrapPoll     = 5 * time.Millisecond
 )
@@ -33,30 +33,27 @@
 	own := i.options.Settings.Instance.Domain
 	near := nearestPeers(own, i.members.PlacedPeers(), bootstrapPeers, rand.Perm)
 	var wait sync.WaitGroup
-	var offered atomic.Bool
-	for _, p := range near {
+	pending := make([]directory.Versions, len(near))
+	for n, p := range near {
 		wait.Go(func() {
 			offer, err := i.inquire(askCtx, p.Address, directory.Versions{}, false)
 			if err != nil {
 				return
 			}
 			i.directory.Accept(offer)
-			if len(offer.Manifest.Hashes) > 0 {
-				offered.Store(true)
-				i.fetcher.announce(directory.Versions{Configuration: offer.Offered}, p.Address, p.Domain)
-			}
+			pending[n] = offer.Pending()
+			i.fetcher.announce(pending[n], p.Address, p.Domain)
 		})
 	}
 	wait.Wait()
-	if offered.Load() {
-		i.awaitConfiguration(ctx)
-	}
+	i.awaitTransfer(ctx, pending)
 }
 
-// awaitConfiguration waits for the first configuration while peers transfer it, for bootstrapTransfer at most.
-func (i *Instance) awaitConfiguration(ctx context.Context) {
+// awaitTransfer waits while peers transfer versions that this instance lacks, for bootstrapTransfer at most.
+func (i *Instance) awaitTransfer(ctx context.Context, versions []directory.Versions) {
 	started := i.options.Clock.Now()
-	for i.directory.Versions().Configuration == 0 && i.options.Clock.Now().Sub(started) < bootstrapTransfer {
+	lacking := func(v directory.Versions) bool { return v.NewerThan(i.directory.Versions()) }
+	for slices.ContainsFunc(versions, lacking) && i.options.Clock.Now().Sub(started) < bootstrapTransfer {
 		if clock.Wait(ctx, i.options.Clock, bootstrapPoll) != nil {
 			return
 		}
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -44,8 +44,9 @@
 	// woken holds a value after announce until the sources are looked at.
 	woken chan struct{}
 	done  chan struct{}
-	// arrived holds the pieces of a configuration whose transfer has not ended. Only the fetcher's goroutine uses it.
-	arrived transfer.Assembly
+	// configuration and table hold the pieces of a configuration and of all endpoints whose transfers have not ended. Only the
+	// fetcher's goroutine uses them.
+	configuration, table transfer.Assembly
 
 	mu      sync.Mutex
 	sources directory.Sources
@@ -115,10 +116,10 @@
 func (e errBusy) Error() string { return "peer serves others for " + e.after.String() }
 
 var (
-	// errMoved is returned if a peer no longer has the configuration that it offered.
-	errMoved = errors.New("peer has another configuration by now")
-	// errSuperseded is returned if another peer has a newer configuration than the one that is being pulled.
-	errSuperseded = errors.New("another peer has a newer configuration")
+	// errMoved is returned if a peer no longer has what it offered.
+	errMoved = errors.New("peer has another version by now")
+	// errObsolete is returned if this instance has got what is being pulled otherwise, or another peer has a newer configuration.
+	errObsolete = errors.New("not needed any more")
 )
 
 // fetch takes what is newer from a source and records when to ask the source again.
@@ -133,7 +134,7 @@
 	case errors.As(err, &busy):
 		f.pause(source, time.Duration(float64(busy.after)*(1+rand.Float64()/2)))
 		return
-	case err == nil && progress, errors.Is(err, errMoved), errors.Is(err, errSuperseded):
+	case err == nil && progress, errors.Is(err, errMoved), errors.Is(err, errObsolete):
 		f.pause(source, nextFetchPause)
 	default:
 		// The next heartbeat of any peer that has it leads to another attempt.
@@ -156,7 +157,7 @@
 	f.change(func(s directory.Sources) directory.Sources { return s.WithPause(source.Address, until) })
 }
 
-// take asks a source for what is newer, pulls a large configuration in pieces and applies it. It returns how many bytes it received.
+// take asks a source for what is newer, pulls what is large in pieces, and applies it. It returns how many bytes it received.
 func (f *fetcher) take(ctx context.Context, source directory.Source) (int, error) {
 	received := 0
 	for _, acceptsChanges := range []bool{true, false} {
@@ -166,7 +167,12 @@
 		}
 		received += offer.Bytes()
 		accepted := f.instance.directory.Accept(offer)
-		n, err := f.pullAll(ctx, source, offer)
+		n, err := f.pullConfiguration(ctx, source, offer)
+		received += n
+		if err != nil {
+			return received, err
+		}
+		n, err = f.pullTable(ctx, source, offer)
 		received += n
 		if err != nil || accepted {
 			return received, err
@@ -175,46 +181,74 @@
 	return received, nil
 }
 
-// pullAll pulls the pieces of an offered configuration that this instance does not have, and applies it once it has all. If the pull ends
-// early, the pieces that have arrived are kept.
-func (f *fetcher) pullAll(ctx context.Context, source directory.Source, offer directory.Offer) (received int, err error) {
+// pullConfiguration pulls and applies an offered configuration of which only the pieces were listed.
+func (f *fetcher) pullConfiguration(ctx context.Context, source directory.Source, offer directory.Offer) (int, error) {
 	if len(offer.Manifest.Hashes) == 0 {
 		return 0, nil
 	}
-	i := f.instance
-	if f.arrived, err = transfer.NewAssembly(offer.Manifest, i.directory.Document(), f.arrived); err != nil {
-		return 0, err
+	held := f.instance.directory
+	obsolete := func() bool {
+		return held.Versions().Configuration >= offer.Offered || f.superseded(source, offer.Offered)
 	}
-	for f.arrived.Missing() > 0 {
-		if i.directory.Versions().Configuration >= offer.Offered {
-			return received, nil
-		}
-		if f.superseded(source, offer.Offered) {
-			return received, errSuperseded
+	value, received, err := f.pullValue(ctx, source, &f.configuration, offer.Manifest, held.Document(), obsolete)
+	if err == nil {
+		row := offer.Configuration
+		row.Value = value
+		held.Accept(directory.Offer{Configuration: row})
+	}
+	return received, err
+}
+
+// pullTable pulls and applies the endpoints of which only the pieces were listed.
+func (f *fetcher) pullTable(ctx context.Context, source directory.Source, offer directory.Offer) (int, error) {
+	if len(offer.Table.Hashes) == 0 {
+		return 0, nil
+	}
+	held := f.instance.directory
+	own := f.instance.tables.document(held.Offer(directory.Versions{}, false))
+	obsolete := func() bool { return held.Versions().Endpoints >= offer.EndpointsVersion }
+	value, received, err := f.pullValue(ctx, source, &f.table, offer.Table, own, obsolete)
+	if err != nil {
+		return received, err
+	}
+	if offer.Endpoints, err = decodeTable(value); err == nil {
+		offer.Table = transfer.Manifest{}
+		held.Accept(offer)
+	}
+	return received, err
+}
+
+// pullValue pulls the pieces of a value that are neither in own nor among those that arrived before, and returns the value and the bytes
+// received. If it ends early, as obsolete tells it to, the pieces are kept in arrived.
+func (f *fetcher) pullValue(
+	ctx context.Context, source directory.Source, arrived *transfer.Assembly, m transfer.Manifest, own transfer.Document, obsolete func() bool,
+) (value []byte, received int, err error) {
+	if *arrived, err = transfer.NewAssembly(m, own, *arrived); err != nil {
+		return nil, 0, err
+	}
+	for arrived.Missing() > 0 {
+		if obsolete() {
+			return nil, received, errObsolete
 		}
-		pieces, n, after, err := i.pull(ctx, source.Address, f.arrived.Next(transfer.RequestBytes), f.arrived.Missing())
+		pieces, n, after, err := f.instance.pull(ctx, source.Address, arrived.Next(transfer.RequestBytes), arrived.Missing())
 		received += n
 		if err != nil {
-			return received, err
+			return nil, received, err
 		}
 		if after > 0 {
-			return received, errBusy{after}
+			return nil, received, errBusy{after}
 		}
 		added := 0
-		if f.arrived, added, err = f.arrived.With(pieces); err != nil {
-			return received, err
+		if *arrived, added, err = arrived.With(pieces); err != nil {
+			return nil, received, err
 		}
 		if added == 0 {
-			return received, errMoved
+			return nil, received, errMoved
 		}
 	}
-	row := offer.Configuration
-	row.Value, err = f.arrived.Value()
-	f.arrived = transfer.Assembly{}
-	if err == nil {
-		i.directory.Accept(directory.Offer{Configuration: row})
-	}
-	return received, err
+	value, err = arrived.Value()
+	*arrived = transfer.Assembly{}
+	return value, received, err
 }
 
 // superseded reports whether a newer version of the configuration can be had from another source that is not farther.
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"siskincove/directory"
 	"siskincove/freshness"
 	"siskincove/member"
 	"siskincove/peer"
@@ -143,7 +142,7 @@
 	offer, err := p.instance.inquire(ctx, address, p.instance.directory.Versions(), true)
 	if err == nil {
 		p.instance.directory.Accept(offer)
-		p.instance.fetcher.announce(directory.Versions{Configuration: offer.Offered}, address, p.instance.members.DomainOf(address))
+		p.instance.fetcher.announce(offer.Pending(), address, p.instance.members.DomainOf(address))
 	}
 	return err
 }
--- a/hosted/inquiry.go
+++ b/hosted/inquiry.go
@@ -36,10 +36,8 @@
 	out := directory.Offer{
 		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: store.Version(received.GetVersion()),
 		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
-		Manifest: fromManifest(received.GetManifest()), Offered: received.GetOffered(),
-	}
-	for _, row := range received.GetEndpoints() {
-		out.Endpoints = append(out.Endpoints, fromRow(row))
+		Manifest: fromManifest(received.GetManifest()), Offered: received.GetOffered(), Table: fromManifest(received.GetTable()),
+		Endpoints: fromRows(received.GetEndpoints()),
 	}
 	return out, nil
 }
@@ -55,14 +53,16 @@
 	if inquiry.GetPieces() && !offer.Document.Empty() {
 		answer.Configuration.Value, answer.Manifest = nil, toManifest(offer.Document.Manifest())
 	}
-	for _, row := range offer.Endpoints {
-		answer.Endpoints = append(answer.Endpoints, toRow(row))
+	if inquiry.GetPieces() && !offer.Partial && offer.Bytes()-len(offer.Configuration.Value) >= directory.MinDocumentBytes {
+		answer.Table = toManifest(i.tables.document(offer).Manifest())
+	} else {
+		answer.Endpoints = toRows(offer.Endpoints)
 	}
 	i.addOffered(answer)
 	return answer
 }
 
-// pull asks a peer for pieces of its configuration, of which this instance lacks a number of bytes. If the peer serves others, it returns
+// pull asks a peer for pieces, of which this instance lacks a number of bytes. If the peer serves others, it returns
 // when to ask again. It also returns how many bytes were received.
 func (i *Instance) pull(ctx context.Context, address string, hashes []transfer.Hash, missing int) ([]transfer.Piece, int, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -92,7 +92,7 @@
 		hashes[n] = transfer.Hash(h)
 	}
 	i.senderMu.Lock()
-	pieces, after, err := i.sender.Send(i.directory.Document(), pull.GetReceiver(), hashes, int(pull.GetMissing()), i.options.Clock.Now())
+	pieces, after, err := i.sender.Send([]transfer.Document{i.directory.Document(), i.tables.latest()}, pull.GetReceiver(), hashes, int(pull.GetMissing()), i.options.Clock.Now())
 	i.senderMu.Unlock()
 	if err != nil {
 		i.options.Logger.Log(event.DirectoryFailed, log.Fields{"instance": pull.GetReceiver(), "error": err.Error()})
@@ -113,6 +113,22 @@
 	return store.Row{Key: store.Key{Key: row.GetKey()}, Value: row.GetValue(), Version: store.Version(row.GetVersion())}
 }
 
+func toRows(rows []store.Row) []*wire.Row {
+	out := make([]*wire.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, toRow(row))
+	}
+	return out
+}
+
+func fromRows(rows []*wire.Row) []store.Row {
+	out := make([]store.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, fromRow(row))
+	}
+	return out
+}
+
 func toHashes(hashes []transfer.Hash) []uint64 {
 	out := make([]uint64, len(hashes))
 	for n, h := range hashes {
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -82,6 +82,7 @@
 	// senderMu protects sender, which answers peers that pull the configuration.
 	senderMu sync.Mutex
 	sender   transfer.Sender
+	tables   tables
 }
 
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. It returns an error if the instance
@@ -93,7 +94,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
-	i.fetcher = newFetcher(i)
+	i.fetcher, i.tables.logger = newFetcher(i), o.Logger
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
--- a/hosted/transfer_test.go
+++ b/hosted/transfer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"siskincove/directory"
 	"siskincove/peer"
 	"siskincove/peer/wire"
 	"siskincove/settings"
@@ -93,6 +94,35 @@
 	}
 }
 
+// TestManyEndpointsOverSlowLink guards against an instance that never gets the endpoints of a large deployment from its peers, since
+// they are sent whole within a fixed time.
+func TestManyEndpointsOverSlowLink(t *testing.T) {
+	t.Parallel()
+	const endpoints = 6000
+	proxy, address := startProxy(t)
+	proxy.SetBandwidth("south/d", link.NewBandwidth(linkBytesPerSecond))
+	d := newDeployment(t, 0)
+	for n := range endpoints {
+		d.store.Write("servers", fmt.Sprintf("i-%010x", n), map[string]any{
+			"service": fmt.Sprintf("other%d", n/3), "address": fmt.Sprintf("10.%d.%d.1:5432", n/250, n%250), "zone": "a", "slots": 3,
+			"state": "ready", "db-role": "replica", "born": 1_700_000_000_000 + n, "sequence": n,
+			"cold-remaining-ms": 0, "version": "v1", "comment": fmt.Sprintf("%x", xxhash.Sum64String(fmt.Sprint(n))),
+		})
+	}
+	d.configure = func(s *settings.Settings) { s.Listen.Proxy = address }
+	first := d.start(0)
+	d.eventually("ready", first.health.ready)
+	started := time.Now()
+	alone := d.startIn("127.0.0.1:1", "far", "south/d", first.options.Settings.Listen.Peers)
+	proxy.SetDomain(alone.options.Settings.Listen.Peers, "south/d")
+	d.eventually("all endpoints known", func() bool {
+		return len(alone.directory.Offer(directory.Versions{}, false).Endpoints) >= endpoints
+	})
+	if took := time.Since(started); took > applyBound {
+		t.Errorf("known after %s, want at most %s", took, applyBound)
+	}
+}
+
 // slowPeer answers heartbeats, and nothing else before its context ends.
 type slowPeer struct{ self *wire.Heartbeat }
 
--- a/transfer/sender.go
+++ b/transfer/sender.go
@@ -1,26 +1,29 @@
 package transfer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Sender answers requests for the pieces of a document. It must not be used by two goroutines at once.
+// Sender answers requests for the pieces of documents. It must not be used by two goroutines at once.
 type Sender struct {
 	admission  Admission
 	compressor Compressor
-	document   Document
+	documents  []Document
 	compressed map[Hash][]byte
 }
 
-// Send returns the compressed pieces of a document that a receiver asks for, without those that the document lacks. If the receiver is not
-// served now, it returns when to ask again. missing is how many bytes the receiver lacks.
-func (s *Sender) Send(d Document, receiver string, hashes []Hash, missing int, now time.Time) ([]Piece, time.Duration, error) {
+// Send returns the compressed pieces that a receiver asks for, without those that no document has. If the receiver is not served now, it
+// returns when to ask again. missing is how many bytes the receiver lacks.
+func (s *Sender) Send(documents []Document, receiver string, hashes []Hash, missing int, now time.Time) ([]Piece, time.Duration, error) {
 	var wait time.Duration
 	if s.admission, wait = s.admission.With(receiver, missing, now); wait > 0 {
 		return nil, wait, nil
 	}
-	s.use(d)
+	s.use(documents)
 	var out []Piece
 	for size := 0; len(hashes) > 0 && size <= RequestBytes; hashes = hashes[1:] {
-		data, known := d.Piece(hashes[0])
+		data, known := s.piece(hashes[0])
 		if !known {
 			continue
 		}
@@ -34,18 +37,29 @@
 	return out, 0, nil
 }
 
-// use keeps the compressed pieces that the document has, and no others.
-func (s *Sender) use(d Document) {
-	if s.document.manifest.Digest == d.manifest.Digest && s.compressed != nil {
+// use keeps the compressed pieces that the documents have, and no others.
+func (s *Sender) use(documents []Document) {
+	sameValue := func(a, b Document) bool { return a.manifest.Digest == b.manifest.Digest }
+	if s.compressed != nil && slices.EqualFunc(documents, s.documents, sameValue) {
 		return
 	}
 	kept := make(map[Hash][]byte)
+	s.documents = documents
 	for h, data := range s.compressed {
-		if _, ok := d.Piece(h); ok {
+		if _, ok := s.piece(h); ok {
 			kept[h] = data
 		}
 	}
-	s.document, s.compressed = d, kept
+	s.compressed = kept
+}
+
+func (s *Sender) piece(h Hash) ([]byte, bool) {
+	for _, d := range s.documents {
+		if data, ok := d.Piece(h); ok {
+			return data, true
+		}
+	}
+	return nil, false
 }
 
 func (s *Sender) compress(h Hash, data []byte) ([]byte, error) {
