directory: tell versions while a configuration is applied

Versions are now published atomically, before the version in force, so that a heartbeat's proof never holds for a newer version than it states. TestVersionsDuringApply failed before (not available within 1 s).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -56,7 +56,9 @@
 	options Options
 	catalog atomic.Pointer[config.Catalog]
 	// inForce is the operator's version of catalog. It is stored after catalog.
-	inForce    atomic.Uint64
+	inForce atomic.Uint64
+	// versions are what peers are told. They are stored before inForce, so that none is older than a proof that holds for inForce.
+	versions   atomic.Pointer[Versions]
 	goroutines sync.WaitGroup
 	done       chan struct{}
 
@@ -160,6 +162,7 @@
 		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes), "workspaces": len(configuration.Set.Workspaces),
 	})
 	d.apply()
+	d.publish()
 	return configuration.Version
 }
 
@@ -194,6 +197,7 @@
 // were known before.
 func (d *Directory) setSnapshot(next Snapshot, diff Difference, source string, first bool) {
 	d.snapshot = next
+	defer d.publish()
 	if diff.Empty() && !first {
 		return
 	}
@@ -222,12 +226,18 @@
 	catalog := d.indexed.WithEndpoints(endpoints)
 	d.options.Apply(catalog, primaries)
 	// Statements see the catalog only once it has been applied.
+	d.publish()
 	d.catalog.Store(catalog)
 	d.inForce.Store(d.configuration.Version)
 	d.primaries = primaries
 	d.options.OnChange()
 }
 
+// publish makes the current versions visible to Versions; d.mu must be held.
+func (d *Directory) publish() {
+	d.versions.Store(&Versions{Configuration: d.configuration.Version, Endpoints: d.snapshot.Version()})
+}
+
 // Use calls f with the arguments of the latest call of Options.Apply, if there was one. It does not overlap with calls of
 // Options.Apply.
 func (d *Directory) Use(f func(catalog *config.Catalog, primaries map[string]string)) {
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -60,11 +60,13 @@
 	return v.Configuration > other.Configuration || v.Endpoints > other.Endpoints
 }
 
-// Versions returns the versions of the current configuration and endpoints.
+// Versions returns the versions of the configuration and endpoints that have been applied. It does not wait for those that are being
+// applied.
 func (d *Directory) Versions() Versions {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return Versions{Configuration: d.configuration.Version, Endpoints: d.snapshot.Version()}
+	if v := d.versions.Load(); v != nil {
+		return *v
+	}
+	return Versions{}
 }
 
 // Offer returns the configuration and the endpoints, each only if it is newer than the peer's. If the peer accepts changes,
