--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,9 +24,6 @@
 // maxRefusalsLogged bounds the malformed objects of one configuration that are logged.
 const maxRefusalsLogged = 20
 
-// MinDocumentBytes is the size from which peers pull a configuration or the endpoints in pieces.
-const MinDocumentBytes = 16 << 10
-
 // Options configure a Directory.
 type Options struct {
 	Rows    store.Rows
@@ -73,7 +70,7 @@
 	indexed *config.Catalog
 	// configurationRow is the row from which configuration was decoded.
 	configurationRow store.Row
-	// document holds the pieces of configurationRow if that is at least MinDocumentBytes long.
+	// document holds the pieces of configurationRow if that is large.
 	document transfer.Document
 	// snapshot holds the registered endpoints. endpointsLoaded is set once it has been read from the store or taken from a
 	// peer, for the first time at endpointsLoadedAt.
@@ -153,10 +150,7 @@
 		d.options.Logger.Log(event.WorkspaceRefused, log.Fields{"version": configuration.Version, "cause": cause})
 	}
 	configuration.Relayed, configuration.Refused = nil, nil
-	d.configurationRow, d.configuration, d.document = row, configuration, transfer.Document{}
-	if len(row.Value) >= MinDocumentBytes {
-		d.document = transfer.NewDocument(row.Value)
-	}
+	d.configurationRow, d.configuration, d.document = row, configuration, transfer.NewLargeDocument(row.Value)
 	d.indexed = config.NewCatalog(configuration.Set).WithIdleTimeout(configuration.IdleTimeout).WithKeysRequired(configuration.KeysRequired)
 	d.options.Logger.Log(event.ConfigurationApplied, log.Fields{
 		"version": configuration.Version, "row": row.Version, "from": source, "routes": len(configuration.Set.Routes), "workspaces": len(configuration.Set.Workspaces),
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -12,6 +12,7 @@
 	"siskincove/directory"
 	"siskincove/event"
 	"siskincove/meter"
+	"siskincove/peer"
 	"siskincove/transfer"
 )
 
@@ -110,31 +111,19 @@
 	}
 }
 
-// errBusy is returned if a peer serves others and wants to be asked again later.
-type errBusy struct{ after time.Duration }
-
-func (e errBusy) Error() string { return "peer serves others for " + e.after.String() }
-
-var (
-	// errMoved is returned if a peer no longer has what it offered.
-	errMoved = errors.New("peer has another version by now")
-	// errObsolete is returned if this instance has got what is being pulled otherwise, or another peer has a newer configuration.
-	errObsolete = errors.New("not needed any more")
-)
-
 // fetch takes what is newer from a source and records when to ask the source again.
 func (f *fetcher) fetch(ctx context.Context, source directory.Source) {
 	defer f.instance.options.Logger.Contain("fetch")
 	clk := f.instance.options.Clock
 	started, before := clk.Now(), f.instance.directory.Versions()
 	received, err := f.take(ctx, source)
-	var busy errBusy
+	var busy peer.BusyError
 	progress := f.instance.directory.Versions() != before
 	switch {
 	case errors.As(err, &busy):
-		f.pause(source, time.Duration(float64(busy.after)*(1+rand.Float64()/2)))
+		f.pause(source, time.Duration(float64(busy.After)*(1+rand.Float64()/2)))
 		return
-	case err == nil && progress, errors.Is(err, errMoved), errors.Is(err, errObsolete):
+	case err == nil && progress, errors.Is(err, peer.ErrMoved), errors.Is(err, peer.ErrObsolete):
 		f.pause(source, nextFetchPause)
 	default:
 		// The next heartbeat of any peer that has it leads to another attempt.
@@ -190,7 +179,7 @@
 	obsolete := func() bool {
 		return held.Versions().Configuration >= offer.Offered || f.superseded(source, offer.Offered)
 	}
-	value, received, err := f.pullValue(ctx, source, &f.configuration, offer.Manifest, held.Document(), obsolete)
+	value, received, err := f.puller(source, held.Document(), &f.configuration, obsolete).Pull(ctx, offer.Manifest)
 	if err == nil {
 		row := offer.Configuration
 		row.Value = value
@@ -207,7 +196,7 @@
 	held := f.instance.directory
 	own := f.instance.tables.document(held.Offer(directory.Versions{}, false))
 	obsolete := func() bool { return held.Versions().Endpoints >= offer.EndpointsVersion }
-	value, received, err := f.pullValue(ctx, source, &f.table, offer.Table, own, obsolete)
+	value, received, err := f.puller(source, own, &f.table, obsolete).Pull(ctx, offer.Table)
 	if err != nil {
 		return received, err
 	}
@@ -218,37 +207,11 @@
 	return received, err
 }
 
-// pullValue pulls the pieces of a value that are neither in own nor among those that arrived before, and returns the value and the bytes
-// received. If it ends early, as obsolete tells it to, the pieces are kept in arrived.
-func (f *fetcher) pullValue(
-	ctx context.Context, source directory.Source, arrived *transfer.Assembly, m transfer.Manifest, own transfer.Document, obsolete func() bool,
-) (value []byte, received int, err error) {
-	if *arrived, err = transfer.NewAssembly(m, own, *arrived); err != nil {
-		return nil, 0, err
-	}
-	for arrived.Missing() > 0 {
-		if obsolete() {
-			return nil, received, errObsolete
-		}
-		pieces, n, after, err := f.instance.pull(ctx, source.Address, arrived.Next(transfer.RequestBytes), arrived.Missing())
-		received += n
-		if err != nil {
-			return nil, received, err
-		}
-		if after > 0 {
-			return nil, received, errBusy{after}
-		}
-		added := 0
-		if *arrived, added, err = arrived.With(pieces); err != nil {
-			return nil, received, err
-		}
-		if added == 0 {
-			return nil, received, errMoved
-		}
+func (f *fetcher) puller(source directory.Source, own transfer.Document, arrived *transfer.Assembly, obsolete func() bool) peer.Puller {
+	return peer.Puller{
+		Dialer: f.instance.node, Address: source.Address, Receiver: f.instance.options.Settings.Instance.ID, Own: own, Arrived: arrived,
+		Obsolete: obsolete,
 	}
-	value, err = arrived.Value()
-	*arrived = transfer.Assembly{}
-	return value, received, err
 }
 
 // superseded reports whether a newer version of the configuration can be had from another source that is not farther.
--- a/hosted/inquiry.go
+++ b/hosted/inquiry.go
@@ -14,11 +14,8 @@
 	"siskincove/transfer"
 )
 
-const (
-	// inquiryTimeout bounds an inquiry for a peer's directory, and pullTimeout a request for pieces of it.
-	inquiryTimeout = 500 * time.Millisecond
-	pullTimeout    = time.Second
-)
+// inquiryTimeout bounds an inquiry for a peer's directory.
+const inquiryTimeout = 500 * time.Millisecond
 
 // inquire asks a peer for what is newer than the given versions. It records the proof in the answer.
 func (i *Instance) inquire(ctx context.Context, address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
@@ -36,7 +33,7 @@
 	out := directory.Offer{
 		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: store.Version(received.GetVersion()),
 		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
-		Manifest: fromManifest(received.GetManifest()), Offered: received.GetOffered(), Table: fromManifest(received.GetTable()),
+		Manifest: peer.FromManifest(received.GetManifest()), Offered: received.GetOffered(), Table: peer.FromManifest(received.GetTable()),
 		Endpoints: fromRows(received.GetEndpoints()),
 	}
 	return out, nil
@@ -51,10 +48,10 @@
 		Digest: offer.Digest, Offered: offer.Offered,
 	}
 	if inquiry.GetPieces() && !offer.Document.Empty() {
-		answer.Configuration.Value, answer.Manifest = nil, toManifest(offer.Document.Manifest())
+		answer.Configuration.Value, answer.Manifest = nil, peer.ToManifest(offer.Document.Manifest())
 	}
-	if inquiry.GetPieces() && !offer.Partial && offer.Bytes()-len(offer.Configuration.Value) >= directory.MinDocumentBytes {
-		answer.Table = toManifest(i.tables.document(offer).Manifest())
+	if inquiry.GetPieces() && !offer.Partial && offer.Bytes()-len(offer.Configuration.Value) >= transfer.MinDocumentBytes {
+		answer.Table = peer.ToManifest(i.tables.document(offer).Manifest())
 	} else {
 		answer.Endpoints = toRows(offer.Endpoints)
 	}
@@ -62,46 +59,13 @@
 	return answer
 }
 
-// pull asks a peer for pieces, of which this instance lacks a number of bytes. If the peer serves others, it returns
-// when to ask again. It also returns how many bytes were received.
-func (i *Instance) pull(ctx context.Context, address string, hashes []transfer.Hash, missing int) ([]transfer.Piece, int, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
-	request := &wire.Pull{Hashes: toHashes(hashes), Missing: uint64(missing), Receiver: i.options.Settings.Instance.ID}
-	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Pull{Pull: request}})
-	if err != nil {
-		return nil, 0, 0, err
-	}
-	var out []transfer.Piece
-	bytes := 0
-	for _, p := range reply.GetPieces().GetPieces() {
-		data, err := transfer.Expand(p.GetData())
-		if err != nil {
-			return out, bytes, 0, err
-		}
-		bytes += len(p.GetData())
-		out = append(out, transfer.Piece{Hash: transfer.Hash(p.GetHash()), Data: data})
-	}
-	return out, bytes, peer.Duration(reply.GetPieces().GetAfter()), nil
-}
-
 // servePull answers a peer's request for pieces. It reports whether the stream may carry another exchange.
 func (i *Instance) servePull(pull *wire.Pull, stream peer.Stream) bool {
-	hashes := make([]transfer.Hash, len(pull.GetHashes()))
-	for n, h := range pull.GetHashes() {
-		hashes[n] = transfer.Hash(h)
-	}
-	i.senderMu.Lock()
-	pieces, after, err := i.sender.Send([]transfer.Document{i.directory.Document(), i.tables.latest()}, pull.GetReceiver(), hashes, int(pull.GetMissing()), i.options.Clock.Now())
-	i.senderMu.Unlock()
+	answer, err := i.pieces.Answer(pull, i.options.Clock.Now(), i.directory.Document(), i.tables.latest())
 	if err != nil {
 		i.options.Logger.Log(event.DirectoryFailed, log.Fields{"instance": pull.GetReceiver(), "error": err.Error()})
 		return false
 	}
-	answer := &wire.Pieces{After: peer.Micros(after)}
-	for _, p := range pieces {
-		answer.Pieces = append(answer.Pieces, &wire.Piece{Hash: uint64(p.Hash), Data: p.Data})
-	}
 	return stream.Send(&wire.Frame{Body: &wire.Frame_Pieces{Pieces: answer}}) == nil
 }
 
@@ -128,30 +92,3 @@
 	}
 	return out
 }
-
-func toHashes(hashes []transfer.Hash) []uint64 {
-	out := make([]uint64, len(hashes))
-	for n, h := range hashes {
-		out[n] = uint64(h)
-	}
-	return out
-}
-
-func toManifest(m transfer.Manifest) *wire.Manifest {
-	out := &wire.Manifest{Hashes: toHashes(m.Hashes), Digest: m.Digest}
-	for _, n := range m.Sizes {
-		out.Sizes = append(out.Sizes, uint32(n))
-	}
-	return out
-}
-
-func fromManifest(m *wire.Manifest) transfer.Manifest {
-	out := transfer.Manifest{Digest: m.GetDigest()}
-	for _, h := range m.GetHashes() {
-		out.Hashes = append(out.Hashes, transfer.Hash(h))
-	}
-	for _, n := range m.GetSizes() {
-		out.Sizes = append(out.Sizes, int(n))
-	}
-	return out
-}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +21,6 @@
 	"siskincove/peer"
 	"siskincove/settings"
 	"siskincove/succession"
-	"siskincove/transfer"
 )
 
 const (
@@ -79,10 +77,9 @@
 	// checkedKeys is the catalog against which the keys of open sessions were last checked, nil before the first.
 	checkedKeys atomic.Pointer[config.Catalog]
 	fetcher     *fetcher
-	// senderMu protects sender, which answers peers that pull the configuration.
-	senderMu sync.Mutex
-	sender   transfer.Sender
-	tables   tables
+	// pieces answers peers that pull the configuration or the endpoints.
+	pieces peer.PieceServer
+	tables tables
 }
 
 // New starts an instance. It runs until ctx is cancelled or until Shutdown or Close. It returns an error if the instance
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -131,7 +131,7 @@
 	}
 	callbacks := &deferredCallbacks{instance: i}
 	i.revisions = revision.New(ctx, revision.Options{
-		Clock: i.clock, Logger: i.logger, Rows: platformStore, Objects: platformStore, Dialer: i.node, ShouldPoll: callbacks.isPoller, Apply: callbacks.applyCatalog,
+		Clock: i.clock, Logger: i.logger, Rows: platformStore, Objects: platformStore, Dialer: i.node, Self: self.ID, ShouldPoll: callbacks.isPoller, Apply: callbacks.applyCatalog,
 	})
 	i.roster = member.NewRoster(platformStore, self, i.logger)
 	i.members = member.New(ctx, member.Options{
--- a/revision/tracker.go
+++ b/revision/tracker.go
@@ -16,6 +16,7 @@
 	"siskincove/peer"
 	"siskincove/peer/wire"
 	"siskincove/store"
+	"siskincove/transfer"
 )
 
 const (
@@ -29,6 +30,8 @@
 	// peerFallbackDelay is how long an instance without a revision waits for the store before it takes the highest
 	// revision that its peers have announced.
 	peerFallbackDelay = 1500 * time.Millisecond
+	// busyLimit bounds how long a peer that serves others is waited for.
+	busyLimit = 3 * time.Second
 )
 
 // Options are the settings and dependencies of a tracker.
@@ -38,6 +41,8 @@
 	Rows    store.Rows
 	Objects store.Objects
 	Dialer  peer.Dialer
+	// Self is the ID of this instance.
+	Self string
 	// ShouldPoll reports whether this instance is among those that poll the store for their failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each catalog that becomes active, in order of revision; first is set for the first one.
@@ -50,6 +55,8 @@
 	hash    string
 	catalog *config.Catalog
 	data    []byte
+	// document holds the pieces of data if that is large.
+	document transfer.Document
 }
 
 // Tracker keeps the active configuration at the highest known revision.
@@ -59,6 +66,10 @@
 	// wake is signalled when a peer announces a higher revision.
 	wake chan struct{}
 	done chan struct{}
+	// arrived holds the pieces of a revision whose transfer has not ended. Only the tracker's goroutine uses it.
+	arrived transfer.Assembly
+	// pieces answers peers that pull the active revision.
+	pieces peer.PieceServer
 
 	mu      sync.Mutex
 	highest Announcement
@@ -110,6 +121,10 @@
 // Serve answers a peer's fetch request, with empty objects if the active revision is lower than the requested one. It
 // returns false for frames of other kinds.
 func (t *Tracker) Serve(frame *wire.Frame, stream peer.Stream) bool {
+	if pull := frame.GetPull(); pull != nil {
+		t.servePull(pull, stream)
+		return true
+	}
 	request := frame.GetFetch()
 	if request == nil {
 		return false
@@ -117,11 +132,28 @@
 	objects := &wire.Objects{}
 	if active := t.active.Load(); active != nil && active.number >= request.GetRevision() {
 		objects = &wire.Objects{Revision: active.number, Hash: active.hash, Data: active.data}
+		if request.GetPieces() && !active.document.Empty() {
+			objects.Data, objects.Manifest = nil, peer.ToManifest(active.document.Manifest())
+		}
 	}
 	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Objects{Objects: objects}})
 	return true
 }
 
+// servePull answers a peer's request for pieces of the active revision.
+func (t *Tracker) servePull(pull *wire.Pull, stream peer.Stream) {
+	var document transfer.Document
+	if active := t.active.Load(); active != nil {
+		document = active.document
+	}
+	answer, err := t.pieces.Answer(pull, t.options.Clock.Now(), document)
+	if err != nil {
+		t.options.Logger.Log(event.RevisionReadFailed, log.Fields{"error": err.Error()})
+		return
+	}
+	_ = stream.Send(&wire.Frame{Body: &wire.Frame_Pieces{Pieces: answer}})
+}
+
 func (t *Tracker) run(ctx context.Context) {
 	defer close(t.done)
 	started := t.options.Clock.Now()
@@ -185,8 +217,6 @@
 	if highest.Number <= active || tooEarly {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	objects, err := t.fetch(ctx, highest)
 	if err != nil {
 		t.options.Logger.Log(event.RevisionReadFailed, log.Fields{"error": err.Error(), "revision": highest.Number})
@@ -208,18 +238,44 @@
 
 // fetch returns the objects of the announced revision or a later one from the peer that announced it. It checks their hash.
 func (t *Tracker) fetch(ctx context.Context, announced Announcement) (*wire.Objects, error) {
-	request := &wire.Frame{Body: &wire.Frame_Fetch{Fetch: &wire.Fetch{Revision: announced.Number}}}
-	reply, err := peer.Call(ctx, t.options.Dialer, announced.Address, request)
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	request := &wire.Frame{Body: &wire.Frame_Fetch{Fetch: &wire.Fetch{Revision: announced.Number, Pieces: true}}}
+	reply, err := peer.Call(callCtx, t.options.Dialer, announced.Address, request)
 	if err != nil {
 		return nil, err
 	}
 	objects := reply.GetObjects()
+	if objects.GetManifest() != nil {
+		if objects.Data, err = t.pull(ctx, announced.Address, peer.FromManifest(objects.GetManifest())); err != nil {
+			return nil, err
+		}
+	}
 	if objects.GetRevision() < announced.Number || config.Hash(objects.GetData()) != objects.GetHash() {
 		return nil, errors.Newf("peer %s did not return intact objects of revision %d or later", announced.Address, announced.Number)
 	}
 	return objects, nil
 }
 
+// pull returns the data of a manifest from a peer. While the peer serves others it asks again, for busyLimit at most.
+func (t *Tracker) pull(ctx context.Context, address string, m transfer.Manifest) ([]byte, error) {
+	puller := peer.Puller{Dialer: t.options.Dialer, Address: address, Receiver: t.options.Self, Arrived: &t.arrived}
+	if active := t.active.Load(); active != nil {
+		puller.Own = active.document
+	}
+	started := t.options.Clock.Now()
+	for {
+		data, _, err := puller.Pull(ctx, m)
+		var busy peer.BusyError
+		if !errors.As(err, &busy) || t.options.Clock.Now().Sub(started) > busyLimit {
+			return data, err
+		}
+		if err := clock.Wait(ctx, t.options.Clock, busy.After); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // apply activates a revision. Only the tracker's goroutine calls it, so that revisions are applied in order.
 func (t *Tracker) apply(number uint64, hash string, data []byte) {
 	set, err := config.Decode(data)
@@ -229,7 +285,7 @@
 	}
 	catalog := config.NewCatalog(set)
 	first := t.Catalog() == nil
-	t.active.Store(&activeRevision{number: number, hash: hash, catalog: catalog, data: data})
+	t.active.Store(&activeRevision{number: number, hash: hash, catalog: catalog, data: data, document: transfer.NewLargeDocument(data)})
 	t.options.Apply(catalog, first)
 	t.options.Logger.Log(event.RevisionApplied, log.Fields{"revision": number, "hash": hash})
 }
--- a/revision/tracker_test.go
+++ b/revision/tracker_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"siskincove/clock"
 	"siskincove/config"
@@ -230,3 +233,56 @@
 		})
 	}
 }
+
+// slowPeer is a dialer to a tracker at any address, over a link of 10 Mbit/s.
+type slowPeer struct{ tracker *Tracker }
+
+func (p slowPeer) Open(ctx context.Context, _ string) (peer.Stream, error) {
+	local, remote := peer.Pipe(ctx)
+	go func() {
+		for frame, err := remote.Receive(); err == nil; frame, err = remote.Receive() {
+			p.tracker.Serve(frame, slowStream{remote})
+		}
+	}()
+	return local, nil
+}
+
+type slowStream struct{ peer.Stream }
+
+func (s slowStream) Send(frame *wire.Frame) error {
+	const bytesPerSecond = 10_000_000 / 8
+	time.Sleep(time.Duration(proto.Size(frame)) * time.Second / bytesPerSecond)
+	return s.Stream.Send(frame)
+}
+
+// TestLargeRevisionOverSlowLink guards against a revision that a peer never supplies while the store is away, since its objects are sent
+// whole within a fixed time.
+func TestLargeRevisionOverSlowLink(t *testing.T) {
+	const applyBound = 11 * time.Second
+	set := config.Set{}
+	for n := range 60_000 {
+		set.Services = append(set.Services, config.Service{Name: fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(n)))), Route: "r"})
+	}
+	data, err := set.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	supplier := &Tracker{options: Options{Clock: clock.System{}, Logger: event.Discard(), Apply: func(*config.Catalog, bool) {}}}
+	supplier.apply(7, config.Hash(data), data)
+	applied := make(chan uint64, 1)
+	down := &faultyStore{down: true}
+	receiver := New(t.Context(), Options{
+		Clock: clock.System{}, Logger: event.Discard(), Rows: down, Objects: down, Dialer: slowPeer{supplier}, ShouldPoll: func() bool { return true },
+		Self: "receiver", Apply: func(*config.Catalog, bool) { applied <- 7 },
+	})
+	for end := time.After(applyBound); ; {
+		receiver.RecordPeerRevision(7, "supplier")
+		select {
+		case <-applied:
+			return
+		case <-time.After(500 * time.Millisecond):
+		case <-end:
+			t.Fatalf("%d bytes were not applied within %s", len(data), applyBound)
+		}
+	}
+}
--- a/transfer/document.go
+++ b/transfer/document.go
@@ -2,6 +2,9 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// MinDocumentBytes is the size from which a value is sent in pieces.
+const MinDocumentBytes = 16 << 10
+
 // Manifest lists the pieces of which a value consists.
 type Manifest struct {
 	Hashes []Hash
@@ -26,6 +29,14 @@
 	pieces   map[Hash][]byte
 }
 
+// NewLargeDocument returns the document of a value if that is large, and otherwise a document without pieces.
+func NewLargeDocument(value []byte) Document {
+	if len(value) < MinDocumentBytes {
+		return Document{}
+	}
+	return NewDocument(value)
+}
+
 // NewDocument returns the document of a value, which must not change afterwards.
 func NewDocument(value []byte) Document {
 	d := Document{manifest: Manifest{Digest: xxhash.Sum64(value)}, pieces: make(map[Hash][]byte)}
