--- a/member/announce.go
+++ b/member/announce.go
@@ -4,7 +4,11 @@
 	"context"
 	"sync"
 
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
 	"siskincove/clock"
+	"siskincove/event"
 	"siskincove/peer"
 	"siskincove/peer/wire"
 )
@@ -87,16 +91,39 @@
 	wait.Wait()
 }
 
-// contact exchanges heartbeats with whichever instance is at an address.
+// contact exchanges heartbeats with whichever instance is at an address until that has named all instances that it knows.
 func (d *Driver) contact(ctx context.Context, address string) {
+	for after := ""; ; {
+		reply, err := d.contactOnce(ctx, address, after)
+		if err != nil {
+			d.options.Logger.Log(event.PeerRefused, log.Fields{"address": address, "error": err.Error()})
+			return
+		}
+		if after = reply.GetNext(); after == "" {
+			return
+		}
+	}
+}
+
+// contactOnce sends a heartbeat to an address and applies the reply, which may name the instances whose IDs follow after.
+func (d *Driver) contactOnce(ctx context.Context, address, after string) (*wire.Heartbeat, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sentAt := d.options.Clock.Now()
 	request := d.heartbeat(nil)
+	request.After = after
 	reply, err := peer.Call(ctx, d.options.Dialer, address, &wire.Frame{Body: &wire.Frame_Heartbeat{Heartbeat: request}})
-	if err != nil || reply.GetHeartbeat() == nil {
-		return
+	if err != nil {
+		return nil, err
+	}
+	h := reply.GetHeartbeat()
+	if h == nil {
+		return nil, errors.New("reply is not a heartbeat")
+	}
+	if next := h.GetNext(); next != "" && next <= after {
+		return nil, errors.Newf("instances after %q are named again after %q", after, next)
 	}
-	d.applyReply(request, reply.GetHeartbeat())
-	d.notifyHeartbeat(reply.GetHeartbeat(), sentAt)
+	d.applyReply(request, h)
+	d.notifyHeartbeat(h, sentAt)
+	return h, nil
 }
--- a/member/driver.go
+++ b/member/driver.go
@@ -297,10 +297,10 @@
 }
 
 // heartbeat returns a heartbeat to send. request is the heartbeat that it answers, nil if it answers none. If the sender of
-// the request does not know the other instances yet and rosterKnown is set, the reply names all live instances.
+// the request does not know the other instances yet and rosterKnown is set, the reply names live instances.
 func (d *Driver) heartbeat(request *wire.Heartbeat) *wire.Heartbeat {
 	revision, _ := d.options.Revisions.Revision()
-	out := d.ownHeartbeat(request != nil && !request.GetSettled())
+	out := d.ownHeartbeat(request)
 	out.Revision = revision
 	if d.options.ExtendHeartbeat != nil {
 		d.options.ExtendHeartbeat(out, request)
@@ -308,7 +308,7 @@
 	return out
 }
 
-func (d *Driver) ownHeartbeat(full bool) *wire.Heartbeat {
+func (d *Driver) ownHeartbeat(request *wire.Heartbeat) *wire.Heartbeat {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.table.Self()
@@ -316,9 +316,11 @@
 		Id: self.ID, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
 		Leaving: self.State == Leaving, Settled: d.rosterKnown,
 	}
-	rumours := d.table.NextRumours()
-	if full && d.rosterKnown {
-		rumours = d.table.AllRumours()
+	var rumours []Rumour
+	if request != nil && !request.GetSettled() && d.rosterKnown {
+		rumours, out.Next = d.table.RumoursAfter(request.GetAfter())
+	} else {
+		rumours = d.table.NextRumours()
 	}
 	for _, r := range rumours {
 		out.Rumours = append(out.Rumours, &wire.Rumour{
@@ -352,11 +354,11 @@
 	}
 }
 
-// applyReply applies the reply to a heartbeat that this instance sent. A peer that knows the other instances names all of
-// them in the reply to one that does not.
+// applyReply applies the reply to a heartbeat that this instance sent. A peer that knows the other instances names them in the
+// replies to one that does not; the reply that names the last ones makes it know all.
 func (d *Driver) applyReply(request, reply *wire.Heartbeat) {
 	d.ApplyHeartbeat(reply)
-	if request.GetSettled() || !reply.GetSettled() {
+	if request.GetSettled() || !reply.GetSettled() || reply.GetNext() != "" {
 		return
 	}
 	d.mu.Lock()
--- a/member/rumour.go
+++ b/member/rumour.go
@@ -30,17 +30,25 @@
 	t.rumourSends[id] = rumourRepeats
 }
 
-// AllRumours returns a rumour of each instance that takes part in the placement, for a peer that does not know them.
-func (t *Table) AllRumours() []Rumour {
+// maxNamed bounds the instances that one heartbeat names to a peer that does not know them, so that it arrives in time.
+const maxNamed = 256
+
+// RumoursAfter returns a rumour of each instance that takes part in the placement, for a peer that does not know them: the first maxNamed
+// whose IDs follow the given one. It returns the last ID if there are more, and "" otherwise.
+func (t *Table) RumoursAfter(after string) ([]Rumour, string) {
 	var out []Rumour
 	for _, i := range t.Instances() {
-		if t.placed(i) {
-			r := t.newRumour(i)
-			r.State = Alive
-			out = append(out, r)
+		if i.ID <= after || !t.placed(i) {
+			continue
 		}
+		if len(out) == maxNamed {
+			return out, out[len(out)-1].ID
+		}
+		r := t.newRumour(i)
+		r.State = Alive
+		out = append(out, r)
 	}
-	return out
+	return out, ""
 }
 
 // newRumour returns the rumour of an instance. One that takes part in the placement unproven is reported as alive.
