--- a/config/set.go
+++ b/config/set.go
@@ -37,8 +37,25 @@
 }
 
 func sorted[T any](objects []T, name func(T) string) []T {
+	type place struct {
+		name  string
+		index int
+	}
+	// Objects are large, so only their places are moved while they are sorted.
+	order := make([]place, len(objects))
+	for n, o := range objects {
+		order[n] = place{name(o), n}
+	}
+	slices.SortFunc(order, func(a, b place) int {
+		if c := cmp.Compare(a.name, b.name); c != 0 {
+			return c
+		}
+		return a.index - b.index
+	})
 	out := slices.Clone(objects)
-	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	for n, p := range order {
+		out[n] = objects[p.index]
+	}
 	return out
 }
 
