--- a/directory/spread_test.go
+++ b/directory/spread_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"siskincove/meter"
 	"siskincove/transfer"
 )
@@ -276,3 +278,42 @@
 		})
 	}
 }
+
+// TestAnyConfigurationSpreads checks for any deployment, growth, loss of requests and series of changes that each instance gets the newest
+// configuration within the users' bound after the last change, and that no version costs much more than what is missing of it.
+func TestAnyConfigurationSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(spreadPartner, 150).Draw(t, "instances")
+		n := newNetwork(size, grown(rapid.IntRange(0, 3000).Draw(t, "before")), rapid.Uint64().Draw(t, "seed"))
+		n.lossPercent = rapid.IntRange(0, 5).Draw(t, "loss")
+		value, version, limit := []byte(nil), uint64(1), 0
+		for range rapid.IntRange(1, 4).Draw(t, "changes") {
+			version++
+			value = append(value, grown(rapid.IntRange(0, 2000).Draw(t, "routes"))...)
+			value = fmt.Appendf(value, "version %d", version)
+			document := transfer.NewDocument(value)
+			for _, node := range n.nodes {
+				missing, err := transfer.NewAssembly(document.Manifest(), node.document)
+				if err != nil {
+					t.Fatal(err)
+				}
+				limit += 2 * max(missing.Missing(), transfer.MaxPieceBytes) / compression
+			}
+			n.supply(n.nodes[0], version, document)
+			n.supply(n.nodes[1], version, document)
+			n.runUntil(n.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "pause"))*time.Millisecond), version)
+		}
+		bound := spreadBound
+		if n.lossPercent > 0 {
+			// Instances whose requests are lost are not in touch; each loss costs them a second.
+			bound *= 2
+		}
+		n.runUntil(n.now.Add(bound), version)
+		if lagging := n.lagging(version); lagging > 0 {
+			t.Errorf("%d of %d instances lack the configuration after %s", lagging, size, bound)
+		}
+		if n.bytes > limit {
+			t.Errorf("%d bytes were sent, want at most %d", n.bytes, limit)
+		}
+	})
+}
