standin/hosting: drop the commits that are answered READONLY

The stand-in's endpoint answered READONLY to a commit that waited for a replica while the lead was lost, and kept its record; when no other endpoint answered, that one was promoted and the records came back. The users' page says that READONLY means no run, so the stand-in was wrong: it drops the record, or answers nothing if later ones rest on it. TestRefusedCommitIsNotKept failed before. Ruled out: our verdicts, which say what the endpoint said.

--- /dev/null
+++ b/standin/hosting/commit_test.go
@@ -0,0 +1,68 @@
+package hosting
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestRefusedCommitIsNotKept guards against a commit that was answered READONLY, which promises that it did not run, and that came back
+// when the endpoint was promoted again (soak seed 2, 12 instances, 20 s).
+func TestRefusedCommitIsNotKept(t *testing.T) {
+	store, err := NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	g, err := NewGroup(store, Options{
+		Name: "g", Zones: []string{"a", "b", "c"}, SyncReplicas: 1, Slots: 5, Connections: 60, PromotionDelay: 10 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	primary := g.Primary()
+	dial := func() *Caller {
+		c, err := Dial(primary.address, "g")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		return c
+	}
+	writer, admin := dial(), dial()
+	if r, err := writer.Query("kept", "WRITE x 1"); err != nil || r.Code != "" {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	for _, e := range g.Members() {
+		e.SetReceiveBlocked(e != primary)
+	}
+	answered := make(chan Result, 1)
+	go func() {
+		r, _ := writer.Query("refused", "WRITE x 2")
+		answered <- r
+	}()
+	// The commit waits for a replica until its primary has lost the lead.
+	time.Sleep(50 * time.Millisecond)
+	if r, err := admin.Query("-", "DEMOTE 100"); err != nil || r.Code != "" {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	if r := <-answered; r.Code != "READONLY" {
+		t.Fatalf("answer to the commit: %+v", r)
+	}
+	g.promote(primary.id)
+	for end := time.Now().Add(5 * time.Second); g.Primary() == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("endpoint was not promoted again")
+		}
+	}
+	var requests []string
+	for _, record := range g.Log() {
+		requests = slices.Concat(requests, record.Requests)
+	}
+	if diff := cmp.Diff([]string{"kept"}, requests); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -90,6 +90,12 @@
 	e.group.Register()
 }
 
+// Return registers a draining endpoint as ready again, as if another had started at its address with its log.
+func (e *Endpoint) Return() {
+	e.update(func() { e.leaving = false })
+	e.group.Register()
+}
+
 // SetReceiveBlocked stops a replica from receiving records, or lets it receive again.
 func (e *Endpoint) SetReceiveBlocked(blocked bool) { e.update(func() { e.receiveBlocked = blocked }) }
 
@@ -165,6 +171,21 @@
 	e.log = slices.Clone(log)
 }
 
+// discard removes a record that no other endpoint has, and those of the same term after it, since READONLY promises that they did not
+// run. It returns false if records of a later term rest on it.
+func (e *Endpoint) discard(p Position) bool {
+	index := slices.IndexFunc(e.log, func(r Record) bool { return r.Position == p })
+	if index < 0 {
+		return true
+	}
+	if slices.ContainsFunc(e.log[index:], func(r Record) bool { return r.Position.Term != p.Term }) {
+		return false
+	}
+	e.log = slices.Clone(e.log[:index])
+	e.readableAt = e.readableAt[:min(len(e.readableAt), index)]
+	return true
+}
+
 func (e *Endpoint) hasRecord(p Position) bool {
 	return slices.ContainsFunc(e.log, func(r Record) bool { return r.Position == p })
 }
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -303,6 +303,9 @@
 			return answer{lost: true}
 		}
 		if !e.isPrimary() || e.term != record.Position.Term {
+			if !e.discard(record.Position) {
+				return answer{lost: true}
+			}
 			return answer{code: "READONLY"}
 		}
 		g.changed.Wait()
