soak: run instances with overlapping series of faults

The sessions and faults of TestHistory move here; its schedules draw from the new faults too (planned stops, settings, growing configurations, links cut one way, a slow store). Not built: the PostgreSQL protocol, clocks, links to the store and to endpoints (docs/design/soak.md).

--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -24,6 +24,7 @@
 	{"standin/link", "load", "hosted"},
 	{"standin/group"},
 	{"standin/cluster"},
+	{"soak"},
 	{"experiment", "commands", "proof"},
 	{"cmd/siskincove", "cmd/siskincoved", "cmd/standin", "cmd/experiment"},
 }
--- a/proof/contract_test.go
+++ b/proof/contract_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"siskincove/load"
+	"siskincove/soak"
 	"siskincove/standin/cluster"
 	"siskincove/standin/hosting"
 	"siskincove/verdict"
@@ -126,24 +127,24 @@
 func (s *postgresClient) close()           { _ = s.conn.Close(context.Background()) }
 
 // platformDeployment is a cluster whose callers use the platform's protocol.
-type platformDeployment struct{ cluster *platformCluster }
+type platformDeployment struct{ cluster *soak.Deployment }
 
 func (d platformDeployment) open(n int, own bool) (client, error) {
 	route := "main"
 	if own {
 		route = "own"
 	}
-	c, err := hosting.Dial(d.cluster.instances[n].Callers, route)
+	c, err := hosting.Dial(d.cluster.Instances[n].Callers, route)
 	if err != nil {
 		return nil, err
 	}
 	return &platformClient{caller: c}, nil
 }
 
-func (d platformDeployment) crashPrimary() { d.cluster.group.Primary().Crash() }
+func (d platformDeployment) crashPrimary() { d.cluster.Group.Primary().Crash() }
 
 func (d platformDeployment) openUndeclared() error {
-	c, err := hosting.Dial(d.cluster.instances[0].Callers, "nothing")
+	c, err := hosting.Dial(d.cluster.Instances[0].Callers, "nothing")
 	if err == nil {
 		c.Close()
 	}
--- a/proof/workspace_test.go
+++ b/proof/workspace_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"siskincove/soak"
 	"siskincove/standin/history"
 	"siskincove/standin/hosting"
 )
@@ -22,7 +23,7 @@
 // keyedConfiguration returns a version of the configuration in which each workspace has the keys; rates are beyond what the
 // test asks.
 func keyedConfiguration(version int, keys map[string][]string) map[string]any {
-	c := platformConfiguration()
+	c := hosting.Configuration(hosting.FirstVersion)
 	tenants := make([]map[string]any, 0, len(keys))
 	for name, held := range keys {
 		tenants = append(tenants, map[string]any{"name": name, "api-keys": held, "priority": 1, "rate-per-s": 5000, "burst": 5000})
@@ -35,10 +36,10 @@
 type grantLog struct{ grants []history.Grant }
 
 // publish writes a configuration and records what it gives and takes.
-func (l *grantLog) publish(p *platformCluster, version int, keys map[string][]string) {
+func (l *grantLog) publish(p *soak.Deployment, version int, keys map[string][]string) {
 	before := time.Now()
 	if version > 3 {
-		p.store.Write("op", "config", keyedConfiguration(version, keys))
+		p.Store.Write("op", "config", keyedConfiguration(version, keys))
 	}
 	after := time.Now()
 	for i := range l.grants {
@@ -66,11 +67,11 @@
 	p := startPlatformClusterWith(t, keyedConfiguration(3, first))
 	log.publish(p, 3, first)
 	all := []string{"kept", "withdrawn", "moved", "other", "unknown"}
-	for n := range p.instances {
+	for n := range p.Instances {
 		for k, key := range all {
-			for _, route := range []history.Route{mainRoute, ownRoute} {
+			for _, route := range []history.Route{soak.MainRoute, soak.OwnRoute} {
 				random := rand.New(rand.NewPCG(uint64(n), uint64(10*k+len(route.Name))))
-				p.running.Go(func() { p.runSessions(n, route, key, random) })
+				p.Run(func() { p.RunSessions(n, route, key, random) })
 			}
 		}
 	}
@@ -78,16 +79,16 @@
 	log.publish(p, 4, second)
 	withdrawnAt := time.Now()
 	time.Sleep(revocationLimit + keysPhase)
-	close(p.stop)
-	p.running.Wait()
+	p.StopSessions()
 	w := history.Workspaces{Grants: log.grants, RevocationLimit: revocationLimit, Window: time.Second}
-	h := history.History{Operations: p.operations, Runs: p.group.Runs(), Log: p.group.Log(), Workspaces: w}
+	h := p.History()
+	h.Workspaces = w
 	violations := history.Check(h)
 	for _, line := range violations[:min(len(violations), 10)] {
 		t.Error(line)
 	}
-	checkServed(t, p.operations, withdrawnAt)
-	for _, i := range p.instances {
+	checkServed(t, h.Operations, withdrawnAt)
+	for _, i := range p.Instances {
 		if _, err := hosting.DialWithKey(i.Callers, "main", "withdrawn"); err == nil || !strings.Contains(err.Error(), "NOAUTH") {
 			t.Errorf("session with a withdrawn key: %v", err)
 		}
@@ -98,7 +99,7 @@
 		}
 	}
 	if t.Failed() {
-		for _, i := range p.instances {
+		for _, i := range p.Instances {
 			t.Logf("%s", tail(i.Log(), 40))
 		}
 	}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,183 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"siskincove/standin/history"
+	"siskincove/standin/hosting"
+	"siskincove/standin/link"
+)
+
+const (
+	// settleTime passes before the first fault, since instances replace a primary only after they have known the endpoints for 4 s.
+	settleTime = 4500 * time.Millisecond
+	// recoveryLimit is the users' target for the duration of a failover, and applyLimit theirs for a configuration.
+	recoveryLimit = 17 * time.Second
+	applyLimit    = 5 * time.Second
+	// recoveredWrites is how many writes have to be acknowledged after the last fault.
+	recoveredWrites = 50
+	// instancesPerTrack is for how many instances there is a series of faults that overlaps with the others, besides the first.
+	instancesPerTrack = 10
+	minPause          = 20 * time.Millisecond
+	maxPause          = 1500 * time.Millisecond
+	progressInterval  = 5 * time.Second
+	linkBytesPerSec   = 10_000_000 / 8
+)
+
+// Options configure a run.
+type Options struct {
+	// Seed determines the series of faults and what sessions send.
+	Seed uint64
+	// Duration is how long faults are injected.
+	Duration  time.Duration
+	Instances int
+	// Binaries is the directory of the built programs, Directory that of the report, which must exist.
+	Binaries, Directory string
+	// Progress gets a line every few seconds; nil for none.
+	Progress io.Writer
+}
+
+// Series returns the faults of a seed as series that run side by side.
+func Series(seed uint64, duration time.Duration, instances int) [][]Fault {
+	all := FaultNames()
+	out := make([][]Fault, 2+instances/instancesPerTrack)
+	for n := range out {
+		random := rand.New(rand.NewPCG(seed, uint64(n)))
+		for at := time.Duration(0); at < duration; {
+			after := minPause + time.Duration(random.Int64N(int64(maxPause-minPause)))
+			at += after
+			out[n] = append(out[n], Fault{After: after, Name: all[random.IntN(len(all))], Target: random.IntN(1 << 16)})
+		}
+	}
+	return out
+}
+
+// Run runs a soak and returns its report. An error means that the soak itself failed, not that a check did.
+func Run(ctx context.Context, o Options) (Report, error) {
+	report := Report{Seed: o.Seed, Duration: o.Duration, Instances: o.Instances, Started: time.Now()}
+	work := filepath.Join(o.Directory, "work")
+	if err := os.MkdirAll(work, 0o700); err != nil {
+		return report, err
+	}
+	zones := make([]string, o.Instances)
+	for n := range zones {
+		zones[n] = string("abc"[n%3])
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d, err := StartDeployment(ctx, DeploymentOptions{
+		Binaries: o.Binaries, Directory: work, Zones: zones, Configuration: hosting.Configuration(hosting.FirstVersion), Links: true,
+	})
+	if err != nil {
+		d.Close()
+		return report, err
+	}
+	defer d.Close()
+	for _, domain := range d.Domains {
+		d.Links.SetBandwidth(domain, link.NewBandwidth(linkBytesPerSec*o.Instances/len(d.Domains)))
+	}
+	d.StartSessions(o.Seed)
+	time.Sleep(settleTime)
+	injector := NewInjector(d)
+	report.Series = Series(o.Seed, o.Duration, o.Instances)
+	var injecting sync.WaitGroup
+	for _, series := range report.Series {
+		injecting.Go(func() { injector.injectAll(ctx, series) })
+	}
+	waitWithProgress(ctx, d, o)
+	injecting.Wait()
+	report.check(d, injector)
+	if !report.Passed() {
+		err = d.SaveLogs(o.Directory)
+	}
+	return report, err
+}
+
+// injectAll injects a series, unless ctx ends before.
+func (i *Injector) injectAll(ctx context.Context, series []Fault) {
+	for _, f := range series {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(f.After):
+		}
+		i.Inject(f)
+	}
+}
+
+func waitWithProgress(ctx context.Context, d *Deployment, o Options) {
+	end := time.After(o.Duration)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end:
+			return
+		case <-time.After(progressInterval):
+			if o.Progress != nil {
+				_, _ = fmt.Fprintf(o.Progress, "seed %d: %d writes acknowledged\n", o.Seed, d.AcknowledgedWrites())
+			}
+		}
+	}
+}
+
+// check clears the faults and checks that writes and the newest configuration come back, and what was seen meanwhile.
+func (r *Report) check(d *Deployment, i *Injector) {
+	i.Clear()
+	before := d.AcknowledgedWrites()
+	if !within(recoveryLimit, func() bool { return d.AcknowledgedWrites() > before+recoveredWrites }) {
+		r.fail("writes did not resume within %s", recoveryLimit)
+	}
+	i.grow(smallGrowth)
+	for _, instance := range d.Instances {
+		if !within(applyLimit, func() bool { return serves(instance.Callers, versionRoute(i.version)) }) {
+			r.fail("%s does not serve version %d of the configuration within %s", instance.ID(), i.version, applyLimit)
+		}
+	}
+	d.StopSessions()
+	h := d.History()
+	for _, line := range history.Check(h) {
+		r.fail("%s", line)
+	}
+	for _, err := range i.Errors() {
+		r.fail("%s", err)
+	}
+	for _, instance := range d.Instances {
+		if instance.Process.Exited() {
+			r.fail("%s has ended by itself", instance.ID())
+		}
+		if strings.Contains(instance.Log(), "event=113 ") {
+			r.fail("%s has contained a panic", instance.ID())
+		}
+	}
+	r.Injected = i.Injected()
+	r.Runs, r.Commits, r.Promotions = len(h.Runs), len(h.Log), d.Group.Promotions()
+	r.summarize(h.Operations)
+}
+
+func within(limit time.Duration, condition func() bool) bool {
+	for end := time.Now().Add(limit); !condition(); time.Sleep(readyPoll) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// serves reports whether an instance accepts a session on a route.
+func serves(address, route string) bool {
+	c, err := hosting.DialWithKey(address, route, AnyKey)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
--- a/standin/cluster/hosted.go
+++ b/standin/cluster/hosted.go
@@ -20,13 +20,17 @@
 	Promotion string
 	// Zones are the failure domains of the instances, one instance for each, all in one region.
 	Zones []string
+	// Proxy, if set, is the address of a proxy through which the instances dial each other.
+	Proxy string
 }
 
 // HostedInstance is the process of an instance that runs against the stand-ins of the platform.
 type HostedInstance struct {
 	Process *Process
 	// Callers is the address for callers.
-	Callers       string
+	Callers string
+	// Peers is the address for other instances.
+	Peers         string
 	healthAddress string
 	options       HostedOptions
 	id            string
@@ -42,6 +46,7 @@
 health = %q
 peers = %q
 metrics = %q
+%s
 [store]
 address = %q
 [promotion]
@@ -67,8 +72,8 @@
 		if err != nil {
 			return out, err
 		}
-		h := &HostedInstance{options: o, id: fmt.Sprintf("n%d", n), Callers: addresses[0], healthAddress: addresses[1]}
-		text := fmt.Sprintf(hostedSettingsTemplate, h.id, zone, addresses[0], addresses[1], addresses[2], addresses[3], o.Store, o.Promotion, strings.Join(regions, "\n"))
+		h := &HostedInstance{options: o, id: fmt.Sprintf("n%d", n), Callers: addresses[0], Peers: addresses[2], healthAddress: addresses[1]}
+		text := fmt.Sprintf(hostedSettingsTemplate, h.id, zone, addresses[0], addresses[1], addresses[2], addresses[3], proxyLine(o.Proxy), o.Store, o.Promotion, strings.Join(regions, "\n"))
 		if err := os.WriteFile(h.file(".toml"), []byte(text), 0o600); err != nil {
 			return out, errors.Wrap(err, "write settings file")
 		}
@@ -80,6 +85,16 @@
 	return out, nil
 }
 
+func proxyLine(address string) string {
+	if address == "" {
+		return ""
+	}
+	return fmt.Sprintf("proxy = %q", address)
+}
+
+// ID returns the instance's ID.
+func (h *HostedInstance) ID() string { return h.id }
+
 func (h *HostedInstance) file(suffix string) string {
 	return filepath.Join(h.options.Directory, h.id+suffix)
 }
