siskincoved: accept signals from the first moment

Signals are accepted before anything else and handled once the instance runs. TestSignalBeforeStart failed before (signal: hangup).

--- a/cmd/siskincoved/main.go
+++ b/cmd/siskincoved/main.go
@@ -26,6 +26,9 @@
 }
 
 func main() {
+	// A signal that comes before the instance runs is handled once it does.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var o options
 	kong.Parse(&o, kong.Name("siskincoved"), kong.Description("Runs one instance of the database proxy with session consistency."))
 	s, file, problems := settings.Load(o.Settings)
@@ -35,7 +38,7 @@
 	if o.Check {
 		return
 	}
-	os.Exit(run(o, s, file))
+	os.Exit(run(o, s, file, signals))
 }
 
 func exitInvalidSettings(problems document.Problems) {
@@ -45,14 +48,12 @@
 	os.Exit(exitSettings)
 }
 
-func run(o options, s settings.Settings, file document.Document) int {
+func run(o options, s settings.Settings, file document.Document, signals <-chan os.Signal) int {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	writer := event.NewWriter(ctx, clock.System{}, os.Stdout)
 	defer writer.Flush()
 	logger := event.NewLogger(writer, parseLevel(s.Log), clock.System{})
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if s.Callers.Protocol == settings.ProtocolPlatform {
 		return runHosted(ctx, hostedOptions{settingsFile: o.Settings, settings: s, logger: logger, signals: signals})
 	}
