transfer: ignore pieces that are not of the value

Found by reading: an assembly kept pieces that nobody had asked for and counted them as progress, so that a peer which sends others would have filled the memory and never ended the pull. TestUnaskedPieces failed before. A source is also paused while it is asked, so that a contained programming error is not met again at once.

--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -116,6 +116,8 @@
 	defer f.instance.options.Logger.Contain("fetch")
 	clk := f.instance.options.Clock
 	started, before := clk.Now(), f.instance.directory.Versions()
+	// If the fetch fails by a programming error, it is not repeated at once.
+	f.pause(source, inquiryTimeout)
 	received, err := f.take(ctx, source)
 	var busy peer.BusyError
 	progress := f.instance.directory.Versions() != before
--- a/transfer/assembly.go
+++ b/transfer/assembly.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -90,8 +91,8 @@
 	return out
 }
 
-// With returns the assembly with further pieces, and how many of them it did not have. It returns an error for one whose content does
-// not match its hash; those before it are included.
+// With returns the assembly with further pieces, and how many of them it did not have. Pieces of other values are left out. It returns
+// an error for one whose content does not match its hash; those before it are included.
 func (a Assembly) With(pieces []Piece) (Assembly, int, error) {
 	next := Assembly{manifest: a.manifest, pieces: maps.Clone(a.pieces)}
 	var err error
@@ -100,7 +101,9 @@
 			err = errors.Newf("piece %016x has the content of %016x", uint64(p.Hash), uint64(HashOf(p.Data)))
 			break
 		}
-		next.pieces[p.Hash] = p.Data
+		if slices.Contains(a.manifest.Hashes, p.Hash) {
+			next.pieces[p.Hash] = p.Data
+		}
 	}
 	next.missing = next.count()
 	return next, len(next.pieces) - len(a.pieces), err
--- a/transfer/document_test.go
+++ b/transfer/document_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// TestUnaskedPieces guards against a peer that sends pieces which nobody asked for: they would be kept, and the pull would never end.
+func TestUnaskedPieces(t *testing.T) {
+	a, err := NewAssembly(NewDocument(routes(100)).Manifest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	data := []byte("of another value")
+	next, added, err := a.With([]Piece{{Hash: HashOf(data), Data: data}})
+	if err != nil || added != 0 {
+		t.Errorf("%d pieces added: %v", added, err)
+	}
+	if _, ok := next.Piece(HashOf(data)); ok {
+		t.Error("a piece that is not of the value is kept")
+	}
+}
+
 // FuzzExpand checks that no compressed piece ends the process or expands to more than a piece.
 func FuzzExpand(f *testing.F) {
 	var c Compressor
