standin/hosting: end connections from before a crash

A connection that the stand-in's endpoint had accepted just before its crash outlived it, with the number of a later one. Numbers go on over restarts now.

--- a/standin/hosting/commit_test.go
+++ b/standin/hosting/commit_test.go
@@ -1,6 +1,8 @@
 package hosting
 
 import (
+	"bufio"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -66,3 +68,34 @@
 		t.Error(diff)
 	}
 }
+
+// TestConnectionEndsWithCrash guards against a connection that was accepted just before an endpoint's crash, outlived it and had the number
+// of a connection of the restarted endpoint, so that the history check took two transactions for one (soak seed 104, 9 instances).
+func TestConnectionEndsWithCrash(t *testing.T) {
+	store, err := NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	g, err := NewGroup(store, Options{Name: "g", Zones: []string{"a"}, Slots: 5, Connections: 60})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	e := g.Members()[0]
+	early, err := net.Dial("tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = early.Close() })
+	time.Sleep(20 * time.Millisecond)
+	e.Crash()
+	if err := e.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = early.Write([]byte("START g u\r\n"))
+	_ = early.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if line, err := bufio.NewReader(early).ReadString('\n'); err == nil {
+		t.Errorf("answer on a connection from before the crash: %q", line)
+	}
+}
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,6 +30,8 @@
 	answersToLose int
 	busySlots     int
 	conns         map[net.Conn]bool
+	// accepted counts the connections, also those from before a restart.
+	accepted atomic.Int64
 	// born is the start time in Unix milliseconds.
 	born int64
 }
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -26,6 +26,8 @@
 	endpoint *Endpoint
 	conn     net.Conn
 	number   int
+	// listener is the one that accepted the connection.
+	listener net.Listener
 	// user is who connected, as START says.
 	user string
 	// state is I outside a transaction, T inside one and E inside a failed one.
@@ -41,12 +43,12 @@
 }
 
 func (e *Endpoint) accept(listener net.Listener) {
-	for number := 0; ; number++ {
+	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		s := &session{endpoint: e, conn: conn, number: number, state: "I"}
+		s := &session{endpoint: e, listener: listener, conn: conn, number: int(e.accepted.Add(1)), state: "I"}
 		go s.serve()
 	}
 }
@@ -88,6 +90,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch {
+	case !e.alive || s.listener != e.listener:
+		// The endpoint has crashed since it accepted the connection.
+		return false
 	case len(fields) < 3 || fields[0] != "START" || fields[1] != g.options.Name || len(fields) > 3 && fields[3] != e.id:
 		_, _ = fmt.Fprintf(s.conn, "ERR MISROUTED %s\r\n", e.id)
 		return false
