directory: do not fetch a configuration that is being applied

Known includes the version that is being applied. TestVersionsDuringApply checks it; without the method it does not compile.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,7 +55,9 @@
 	// inForce is the operator's version of catalog. It is stored after catalog.
 	inForce atomic.Uint64
 	// versions are what peers are told. They are stored before inForce, so that none is older than a proof that holds for inForce.
-	versions   atomic.Pointer[Versions]
+	versions atomic.Pointer[Versions]
+	// arriving is the operator's version of the configuration that was last applied or is being applied.
+	arriving   atomic.Uint64
 	goroutines sync.WaitGroup
 	done       chan struct{}
 
@@ -143,6 +145,7 @@
 	if configuration.Version <= d.configuration.Version {
 		return configuration.Version
 	}
+	d.arriving.Store(configuration.Version)
 	if configuration.Relayed != nil {
 		row.Value = configuration.Relayed
 	}
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -69,6 +69,11 @@
 	return Versions{}
 }
 
+// Known returns the versions that need not be fetched: those of Versions, or of a configuration that is being applied.
+func (d *Directory) Known() Versions {
+	return d.Versions().orNewer(Versions{Configuration: d.arriving.Load()})
+}
+
 // Offer returns the configuration and the endpoints, each only if it is newer than the peer's. If the peer accepts changes,
 // the endpoints are limited to those where that is possible.
 func (d *Directory) Offer(peer Versions, acceptsChanges bool) Offer {
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -38,6 +38,9 @@
 	case <-time.After(time.Second):
 		t.Error("versions are not available while a configuration is applied")
 	}
+	if v := d.Known(); v.Configuration != 3 {
+		t.Errorf("version %d is known while version 3 is applied, so that it would be fetched again", v.Configuration)
+	}
 	close(release)
 	<-done
 	if v := d.Versions(); v.Configuration != 3 || d.InForce() != 3 {
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -60,7 +60,7 @@
 // announce records that the peer at an address, in a failure domain, has a directory, which is fetched if it is newer than this
 // instance's.
 func (f *fetcher) announce(v directory.Versions, address, domain string) {
-	own := f.instance.directory.Versions()
+	own := f.instance.directory.Known()
 	if !v.NewerThan(own) {
 		return
 	}
@@ -84,7 +84,7 @@
 func (f *fetcher) next() (directory.Source, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sources.Next(f.instance.directory.Versions(), f.instance.options.Clock.Now())
+	return f.sources.Next(f.instance.directory.Known(), f.instance.options.Clock.Now())
 }
 
 // run fetches from the sources until ctx ends.
@@ -152,7 +152,7 @@
 func (f *fetcher) take(ctx context.Context, source directory.Source) (int, error) {
 	received := 0
 	for _, acceptsChanges := range []bool{true, false} {
-		offer, err := f.instance.inquire(ctx, source.Address, f.instance.directory.Versions(), acceptsChanges)
+		offer, err := f.instance.inquire(ctx, source.Address, f.instance.directory.Known(), acceptsChanges)
 		if err != nil {
 			return received, err
 		}
@@ -179,7 +179,7 @@
 	}
 	held := f.instance.directory
 	obsolete := func() bool {
-		return held.Versions().Configuration >= offer.Offered || f.superseded(source, offer.Offered)
+		return held.Known().Configuration >= offer.Offered || f.superseded(source, offer.Offered)
 	}
 	value, received, err := f.puller(source, held.Document(), &f.configuration, obsolete).Pull(ctx, offer.Manifest)
 	if err == nil {
