succession: record that a lost hold does not stop a repeated promotion

From the logs: a succession repeated one promotion request for 11 s while the platform accepted none; replicas that it had held restarted, which ends a hold, the old primary restarted and acknowledged writes with one of them, then a request was accepted. That order is inferred; without a network TestHoldLostWhilePromoting shows the missing check each time.

--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -88,3 +88,23 @@
 		})
 	}
 }
+
+// TestHoldLostWhilePromoting guards against the loss of acknowledged commits: the platform accepts no promotion for some seconds, a held
+// replica restarts meanwhile, which ends its hold, and receives and acknowledges commits with the old primary; a request that is
+// repeated after that promotes a log which lacks them (soak seed 139, 9 instances).
+func TestHoldLostWhilePromoting(t *testing.T) {
+	events := []Event{
+		heldReply("a", 5, planTerm), heldReply("b", 9, planTerm), confirmReply("a", 5), confirmReply("b", 9),
+		heldReply("a", 12, 0), PromotionResult{Outcome: Retryable},
+	}
+	s := New(newPlan())
+	var last []Action
+	for _, e := range events {
+		s, last = s.Handle(e)
+	}
+	for _, action := range last {
+		if action.Command == Promote {
+			t.Errorf("promotion of %s is requested again, though a replica has received more since it was held", action.Endpoint)
+		}
+	}
+}
