soak: take a stop at the drain limit for what it is

That is documented and logged (103), so the soak looks for the line; a stop with an error and without it is still a violation.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincove/standin/hosting"
 )
 
@@ -20,6 +23,8 @@
 	// largeGrowth and smallGrowth are how many routes a change of the configuration adds.
 	largeGrowth = 1400
 	smallGrowth = 3
+	// forcedStop is in the line that an instance logs if it cuts off sessions when it stops.
+	forcedStop = "event=103 "
 )
 
 // Fault is a step of a schedule. Target selects the instance or endpoint, modulo their number.
@@ -138,11 +143,17 @@
 	})
 }
 
-// terminate stops an instance as planned and starts it again.
+// terminate stops an instance as planned and starts it again. A stop that cuts off sessions at the drain limit, which the instance logs, is
+// no error, as an endpoint may not answer meanwhile.
 func (i *Injector) terminate(target int) {
 	i.alone(target, func(n int) {
-		i.record(i.deployment.Instances[n].Process.Terminate())
-		i.record(i.deployment.Instances[n].Start())
+		instance := i.deployment.Instances[n]
+		before := len(instance.Log())
+		err := instance.Process.Terminate()
+		if written := instance.Log(); err != nil && !strings.Contains(written[min(before, len(written)):], forcedStop) {
+			i.record(errors.Wrapf(err, "stopping %s", instance.ID()))
+		}
+		i.record(instance.Start())
 	})
 }
 
