--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -95,7 +95,8 @@
 func TestHoldLostWhilePromoting(t *testing.T) {
 	events := []Event{
 		heldReply("a", 5, planTerm), heldReply("b", 9, planTerm), confirmReply("a", 5), confirmReply("b", 9),
-		heldReply("a", 12, 0), PromotionResult{Outcome: Retryable},
+		heldReply("a", 12, 0),
+		PromotionResult{Outcome: Retryable},
 	}
 	s := New(newPlan())
 	var last []Action
