succession: confirm the holds before a promotion is requested again

Cause: a promotion that the platform does not accept is repeated for up to 15 s while nobody checks the holds it relies on. A restart ends a replica's hold, and the old primary may acknowledge commits with it.

Change: a new phase confirms every hold before each repeated request, and after a demotion, where the model found the same gap in the first request. If one has ended, the succession stops; it keeps the other holds if a request is outstanding, and the coordinator's next succession takes them over at once under a higher token.

Ways weighed: taking the request back by one for the old primary (one token more, longer without a primary), outrunning it (kept), holding the restarted replica again in the same succession (useless once it has received something); holds that outlast a restart are not in the platform's protocol. docs/design/platform.md.

One order remains, and has a case that is expected to lose: an outstanding request that takes effect between a replica's return and the acceptance of a higher token. "holds are released before old promotions are invalidated" needs a crash to lose its commit, since the demoted primary no longer reaches that order; it still must lose it. "keeps holds while a promotion may still take effect" has the confirmations between its two requests.

--- a/succession/holds.go
+++ b/succession/holds.go
@@ -14,10 +14,10 @@
 }
 
 // otherInProgress reports whether another coordinator's succession seems to be in progress: a replica is held, and not
-// yet for long enough to count as abandoned.
+// yet for long enough to count as abandoned. Holds that this coordinator's last succession has left are abandoned at once.
 func (d Detector) otherInProgress(t Timing, rank int, now time.Time) bool {
 	for _, h := range d.holds {
-		if now.Sub(h.since) < t.HoldTimeout+time.Duration(rank)*t.Stagger {
+		if h.term != d.endedTerm && now.Sub(h.since) < t.HoldTimeout+time.Duration(rank)*t.Stagger {
 			return true
 		}
 	}
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,7 +15,8 @@
 // events can be explored.
 //
 // The model's only assumption about time follows from the coordinators' timeouts: a succession takes over the holds of
-// another only once they count as abandoned, and by then the other one no longer sends its first promotion request.
+// another only once they count as abandoned, and by then the other one no longer sends its first promotion request. A replica
+// takes longer to restart than holdTimeout, within which a coordinator confirms its hold and sends the request.
 const (
 	// highestFence is above the fencing tokens of all successions.
 	highestFence = 100
@@ -40,6 +42,8 @@
 	succession Succession
 	// pending are the actions to carry out, separated by spaces; each is the digit of a command and an endpoint's name.
 	pending string
+	// holdsConfirmed is set while a promotion request is to be sent whose holds have just been confirmed.
+	holdsConfirmed bool
 }
 
 // modelState is a state of the model; states are compared by key.
@@ -54,7 +58,10 @@
 	coordinators   [2]modelCoordinator
 	crashed        bool
 	returned       bool
-	holdsReleased  bool
+	// restarting is the replica that is being restarted, and restarted is set once it has answered again.
+	restarting    int
+	restarted     bool
+	holdsReleased bool
 	// era is the era of the store, and reserved how many fencing tokens it has counted since the copy.
 	era      uint64
 	reserved uint64
@@ -89,6 +96,8 @@
 	}
 	flag(state.crashed)
 	flag(state.returned)
+	number(uint64(state.restarting))
+	flag(state.restarted)
 	flag(state.holdsReleased)
 	number(state.era)
 	number(state.reserved)
@@ -96,6 +105,7 @@
 		flag(c.started)
 		flag(c.expired)
 		text(c.pending)
+		flag(c.holdsConfirmed)
 		number(uint64(c.succession.plan.Term))
 		text(c.succession.plan.OldPrimary)
 		number(uint64(len(c.succession.plan.Replicas)))
@@ -107,10 +117,16 @@
 		text(c.succession.target)
 		flag(c.succession.accepted)
 		flag(c.succession.unknown)
+		// The order in which replicas were held and confirmed makes no difference.
+		var held []string
 		for _, h := range c.succession.held {
-			text(h.replica.Name + h.log.String())
+			held = append(held, h.replica.Name+h.log.String())
 		}
-		text(strings.Join(c.succession.confirmed, ""))
+		slices.Sort(held)
+		text(strings.Join(held, ""))
+		confirmed := slices.Clone(c.succession.confirmed)
+		slices.Sort(confirmed)
+		text(strings.Join(confirmed, ""))
 	}
 	return string(out)
 }
@@ -163,10 +179,16 @@
 	// that must be caught, the tokens that are counted again are the same.
 	allowRestore     bool
 	tokensWithoutEra bool
-	visited          map[string]bool
-	pending          []modelState
-	lostCommit       string
-	promoted         int
+	// allowRestart lets a replica restart once, which ends its hold. allowRetries lets promotion requests have no effect, with an
+	// answer that says so or without any. With repeatUnconfirmed, a mutation that must be caught, a request is repeated without
+	// a check of the holds.
+	allowRestart      bool
+	allowRetries      bool
+	repeatUnconfirmed bool
+	visited           map[string]bool
+	pending           []modelState
+	lostCommit        string
+	promoted          int
 }
 
 func (m *model) push(state modelState) {
@@ -225,8 +247,11 @@
 		n.endpoints[leader].alive, n.crashed = false, true
 		m.push(n)
 	}
+	if m.allowRestart {
+		m.stepRestart(state)
+	}
 	for i := range state.endpoints {
-		if !state.endpoints[i].alive && !state.returned {
+		if !state.endpoints[i].alive && !state.returned && (state.restarting == 0 || i != state.restarting) {
 			n := state.next("return " + endpointNames[i])
 			n.endpoints[i].alive, n.endpoints[i].held, n.returned = true, 0, true
 			m.push(n)
@@ -234,6 +259,40 @@
 	}
 }
 
+// stepRestart stops a replica or starts it again.
+func (m *model) stepRestart(state modelState) {
+	if i := state.restarting; i != 0 {
+		if !state.restarted && !state.confirmed(i) {
+			n := state.next("restarted " + endpointNames[i])
+			n.endpoints[i].alive, n.endpoints[i].held, n.restarted = true, 0, true
+			m.push(n)
+		}
+		return
+	}
+	for i := 1; i < len(state.endpoints); i++ {
+		if i != state.leader && state.endpoints[i].alive {
+			n := state.next("restart " + endpointNames[i])
+			n.endpoints[i].alive, n.restarting = false, i
+			m.push(n)
+		}
+	}
+}
+
+// confirmed reports whether a coordinator is about to send a promotion request for which it has just confirmed the hold of the
+// i-th endpoint.
+func (state modelState) confirmed(i int) bool {
+	for _, c := range state.coordinators {
+		confirming := c.succession.phase == Confirming || c.succession.phase == Reconfirming
+		if confirming && slices.Contains(c.succession.confirmed, endpointNames[i]) {
+			return true
+		}
+		if c.holdsConfirmed && slices.ContainsFunc(strings.Fields(c.pending), func(pending string) bool { return Command(pending[0]-'0') == Promote }) {
+			return true
+		}
+	}
+	return false
+}
+
 // stepCoordinator lets a coordinator start, carry out an action, probe its target or time out.
 func (m *model) stepCoordinator(state modelState, c int) {
 	coordinator := state.coordinators[c]
@@ -316,9 +375,16 @@
 // handle passes an event to a coordinator's succession.
 func (m *model) handle(n modelState, c int, e Event) {
 	next, actions := n.coordinators[c].succession.Handle(e)
+	if m.repeatUnconfirmed && next.phase == Reconfirming {
+		next.phase, actions = Promoting, []Action{{Command: Promote, Endpoint: next.target}}
+	}
+	reply, isReply := e.(Reply)
 	n.coordinators[c].succession = next
+	n.coordinators[c].holdsConfirmed = isReply && (reply.Confirms || n.coordinators[c].holdsConfirmed) && next.phase == Promoting
 	if len(actions) > 0 {
-		n.coordinators[c].pending = strings.TrimSpace(n.coordinators[c].pending + " " + pendingOf(actions))
+		pending := append(strings.Fields(n.coordinators[c].pending), strings.Fields(pendingOf(actions))...)
+		slices.Sort(pending)
+		n.coordinators[c].pending = strings.Join(pending, " ")
 	}
 	m.push(n)
 }
@@ -353,6 +419,10 @@
 		}
 		m.push(n)
 	case Promote:
+		if m.allowRetries {
+			m.handle(n, c, PromotionResult{Outcome: Retryable})
+			m.handle(n, c, PromotionResult{Outcome: Unknown})
+		}
 		promoted, outcome := m.executePromotion(n, modelPromotion{fence: plan.Fence, target: i})
 		m.handle(promoted, c, PromotionResult{Outcome: outcome})
 		if len(n.latePromotions) < m.maxLatePromotions {
@@ -419,11 +489,16 @@
 	}{
 		"one coordinator, late promotions, a crash":                {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 2, allowCrash: true, allowRelease: true}},
 		"two coordinators, a late promotion":                       {model: model{maxCommits: 1, coordinators: 2, maxLatePromotions: 1}},
-		"holds are released before old promotions are invalidated": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowRelease: true, releaseUnfenced: true}, loses: true},
+		"holds are released before old promotions are invalidated": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRelease: true, releaseUnfenced: true}, loses: true},
 		"crashed endpoints are unregistered":                       {model: model{maxCommits: 1, coordinators: 2, allowCrash: true, omitCrashed: true}},
 		"two coordinators, the store is restored":                  {model: model{maxCommits: 1, coordinators: 2, allowRestore: true}},
 		"two coordinators, tokens are counted again":               {model: model{maxCommits: 1, coordinators: 2, maxLatePromotions: 1, allowRestore: true, tokensWithoutEra: true}, loses: true},
-		"a replica is not counted":                                 {model: model{maxCommits: 1, coordinators: 1, omitReplica: true}, loses: true},
+		"a replica restarts, requests are repeated":                {model: model{maxCommits: 2, coordinators: 1, allowCrash: true, allowRestart: true, allowRetries: true}},
+		"requests are repeated without a check of the holds":       {model: model{maxCommits: 2, coordinators: 1, allowCrash: true, allowRestart: true, allowRetries: true, repeatUnconfirmed: true}, loses: true},
+		// No call of the coordinator can precede a request that takes effect between the return of a held replica and the next
+		// request with a higher token.
+		"a replica restarts before a late promotion": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true}, loses: true},
+		"a replica is not counted":                   {model: model{maxCommits: 1, coordinators: 1, omitReplica: true}, loses: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/succession/run.go
+++ b/succession/run.go
@@ -33,7 +33,7 @@
 	commandRetryInterval = 10 * time.Millisecond
 	// releaseAttempts is how many times the release of a hold is tried at an endpoint without a free slot.
 	releaseAttempts = 10
-	// maxHoldAge is how old the holds may be at the first promotion request. It is well below Timing.HoldTimeout, after
+	// maxHoldAge is how old the holds, or their confirmation, may be at a promotion request. It is well below Timing.HoldTimeout, after
 	// which other coordinators release them; a suspension of this machine may have used up that time.
 	maxHoldAge = 1200 * time.Millisecond
 )
@@ -44,8 +44,11 @@
 	database    *database.Database
 	members     []config.Endpoint
 	succession  Succession
-	started     time.Time
-	running     sync.WaitGroup
+	// confirmingSince is when the phases began that end with all holds confirmed, and promoteUntil the end of the wait for the
+	// promotion.
+	confirmingSince time.Time
+	promoteUntil    time.Time
+	running         sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -55,7 +58,8 @@
 	defer r.running.Wait()
 	defer cancel()
 	o := r.coordinator.options
-	r.started = o.Clock.Now()
+	started := o.Clock.Now()
+	r.confirmingSince = started
 	events := make(chan Event, eventBuffer)
 	r.execute(ctx, r.succession.Start(), events)
 	timeout := o.Clock.After(holdTimeout)
@@ -74,22 +78,36 @@
 			r.releaseHolds(parent, actions)
 			break
 		}
-		if before < Promoting && r.succession.Phase() == Promoting {
-			timeout = o.Clock.After(promoteTimeout)
-			target := r.succession.Target()
-			r.running.Go(func() { r.pollTarget(ctx, target, events) })
+		if phase := r.succession.Phase(); phase != before && phase >= Promoting {
+			if phase == Promoting && r.promoteUntil.IsZero() {
+				r.promoteUntil = o.Clock.Now().Add(promoteTimeout)
+				target := r.succession.Target()
+				r.running.Go(func() { r.pollTarget(ctx, target, events) })
+			}
+			timeout = o.Clock.After(r.phaseLimit(phase))
 		}
 		r.execute(ctx, actions, events)
 	}
-	r.finish(o.Clock.Now().Sub(r.started))
+	r.finish(o.Clock.Now().Sub(started))
+}
+
+// phaseLimit returns the time limit of a phase from Promoting on, as it begins.
+func (r *runner) phaseLimit(phase Phase) time.Duration {
+	now := r.coordinator.options.Clock.Now()
+	if phase == Reconfirming {
+		r.confirmingSince = now
+		return holdTimeout
+	}
+	return r.promoteUntil.Sub(now)
 }
 
-// handle passes an event to the succession and returns the resulting actions. If the holds are older than maxHoldAge when
-// the promotion would be requested, other coordinators may have released them as abandoned, so the succession is ended.
+// handle passes an event to the succession and returns the resulting actions. If maxHoldAge has passed since the holds were
+// taken or confirmed again when the promotion would be requested, other coordinators may have released them as abandoned, so
+// the succession is ended.
 func (r *runner) handle(e Event) []Action {
 	before := r.succession.Phase()
 	next, actions := r.succession.Handle(e)
-	if before < Promoting && next.Phase() == Promoting && r.coordinator.options.Clock.Now().Sub(r.started) > maxHoldAge {
+	if before != Promoting && next.Phase() == Promoting && r.coordinator.options.Clock.Now().Sub(r.confirmingSince) > maxHoldAge {
 		next, actions = next.Handle(Timeout{})
 	}
 	r.succession = next
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -20,6 +20,9 @@
 	Demoting
 	// Promoting waits until the chosen endpoint leads.
 	Promoting
+	// Reconfirming probes the held replicas again before a promotion request that does not directly follow Confirming. A restart
+	// ends a replica's hold, and it may then receive commits that the old primary acknowledges.
+	Reconfirming
 	// Done means that the chosen endpoint leads.
 	Done
 	// Stopped means that the succession ended before the chosen endpoint led.
@@ -28,15 +31,16 @@
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"holding", "confirming", "demoting", "promoting", "done", "stopped"}[p]
+	return [...]string{"holding", "confirming", "demoting", "promoting", "reconfirming", "done", "stopped"}[p]
 }
 
 // Succession is one attempt to replace a primary; it is an immutable value.
 //
 // Every acknowledged commit is in the logs of Plan.Acknowledge replicas. Once so many replicas are held that fewer than
 // that remain, no further commit can be acknowledged, and the longest held log has all acknowledged ones. Only then is a
-// promotion requested, and only for the endpoint with that log. A request without an answer may take effect later, so the same
-// request is repeated and no hold is released until its outcome is known.
+// promotion requested, and only for the endpoint with that log. A request without an answer may take effect later, so no hold
+// is released until its outcome is known. The same request is repeated while all holds stand; once one has ended, only a
+// succession with a higher fencing token may follow.
 type Succession struct {
 	plan       Plan
 	phase      Phase
@@ -107,7 +111,7 @@
 		return s.stopKeepingHolds("another succession holds " + r.Endpoint)
 	case s.phase == Holding && r.Status.Held == s.plan.Term:
 		return s.recordHold(r)
-	case s.phase == Confirming && r.Confirms:
+	case (s.phase == Confirming || s.phase == Reconfirming) && r.Confirms:
 		return s.recordConfirmation(r)
 	default:
 		return s, nil
@@ -121,7 +125,7 @@
 	case r.Endpoint == s.target:
 		s.phase = Done
 		return s, s.release()
-	case r.Endpoint == s.plan.OldPrimary || s.phase == Promoting:
+	case r.Endpoint == s.plan.OldPrimary || s.phase >= Promoting:
 		return s, nil
 	default:
 		return s.stop(r.Endpoint + " leads")
@@ -143,7 +147,12 @@
 	if missing >= max(s.plan.Acknowledge, 1) {
 		return s, nil
 	}
-	s.phase = Confirming
+	return s.confirm(Confirming)
+}
+
+// confirm enters a phase in which every held replica is probed again.
+func (s Succession) confirm(phase Phase) (Succession, []Action) {
+	s.phase, s.confirmed = phase, nil
 	out := make([]Action, 0, len(s.held))
 	for _, h := range s.held {
 		out = append(out, Action{Command: Confirm, Endpoint: h.replica.Name})
@@ -159,12 +168,14 @@
 	case at < 0 || slices.Contains(s.confirmed, r.Endpoint):
 		return s, nil
 	case r.Status.Held != s.plan.Term || r.Status.Log != s.held[at].log:
-		return s.stopKeepingHolds("another succession released " + r.Endpoint)
+		return s.handleLostHold(r.Endpoint)
 	}
 	s.confirmed = append(slices.Clone(s.confirmed), r.Endpoint)
 	switch {
 	case len(s.confirmed) < len(s.held):
 		return s, nil
+	case s.phase == Reconfirming:
+		return s.promote()
 	case !s.plan.OldPrimaryAnswers:
 		return s.choose()
 	}
@@ -172,12 +183,25 @@
 	return s, []Action{{Command: Demote, Endpoint: s.plan.OldPrimary}}
 }
 
+// handleLostHold ends the succession: the chosen log may no longer have all acknowledged commits.
+func (s Succession) handleLostHold(replica string) (Succession, []Action) {
+	why := "hold of " + replica + " has ended"
+	if s.phase == Confirming || s.unknown {
+		return s.stopKeepingHolds(why)
+	}
+	return s.stop(why)
+}
+
 // handleDemoted continues once the old primary is a replica.
 func (s Succession) handleDemoted(r Reply) (Succession, []Action) {
 	if r.Status.Role == endpoint.Primary {
 		return s, nil
 	}
-	return s.choose()
+	next, actions := s.choose()
+	if next.phase == Stopped {
+		return next, actions
+	}
+	return next.confirm(Reconfirming)
 }
 
 // choose requests the promotion of the replica with the longest log. Among equal logs, replicas that are not leaving come
@@ -189,7 +213,13 @@
 	if !s.plan.Floor.reachedBy(best.log) {
 		return s.stop("log of " + best.replica.Name + " may lack acknowledged commits")
 	}
-	s.target, s.phase = best.replica.Name, Promoting
+	s.target = best.replica.Name
+	return s.promote()
+}
+
+// promote requests the promotion of the chosen replica.
+func (s Succession) promote() (Succession, []Action) {
+	s.phase = Promoting
 	return s, []Action{{Command: Promote, Endpoint: s.target}}
 }
 
@@ -221,7 +251,7 @@
 	if s.accepted {
 		return s, nil
 	}
-	return s, []Action{{Command: Promote, Endpoint: s.target}}
+	return s.confirm(Reconfirming)
 }
 
 // handleTimeout ends the succession after a phase that took too long. If a promotion may still take effect, the holds
@@ -233,6 +263,9 @@
 	if s.unknown || s.accepted {
 		return s.stopKeepingHolds("endpoint does not lead in time")
 	}
+	if s.phase == Reconfirming {
+		return s.stop("a held replica does not answer")
+	}
 	return s.stop("platform accepted no promotion request")
 }
 
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -35,6 +35,8 @@
 	confirmActions := []Action{{Command: Confirm, Endpoint: "a"}, {Command: Confirm, Endpoint: "b"}}
 	resumeActions := []Action{{Command: Resume, Endpoint: "a"}, {Command: Resume, Endpoint: "b"}}
 	promoteActions := append(append([]Action(nil), confirmActions...), promoteAction)
+	repeatActions := append(append(append([]Action(nil), promoteActions...), confirmActions...), promoteAction)
+	lostReply := Reply{Endpoint: "a", Confirms: true, Status: endpoint.PlatformStatus{Role: endpoint.Replica, Term: 1, Log: position(12)}}
 	tests := map[string]struct {
 		plan    Plan
 		events  []Event
@@ -49,11 +51,24 @@
 			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Accepted}, primaryReply("b")), phase: Done,
 			actions: append(append([]Action(nil), promoteActions...), Action{Command: Resume, Endpoint: "a"}),
 		},
-		"repeats a promotion without an answer":        {plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}), phase: Promoting, actions: append(append([]Action(nil), promoteActions...), promoteAction)},
+		"confirms the holds before it repeats a promotion": {plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}), phase: Reconfirming, actions: repeatActions[:5]},
+		"repeats a promotion without an answer":            {plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}, confirmReply("a", 5), confirmReply("b", 9)), phase: Promoting, actions: repeatActions},
+		"hold lost, nothing outstanding": {
+			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Retryable}, lostReply), phase: Stopped,
+			actions: append(append([]Action(nil), repeatActions[:5]...), resumeActions...),
+		},
+		// The request may still take effect, so the holds stay for the next succession.
+		"hold lost after a request without an answer": {
+			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}, lostReply), phase: Stopped, actions: repeatActions[:5],
+		},
+		"held replica does not answer again": {
+			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Retryable}, confirmReply("b", 9), Timeout{}), phase: Stopped,
+			actions: append(append([]Action(nil), repeatActions[:5]...), resumeActions...),
+		},
 		"releases the holds after a refused promotion": {plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Refused}), phase: Stopped, actions: append(append([]Action(nil), promoteActions...), resumeActions...)},
 		"keeps holds while a promotion may still take effect": {
-			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}, PromotionResult{Outcome: Refused}), phase: Stopped,
-			actions: append(append([]Action(nil), promoteActions...), promoteAction),
+			plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Unknown}, confirmReply("a", 5), confirmReply("b", 9), PromotionResult{Outcome: Refused}), phase: Stopped,
+			actions: repeatActions,
 		},
 		"keeps holds when the target does not lead in time": {plan: newPlan(), events: afterConfirmed(PromotionResult{Outcome: Accepted}, Timeout{}), phase: Stopped, actions: promoteActions},
 		"replica held by another succession":                {plan: newPlan(), events: []Event{heldReply("a", 5, 99)}, phase: Stopped, actions: resumeActions},
