connection: share the connections of an endpoint that admits no more

Cause of what callers lose there: three answers TOOMANY open the pool's circuit, and statements are refused as if the endpoint couldn't be reached, beside idle connections of other workspaces.

Change: after such an answer the pool opens connections only in place of its own until a pause has passed (50 to 250 ms). The statement that was refused waits for one of them or takes an idle one's place; it is refused at once, with when to come back, only if the pool has none.

What remains is that holders open up to their limits while views differ: the place of a former holder is not asked for.

--- a/connection/place.go
+++ b/connection/place.go
@@ -1,11 +1,11 @@
 package connection
 
-// reserve takes a place for a new connection of a workspace. At the limit it closes an idle connection for it; it returns false if
-// there is none. The close has been passed to the network before reserve returns, so that the endpoint never counts more
+// reserve takes a place for a new connection of a workspace. If the pool is full it closes an idle connection for it; it returns
+// false if there is none. The close has been passed to the network before reserve returns, so that the endpoint never counts more
 // connections than the limit. p.mu must be held.
 func (p *Pool) reserve(workspace string) bool {
 	p.dropBroken()
-	if p.usage.open >= p.limit && !p.evict(workspace) {
+	if p.isFull() && !p.evict(workspace) {
 		return false
 	}
 	p.usage.addOpen(workspace, 1)
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -82,6 +82,7 @@
 	placeFreed chan struct{}
 	evictions  evictionLog
 	circuit    limit.Circuit
+	ceiling    ceiling
 	// unreachableUntil is until when the direct path is assumed to fail.
 	unreachableUntil time.Time
 	// roundTrip is the round-trip time of the last connection opened, 0 if unknown.
@@ -321,7 +322,7 @@
 		p.recordDialFailure(workspace, err, bounded.connect == limits.connect)
 		return nil, err
 	}
-	p.recordDialSuccess(conn)
+	p.recordDialSuccess(conn, now)
 	return &PooledConn{Conn: conn, pool: p, workspace: workspace}, nil
 }
 
--- a/connection/redial.go
+++ b/connection/redial.go
@@ -65,7 +65,7 @@
 	}
 	defer func() { <-p.dialSlots }()
 	p.mu.Lock()
-	limits, reserved := p.limits(), p.reserve(workspace)
+	began, limits, reserved := p.options.Clock.Now(), p.limits(), p.reserve(workspace)
 	p.mu.Unlock()
 	if !reserved {
 		return
@@ -74,7 +74,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
-		p.recordDialSuccess(conn)
+		p.recordDialSuccess(conn, began)
 		p.keepIdle(&PooledConn{Conn: conn, pool: p, workspace: workspace})
 		return
 	}
@@ -95,6 +95,10 @@
 		// The holders of other workspaces' connections may be well.
 		return
 	}
+	if p.isRefusedAsFull(err) {
+		p.ceiling = p.ceiling.withRefusal(now)
+		return
+	}
 	if !fullTime || !isNetworkFailure(err) {
 		p.circuit = p.circuit.WithFailure(now)
 		return
@@ -112,9 +116,9 @@
 	return p.options.ByWorkspace && bounded != limits && !p.options.Clock.Now().Before(deadline) && !errors.Is(err, ErrLender)
 }
 
-// recordDialSuccess records that the endpoint was reached. p.mu must be held.
-func (p *Pool) recordDialSuccess(conn Conn) {
-	p.circuit = p.circuit.WithSuccess()
+// recordDialSuccess records that an attempt to connect that began at a time has reached the endpoint. p.mu must be held.
+func (p *Pool) recordDialSuccess(conn Conn, began time.Time) {
+	p.circuit, p.ceiling = p.circuit.WithSuccess(), p.ceiling.withSuccess(began)
 	p.recordRoundTrip(conn.RoundTrip())
 	p.countOpened()
 	p.options.Logger.Log(event.ConnectionOpened, log.Fields{"endpoint": p.options.Endpoint.Name})
--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -81,10 +81,16 @@
 		return nil, errGaveUp()
 	}
 	defer func() { <-p.dialSlots }()
-	if h, err := p.awaitPlace(ctx, w, latest); h != nil || err != nil {
-		return h, err
+	for {
+		if h, err := p.awaitPlace(ctx, w, latest); h != nil || err != nil {
+			return h, err
+		}
+		h, err := p.open(ctx, d)
+		if !p.isRefusedAsFull(err) {
+			return h, err
+		}
+		p.waitAgain(w)
 	}
-	return p.open(ctx, d)
 }
 
 // awaitPlace reserves a place for a new connection as soon as the limit allows one. It returns a connection instead if one
@@ -95,10 +101,19 @@
 		if reserved {
 			return nil, nil
 		}
+		remaining, err := p.checkRoom()
+		if err != nil {
+			return nil, err
+		}
+		var roomAgain <-chan time.Time
+		if remaining > 0 {
+			roomAgain = p.options.Clock.After(remaining)
+		}
 		select {
 		case h := <-w.released:
 			return h, nil
 		case <-freed:
+		case <-roomAgain:
 		case <-latest:
 			return nil, p.errTooLate(w)
 		case <-p.closing:
@@ -148,11 +163,23 @@
 		return h, nil
 	}
 	w := &waiter{demand: d, released: make(chan *PooledConn, 1), patience: p.shortage(d.Workspace).patience()}
-	p.waiters = append(p.waiters, w)
-	p.usage.addWaiting(d.Workspace, 1)
+	p.addWaiter(w)
 	return nil, w
 }
 
+// addWaiter registers a waiter. p.mu must be held.
+func (p *Pool) addWaiter(w *waiter) {
+	p.waiters = append(p.waiters, w)
+	p.usage.addWaiting(w.demand.Workspace, 1)
+}
+
+// waitAgain registers a waiter again whose new connection the endpoint has refused.
+func (p *Pool) waitAgain(w *waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addWaiter(w)
+}
+
 // shortage describes the lack of an idle connection of a workspace. p.mu must be held.
 func (p *Pool) shortage(workspace string) shortage {
 	if p.options.Borrows || !p.options.ByWorkspace {
