--- a/allotment/ask.go
+++ b/allotment/ask.go
@@ -5,7 +5,7 @@
 const (
 	// operationsPerAsk is how many operations are waited for at one account before another one is asked as well.
 	operationsPerAsk = 4
-	// maxRetryAfter bounds when a refused caller is told to come back.
+	// maxRetryAfter bounds the Retry-After of a refused caller.
 	maxRetryAfter = 5 * time.Second
 )
 
--- a/allotment/desk_test.go
+++ b/allotment/desk_test.go
@@ -41,7 +41,7 @@
 }
 
 // TestHotWorkspace guards against a flood of one workspace's callers that costs a request each although nothing is left, or makes
-// all of them come back at once: a desk that was told that all accounts are empty refuses without asking until one may
+// all of them come back at once: a desk that knows all accounts to be empty refuses without asking until one may
 // have gained something.
 func TestHotWorkspace(t *testing.T) {
 	d := NewDesk(config.Workspace{Name: "w", Rate: 10, Burst: 10}, testBounds, 1)
@@ -100,7 +100,7 @@
 	}
 }
 
-// TestSilentAccounts guards against refusing callers for good, or letting them wait for an account that is known not to answer, when
+// TestSilentAccounts guards against refusing callers without end, or letting them wait for an account that is known not to answer, when
 // accounts are lost or cut off.
 func TestSilentAccounts(t *testing.T) {
 	d := NewDesk(config.Workspace{Name: "w", Rate: 10, Burst: 10}, testBounds, 1)
--- a/commands/result_test.go
+++ b/commands/result_test.go
@@ -12,7 +12,7 @@
 	"siskincove/soak"
 )
 
-// TestLoadResult checks that a violated guarantee is told apart from one that could not be verified.
+// TestLoadResult checks that a violated guarantee has another exit code than one that could not be verified.
 func TestLoadResult(t *testing.T) {
 	tests := map[string]struct {
 		report load.Report
--- a/connection/demand.go
+++ b/connection/demand.go
@@ -10,7 +10,7 @@
 // Target is an endpoint to connect to, and the workspace on whose behalf.
 type Target struct {
 	Endpoint config.Endpoint
-	// Workspace is the workspace that the endpoint is told, empty for the connections of the instances themselves and of
+	// Workspace is the workspace that is named to the endpoint, empty for the connections of the instances themselves and of
 	// callers without a workspace. It can't change while the connection is open.
 	Workspace string
 }
--- a/directory/confirm_test.go
+++ b/directory/confirm_test.go
@@ -58,7 +58,7 @@
 	return out, nil
 }
 
-// confirmation is what OnConfirmed was told: a version, and how long before the answer the question was sent.
+// confirmation holds the arguments of OnConfirmed: a version, and how long before the answer the question was sent.
 type confirmation struct {
 	Version uint64
 	Sent    time.Duration
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -54,7 +54,7 @@
 	catalog atomic.Pointer[config.Catalog]
 	// inForce is the operator's version of catalog. It is stored after catalog.
 	inForce atomic.Uint64
-	// versions are what peers are told. They are stored before inForce, so that none is older than a proof that holds for inForce.
+	// versions are sent to peers. They are stored before inForce, so that none is older than a proof that holds for inForce.
 	versions atomic.Pointer[Versions]
 	// arriving is the operator's version of the configuration that was last applied or is being applied.
 	arriving   atomic.Uint64
--- a/dispatch/freshness_test.go
+++ b/dispatch/freshness_test.go
@@ -42,7 +42,7 @@
 	return s, e
 }
 
-// TestUnproven checks what a caller with a key is told, and what reaches the endpoint, when the proof that the key is valid is missing
+// TestUnproven checks which answer a caller with a key gets, and what reaches the endpoint, when the proof that the key is valid is missing
 // from the start, while the statement waits, or within a transaction.
 func TestUnproven(t *testing.T) {
 	busy := map[string][]script{"p": {fail(statement.Write, verdict.Overload, statement.Idle)}}
--- a/failover/detector.go
+++ b/failover/detector.go
@@ -65,7 +65,7 @@
 	Reason      Reason
 	// Excluded endpoints must not be fenced or elected by the ballot.
 	Excluded []string
-	// Primary is the working primary, Term its term and Reattach the endpoints that should be told to follow it.
+	// Primary is the working primary, Term its term and Reattach the endpoints that should follow it.
 	Primary  string
 	Term     endpoint.FencedTerm
 	Reattach []string
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -22,7 +22,7 @@
 	// instance of a region to ask can pass the answer on before the others do.
 	regionFetchDelay = 50 * time.Millisecond
 	farFetchDelay    = 200 * time.Millisecond
-	// nextFetchPause is how long a peer that has more to offer is left alone after a fetch.
+	// nextFetchPause is the time after a fetch before a peer that has more to offer is asked again.
 	nextFetchPause = 50 * time.Millisecond
 )
 
--- a/hosted/transfer_test.go
+++ b/hosted/transfer_test.go
@@ -134,7 +134,7 @@
 	return false
 }
 
-// TestHeartbeatDuringTransfer guards against a live instance that is taken for dead, since it answers heartbeats only after it has
+// TestHeartbeatDuringTransfer guards against a live instance that counts as dead, since it answers heartbeats only after it has
 // received the newer configuration that they announce.
 func TestHeartbeatDuringTransfer(t *testing.T) {
 	t.Parallel()
--- a/logs/losses.go
+++ b/logs/losses.go
@@ -31,7 +31,7 @@
 	Outcome   string `json:"outcome"`
 	// Choice is the routing rule of the last choice of an endpoint.
 	Choice string `json:"choice"`
-	// Reason is what the caller was told, empty for a late request.
+	// Reason is the one that the caller got, empty for a late request.
 	Reason string `json:"reason"`
 	// Cause is why the last attempt failed, or why no attempt was made.
 	Cause    string `json:"cause"`
--- a/member/table.go
+++ b/member/table.go
@@ -271,7 +271,7 @@
 }
 
 // ProbeSoon requests a heartbeat to the instance at an address in the next period, as after a failed request there, if it takes
-// part in the placement. One that has just answered gets it probePause after its answer, unless it is heard from before.
+// part in the placement. One that has just answered gets it probePause after its answer, unless it sends something before.
 func (t *Table) ProbeSoon(address string, now time.Time) {
 	for id, i := range t.instances {
 		if _, requested := t.urgent[id]; requested || i.Address != address || !t.placed(i) {
--- a/member/targets.go
+++ b/member/targets.go
@@ -98,7 +98,7 @@
 	return true
 }
 
-// pushTargets returns the partners that are told at once of something new. Those in other domains and regions are told by
+// pushTargets returns the partners that get news at once. Those in other domains and regions get them from
 // about as many instances as would send them heartbeats.
 func (t *Table) pushTargets() []Instance {
 	return slices.DeleteFunc(t.partners(), func(i Instance) bool { return !t.takeTurn(t.distance(i)) })
--- a/pool/client.go
+++ b/pool/client.go
@@ -93,7 +93,7 @@
 	return decodeAnswer(reply)
 }
 
-// Command is an action that an endpoint is told to take.
+// Command is an action that is requested from an endpoint.
 type Command uint32
 
 const (
--- a/simulation/noprimary_test.go
+++ b/simulation/noprimary_test.go
@@ -35,8 +35,8 @@
 // maxPromptRefusal is the latency up to which a refusal counts as prompt: a few service times.
 const maxPromptRefusal = 100 * time.Millisecond
 
-// refusalsBetween returns the latencies of the attempts that started in the interval and were refused, and the delays after
-// which they were told to retry, each sorted.
+// refusalsBetween returns the latencies of the attempts that started in the interval and were refused, and the delays
+// after which they may retry, each sorted.
 func (p *recordingPolicy) refusalsBetween(from, to time.Duration) (latencies, delays []time.Duration) {
 	for _, t := range p.attempts {
 		if t.at >= from && t.at < to && !t.served {
--- a/statement/kind.go
+++ b/statement/kind.go
@@ -28,7 +28,7 @@
 	Reset
 	// Status asks an endpoint for its role, term and log position.
 	Status
-	// Hold stops a replica from receiving the log until Resume. It carries a term, by which holds are told apart.
+	// Hold stops a replica from receiving the log until Resume. It carries a term, by which holds differ.
 	Hold
 	// Resume releases a replica from its hold, so that it receives the log again.
 	Resume
--- a/transfer/admission_test.go
+++ b/transfer/admission_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// TestAdmissionWaits checks that a refused receiver is told a time within the bounds, whatever was asked before, and that a sender never
+// TestAdmissionWaits checks that a refused receiver gets a time within the bounds, whatever was asked before, and that a sender never
 // serves more receivers with much to get than it has places.
 func TestAdmissionWaits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
