succession: name the beginning of a phase for what it does

phaseLimit also recorded when the holds began to be confirmed; beginPhase says so and starts the probes of the target, which stood in the loop. One test is formatted.

--- a/succession/detector_test.go
+++ b/succession/detector_test.go
@@ -186,7 +186,8 @@
 			led.Incarnation, demoted.Incarnation = 1, test.incarnation
 			absent := ProbeResult{Endpoint: "b/1", Refused: true, Departed: true, Leaving: true}
 			surveys := [][]ProbeResult{
-				{led, replicaResult("a", 5)}, {demoted, replicaResult("a", test.log), absent},
+				{led, replicaResult("a", 5)},
+				{demoted, replicaResult("a", test.log), absent},
 				append([]ProbeResult{replicaResult("a", test.log)}, left...), append([]ProbeResult{replicaResult("a", test.log)}, left...),
 			}
 			var d Detector
--- a/succession/run.go
+++ b/succession/run.go
@@ -79,25 +79,26 @@
 			break
 		}
 		if phase := r.succession.Phase(); phase != before && phase >= Promoting {
-			if phase == Promoting && r.promoteUntil.IsZero() {
-				r.promoteUntil = o.Clock.Now().Add(promoteTimeout)
-				target := r.succession.Target()
-				r.running.Go(func() { r.pollTarget(ctx, target, events) })
-			}
-			timeout = o.Clock.After(r.phaseLimit(phase))
+			timeout = o.Clock.After(r.beginPhase(ctx, phase, events))
 		}
 		r.execute(ctx, actions, events)
 	}
 	r.finish(o.Clock.Now().Sub(started))
 }
 
-// phaseLimit returns the time limit of a phase from Promoting on, as it begins.
-func (r *runner) phaseLimit(phase Phase) time.Duration {
+// beginPhase records the beginning of a phase from Promoting on and returns its time limit. The target is probed from the first
+// promotion request on.
+func (r *runner) beginPhase(ctx context.Context, phase Phase, events chan<- Event) time.Duration {
 	now := r.coordinator.options.Clock.Now()
 	if phase == Reconfirming {
 		r.confirmingSince = now
 		return holdTimeout
 	}
+	if r.promoteUntil.IsZero() {
+		r.promoteUntil = now.Add(promoteTimeout)
+		target := r.succession.Target()
+		r.running.Go(func() { r.pollTarget(ctx, target, events) })
+	}
 	return r.promoteUntil.Sub(now)
 }
 
