allotment: do not count operations granted longer ago than a window

Change: a grant counts for window + lifetime, as long as the bound needs. No span up to that length has more than capacity + rate x length, as before, so a restarted account, which gains its rate from its start, still fits beside what the former one granted. It is a plain bucket until it has seen a whole window itself.

Ways: the bucket alone (as before), this, a higher rate with a smaller capacity (the same sum, refuses bursts), a count without a rate (a restarted account could grant nothing for a window). docs/design/allotments.md.

TestBound with 4,000 random schedules, and without the rule for new accounts it fails.

--- a/allotment/account.go
+++ b/allotment/account.go
@@ -50,12 +50,12 @@
 	var granted int
 	a.bucket, granted = a.bucket.taken(wanted, now)
 	var early int
-	spare := int(a.bucket.tokens - a.bucket.share.Capacity*aheadReserve)
+	spare := int(a.bucket.available(now) - a.bucket.share.Capacity*aheadReserve)
 	a.bucket, early = a.bucket.taken(min(ahead, spare), now)
 	g := Grant{Granted: granted + early, Lifetime: a.bucket.share.Lifetime}
 	if granted < wanted {
 		a.shortage += float64(wanted - granted)
-		g.After = a.pause()
+		g.After = a.pause(now)
 	}
 	return a, g
 }
@@ -63,11 +63,11 @@
 // pause returns how long an instance that was refused should not ask again: longer the more others want, so that the requests of
 // a workspace that has used its allotment do not grow with its demand. It is short enough that what the account gains
 // meanwhile is not lost.
-func (a Account) pause() time.Duration {
+func (a Account) pause(now time.Time) time.Duration {
 	s := a.bucket.share
 	if s.Rate <= 0 {
 		return maxPause
 	}
 	longest := min(maxPause.Seconds(), max(1, s.Capacity/2)/s.Rate)
-	return time.Duration(min(longest, (1-a.bucket.tokens+a.shortage)/s.Rate) * float64(time.Second))
+	return time.Duration(min(longest, (1-a.bucket.available(now)+a.shortage)/s.Rate) * float64(time.Second))
 }
--- a/allotment/bound_test.go
+++ b/allotment/bound_test.go
@@ -263,6 +263,13 @@
 				f.flood(2 * time.Second)
 			}
 		},
+		"all restart after a long flood": func(f *fleet) {
+			f.flood(12 * time.Second)
+			for n := range f.accounts {
+				f.reopen(n)
+			}
+			f.flood(6 * time.Second)
+		},
 		"operations are granted and not started": func(f *fleet) {
 			f.giveUp(0, 2000)
 			f.now = f.now.Add(4 * time.Second)
--- a/allotment/keeper.go
+++ b/allotment/keeper.go
@@ -156,7 +156,7 @@
 
 // close closes an account; k.mu must be held.
 func (k *Keeper) close(workspace string, now time.Time) {
-	k.closed[workspace] = closing{at: now, left: k.accounts[workspace].bucket.advanced(now).tokens}
+	k.closed[workspace] = closing{at: now, left: max(0, k.accounts[workspace].bucket.advanced(now).available(now))}
 	delete(k.accounts, workspace)
 }
 
--- a/allotment/share.go
+++ b/allotment/share.go
@@ -35,6 +35,8 @@
 	Initial  float64
 	// Lifetime is for how long granted operations may be started after the request for them was sent.
 	Lifetime time.Duration
+	// Window is for how long a granted operation counts: the window of the allotment and the lifetime.
+	Window time.Duration
 }
 
 // Divide divides the allotment of a workspace among its accounts in a number of regions, so that all of them together stay
@@ -51,9 +53,10 @@
 	if w.Rate > 0 {
 		out.Lifetime = min(maxLifetime, max(minLifetime, time.Duration(lifetimeShare*slack/w.Rate*float64(time.Second))))
 	}
+	out.Window = b.Window + out.Lifetime
 	perAccount := (b.Allowed(w) - reserveShare*slack) / accounts
 	out.Capacity = max(min(w.Burst/accounts, perAccount), min(minCapacity, perAccount/2))
-	out.Rate = max(0, min(w.Rate, (perAccount-out.Capacity)/(b.Window+out.Lifetime).Seconds()))
+	out.Rate = max(0, min(w.Rate, (perAccount-out.Capacity)/out.Window.Seconds()))
 	out.Initial = min(out.Capacity, reserveShare*slack/(restartsPerWindow*accounts))
 	return out
 }
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -94,6 +94,9 @@
 	"loan of connections to an endpoint that the instance does not hold": {
 		"loan/loan.go", "	if !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "	if false && !ok {\n		return verdict.New(verdict.NotRun, verdict.Leaving, \"instance does not hold", "./loan", "TestRefused",
 	},
+	"account that starts anew gives what the former one may have given": {
+		"allotment/bucket.go", "now.Sub(b.since) < b.share.Window {", "false {", "./allotment", "TestBoundScenarios",
+	},
 	"window not reduced for a full endpoint": {
 		"limit/window.go", "w.size, w.at = max(w.width(now)*windowCut, windowFloor), now", "w.at = now", "./limit", "TestWindow",
 	},
