--- a/commands/soak.go
+++ b/commands/soak.go
@@ -24,6 +24,7 @@
 	Duration  time.Duration `help:"How long faults are injected." default:"1m"`
 	Instances int           `help:"Number of instances." default:"3"`
 	Binaries  string        `help:"Directory of the built programs; by default that of this one." type:"path"`
+	Previous  string        `help:"Directory of the programs of another build: instances start with these and change the build with each restart." type:"path"`
 	Report    string        `help:"Directory for the report and the logs of a run that failed; it is created." type:"path" required:""`
 	Quiet     bool          `help:"Show no progress."`
 }
@@ -35,7 +36,7 @@
 	if err := os.MkdirAll(c.Report, 0o755); err != nil {
 		return errors.Wrap(err, "directory of the report")
 	}
-	o := soak.Options{Seed: c.Seed, Duration: c.Duration, Instances: c.Instances, Binaries: c.Binaries, Directory: c.Report, Progress: os.Stderr}
+	o := soak.Options{Seed: c.Seed, Duration: c.Duration, Instances: c.Instances, Binaries: c.Binaries, Previous: c.Previous, Directory: c.Report, Progress: os.Stderr}
 	if c.Quiet {
 		o.Progress = nil
 	}
@@ -46,8 +47,10 @@
 		}
 		o.Binaries = filepath.Dir(self)
 	}
-	if err := checkPrograms(o.Binaries); err != nil {
-		return &ExitError{Code: ExitInvalid, Cause: err}
+	for _, directory := range []string{o.Binaries, o.Previous} {
+		if err := checkPrograms(directory); directory != "" && err != nil {
+			return &ExitError{Code: ExitInvalid, Cause: err}
+		}
 	}
 	report, err := soak.Run(ctx, o)
 	if err != nil {
--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -80,6 +80,13 @@
 	}
 	time.Sleep(time.Second)
 	injector.Clear()
+	checkRecovery(t, d, injector)
+	t.Logf("schedule %v", schedule)
+}
+
+// checkRecovery checks that writes resume once the faults have been cleared, and the history until then.
+func checkRecovery(t *testing.T, d *soak.Deployment, injector *soak.Injector) {
+	t.Helper()
 	before := d.AcknowledgedWrites()
 	recovered := false
 	for end := time.Now().Add(recoveryLimit); time.Now().Before(end) && !recovered; time.Sleep(20 * time.Millisecond) {
@@ -88,7 +95,7 @@
 	d.StopSessions()
 	h := d.History()
 	violations := history.Check(h)
-	t.Logf("schedule %v: %d operations, %d runs, %d commits, %d promotions", schedule, len(h.Operations), len(h.Runs), len(h.Log), d.Group.Promotions())
+	t.Logf("%d operations, %d runs, %d commits, %d promotions", len(h.Operations), len(h.Runs), len(h.Log), d.Group.Promotions())
 	for _, line := range violations[:min(len(violations), 10)] {
 		t.Error(line)
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -28,6 +28,8 @@
 	region       = "region"
 	readyTimeout = 20 * time.Second
 	readyPoll    = 20 * time.Millisecond
+	// promotionDelay is how long a promotion takes, unless a fault makes it longer.
+	promotionDelay = 150 * time.Millisecond
 )
 
 // Programs returns the names of the programs that a deployment starts.
@@ -37,6 +39,8 @@
 type DeploymentOptions struct {
 	// Binaries is the directory of the built programs, Directory the one for settings and logs.
 	Binaries, Directory string
+	// Previous, if set, is the directory of the programs of another build, with which the instances start.
+	Previous string
 	// Zones are the failure domains of the instances, one instance for each.
 	Zones []string
 	// Configuration is the operator's first configuration.
@@ -60,6 +64,8 @@
 	Domains []string
 
 	listener net.Listener
+	// builds are the directories of the programs, of one or two builds; the instances start with those of the first.
+	builds []string
 
 	mu         sync.Mutex
 	operations []history.Operation
@@ -70,7 +76,10 @@
 
 // StartDeployment starts a deployment and waits until its instances are ready. On error the caller still has to close it.
 func StartDeployment(ctx context.Context, o DeploymentOptions) (*Deployment, error) {
-	d := &Deployment{stop: make(chan struct{})}
+	d := &Deployment{stop: make(chan struct{}), builds: []string{o.Binaries}}
+	if o.Previous != "" {
+		d.builds = []string{o.Previous, o.Binaries}
+	}
 	for _, zone := range o.Zones {
 		if domain := region + "/" + zone; !slices.Contains(d.Domains, domain) {
 			d.Domains = append(d.Domains, domain)
@@ -83,7 +92,7 @@
 	d.Store.Write("op", "config", o.Configuration)
 	d.Group, err = hosting.NewGroup(d.Store, hosting.Options{
 		Name: "g", Zones: []string{"a", "b", "c"}, SyncReplicas: 1, Slots: 5, Connections: 60, Work: 2 * time.Millisecond,
-		ApplyLag: 40 * time.Millisecond, PromotionDelay: 150 * time.Millisecond,
+		ApplyLag: 40 * time.Millisecond, PromotionDelay: promotionDelay,
 	})
 	if err != nil {
 		return d, err
@@ -92,7 +101,7 @@
 		return d, err
 	}
 	hosted := cluster.HostedOptions{
-		Binaries: o.Binaries, Directory: o.Directory, Store: d.Store.Address(), Promotion: d.Promotion.Address(), Zones: o.Zones,
+		Binaries: d.builds[0], Directory: o.Directory, Store: d.Store.Address(), Promotion: d.Promotion.Address(), Zones: o.Zones,
 	}
 	if o.Links {
 		if hosted.Proxy, err = d.startLinks(ctx, o.Bandwidth); err != nil {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -68,9 +68,21 @@
 	"primary is leaving": func(i *Injector, _ int) { i.replacePrimary() },
 }
 
-// FaultNames returns the names of all faults, in order.
+// compoundFaults hold what disturbs several parts of a deployment at once. They are drawn for a series of their own, so that the
+// other series of a seed stay as they are.
+var compoundFaults = map[string]func(i *Injector, target int){
+	"kill all instances":                               func(i *Injector, _ int) { i.running.Go(i.killAll) },
+	"crash the primary and then a replica":             (*Injector).crashInTurn,
+	"lose a replica, the other one receives nothing":   (*Injector).loseReplica,
+	"write an entry that does not come from endpoints": (*Injector).writeEntry,
+}
+
+// FaultNames returns the names of all faults of single parts, in order.
 func FaultNames() []string { return slices.Sorted(maps.Keys(faults)) }
 
+// CompoundFaultNames returns the names of all faults of several parts, in order.
+func CompoundFaultNames() []string { return slices.Sorted(maps.Keys(compoundFaults)) }
+
 // Injector injects faults into a deployment.
 type Injector struct {
 	deployment *Deployment
@@ -78,6 +90,8 @@
 	running sync.WaitGroup
 	// held has a lock for each instance, so that faults of one instance do not overlap.
 	held []sync.Mutex
+	// losing is locked while a replica is lost and not yet replaced.
+	losing sync.Mutex
 
 	mu       sync.Mutex
 	errs     []error
@@ -98,7 +112,11 @@
 	i.mu.Lock()
 	i.injected[f.Name]++
 	i.mu.Unlock()
-	faults[f.Name](i, f.Target)
+	inject, single := faults[f.Name]
+	if !single {
+		inject = compoundFaults[f.Name]
+	}
+	inject(i, f.Target)
 }
 
 // Injected returns how often each fault was injected.
@@ -139,7 +157,7 @@
 func (i *Injector) kill(target int) {
 	i.alone(target, func(n int) {
 		i.deployment.Instances[n].Process.Kill()
-		i.record(i.deployment.Instances[n].Start())
+		i.start(n)
 	})
 }
 
@@ -153,10 +171,19 @@
 		if written := instance.Log(); err != nil && !strings.Contains(written[min(before, len(written)):], forcedStop) {
 			i.record(errors.Wrapf(err, "stopping %s", instance.ID()))
 		}
-		i.record(instance.Start())
+		i.start(n)
 	})
 }
 
+// start starts an instance that has ended, from the programs of the other build if there are two.
+func (i *Injector) start(n int) {
+	instance := i.deployment.Instances[n]
+	if builds := i.deployment.builds; len(builds) > 1 {
+		instance.SetBinaries(builds[(slices.Index(builds, instance.Binaries())+1)%len(builds)])
+	}
+	i.record(instance.Start())
+}
+
 func (i *Injector) freeze(target int) {
 	i.alone(target, func(n int) {
 		i.deployment.Instances[n].Process.Suspend()
--- a/soak/report.go
+++ b/soak/report.go
@@ -18,8 +18,10 @@
 	Seed      uint64
 	Duration  time.Duration
 	Instances int
-	Started   time.Time
-	Series    [][]Fault
+	// Previous is the directory of the programs of another build that ran beside this one, empty for none.
+	Previous string
+	Started  time.Time
+	Series   [][]Fault
 	// Violations are the checks that failed.
 	Violations []string
 	// Injected counts the faults by name, Outcomes the operations by the code of their answer.
@@ -81,7 +83,11 @@
 		out.printf("  violated: %s\n", v)
 	}
 	out.printf("seed %d, %d instances, %s: %d statements run, %d commits, %d promotions\n", r.Seed, r.Instances, r.Duration, r.Runs, r.Commits, r.Promotions)
-	out.printf("again: siskincove soak --seed %d --duration %s --instances %d --report DIR\n", r.Seed, r.Duration, r.Instances)
+	again := fmt.Sprintf("again: siskincove soak --seed %d --duration %s --instances %d", r.Seed, r.Duration, r.Instances)
+	if r.Previous != "" {
+		again += " --previous " + r.Previous
+	}
+	out.printf("%s --report DIR\n", again)
 	out.printf("seconds in which nobody was served: %s\n", r.unserved())
 	out.printTable("faults", r.Injected)
 	out.printTable("answers", r.Outcomes)
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,7 +28,10 @@
 	instancesPerSeries = 10
 	minPause           = 20 * time.Millisecond
 	maxPause           = 1500 * time.Millisecond
-	progressInterval   = 5 * time.Second
+	// minCompoundPause and maxCompoundPause bound the pauses between compound faults.
+	minCompoundPause = time.Second
+	maxCompoundPause = 10 * time.Second
+	progressInterval = 5 * time.Second
 	// linkBytesPerSecond is the capacity of an instance's link.
 	linkBytesPerSecond = 10_000_000 / 8
 )
@@ -42,28 +45,40 @@
 	Instances int
 	// Binaries is the directory of the built programs, Directory that of the report, which must exist.
 	Binaries, Directory string
+	// Previous, if set, is the directory of the programs of another build. Instances start with these, and with those of the other build
+	// each time they are started again.
+	Previous string
 	// Progress gets a line every few seconds; nil for none.
 	Progress io.Writer
 }
 
 // Series returns the faults of a seed as series that run side by side.
 func Series(seed uint64, duration time.Duration, instances int) [][]Fault {
-	all := FaultNames()
-	out := make([][]Fault, leastSeries+instances/instancesPerSeries)
-	for n := range out {
-		random := rand.New(rand.NewPCG(seed, uint64(n)))
-		for at := time.Duration(0); at < duration; {
-			after := minPause + time.Duration(random.Int64N(int64(maxPause-minPause)))
-			at += after
-			out[n] = append(out[n], Fault{After: after, Name: all[random.IntN(len(all))], Target: random.IntN(1 << 16)})
-		}
+	out := make([][]Fault, 0, leastSeries+instances/instancesPerSeries+1)
+	for n := range cap(out) - 1 {
+		out = append(out, drawSeries(rand.New(rand.NewPCG(seed, uint64(n))), duration, FaultNames(), minPause, maxPause))
+	}
+	compound := rand.New(rand.NewPCG(seed, compoundStream))
+	return append(out, drawSeries(compound, duration, CompoundFaultNames(), minCompoundPause, maxCompoundPause))
+}
+
+// compoundStream is the stream of random numbers for compound faults; those of the other series are numbered from 0.
+const compoundStream = 1 << 32
+
+// drawSeries draws faults for a duration, with a pause before each.
+func drawSeries(random *rand.Rand, duration time.Duration, names []string, shortest, longest time.Duration) []Fault {
+	var out []Fault
+	for at := time.Duration(0); at < duration; {
+		after := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+		at += after
+		out = append(out, Fault{After: after, Name: names[random.IntN(len(names))], Target: random.IntN(1 << 16)})
 	}
 	return out
 }
 
 // Run runs a soak and returns its report. An error means that the soak itself failed, not that a check did.
 func Run(ctx context.Context, o Options) (Report, error) {
-	report := Report{Seed: o.Seed, Duration: o.Duration, Instances: o.Instances, Started: time.Now()}
+	report := Report{Seed: o.Seed, Duration: o.Duration, Instances: o.Instances, Previous: o.Previous, Started: time.Now()}
 	work := filepath.Join(o.Directory, "work")
 	if err := os.MkdirAll(work, 0o700); err != nil {
 		return report, err
@@ -75,7 +90,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d, err := StartDeployment(ctx, DeploymentOptions{
-		Binaries: o.Binaries, Directory: work, Zones: zones, Configuration: hosting.Configuration(hosting.FirstVersion),
+		Binaries: o.Binaries, Previous: o.Previous, Directory: work, Zones: zones, Configuration: hosting.Configuration(hosting.FirstVersion),
 		Links: true, Bandwidth: linkBytesPerSecond * o.Instances,
 	})
 	if err != nil {
--- a/standin/cluster/hosted.go
+++ b/standin/cluster/hosted.go
@@ -99,6 +99,12 @@
 	return filepath.Join(h.options.Directory, h.id+suffix)
 }
 
+// SetBinaries changes the directory of the programs from which the instance is started the next time.
+func (h *HostedInstance) SetBinaries(directory string) { h.options.Binaries = directory }
+
+// Binaries returns the directory of the programs from which the instance is started.
+func (h *HostedInstance) Binaries() string { return h.options.Binaries }
+
 // Start starts the instance, for the first time or after it ended.
 func (h *HostedInstance) Start() error {
 	p, err := start(h.file(".log"), filepath.Join(h.options.Binaries, "siskincoved"), h.file(".toml"))
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -36,8 +36,11 @@
 	born int64
 }
 
+// firstTerm is the term of a group's first primary.
+const firstTerm = 1
+
 func newEndpoint(g *Group, id, zone string) (*Endpoint, error) {
-	e := &Endpoint{group: g, id: id, zone: zone, term: 1}
+	e := &Endpoint{group: g, id: id, zone: zone, term: firstTerm}
 	return e, e.listen("127.0.0.1:0")
 }
 
@@ -55,10 +58,18 @@
 // ID returns the endpoint's id, which is its key in the servers table.
 func (e *Endpoint) ID() string { return e.id }
 
+// Zone returns the endpoint's failure domain.
+func (e *Endpoint) Zone() string { return e.zone }
+
 // Crash closes the listener and all connections, like the end of the process; the log is kept.
 func (e *Endpoint) Crash() {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
+	e.stop()
+}
+
+// stop closes the listener and all connections; the group's lock must be held.
+func (e *Endpoint) stop() {
 	if !e.alive {
 		return
 	}
@@ -195,10 +206,7 @@
 
 // logEnd returns the position of the last record received.
 func (e *Endpoint) logEnd() Position {
-	if len(e.log) == 0 {
-		return Position{Term: e.term}
-	}
-	return e.log[len(e.log)-1].Position
+	return lastPosition(e.log)
 }
 
 // isPrimary reports whether the endpoint is the primary of the newest term.
@@ -218,14 +226,14 @@
 
 // applied returns the position of the last readable record.
 func (e *Endpoint) applied() Position {
-	return e.lastPosition(e.visible())
+	return lastPosition(e.visible())
 }
 
-// lastPosition returns the position of the last of the given records, and position 0 of the endpoint's term if there
-// are none.
-func (e *Endpoint) lastPosition(records []Record) Position {
+// lastPosition returns the position of the last of the given records, and the start of the log if there are none, as on an endpoint
+// that has just joined.
+func lastPosition(records []Record) Position {
 	if len(records) == 0 {
-		return Position{Term: e.term}
+		return Position{Term: firstTerm}
 	}
 	return records[len(records)-1].Position
 }
--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -72,6 +72,8 @@
 	term    uint64
 	members []*Endpoint
 	runs    []Run
+	// joined counts the endpoints that joined after the start.
+	joined int
 	// promotions counts completed promotions.
 	promotions int
 	// refusedConns counts the connections refused over the limit of Connections.
@@ -87,7 +89,7 @@
 
 // NewGroup starts a group whose first endpoint is primary, and registers the endpoints in the store.
 func NewGroup(store *Store, o Options) (*Group, error) {
-	g := &Group{options: o, store: store, term: 1}
+	g := &Group{options: o, store: store, term: firstTerm}
 	g.changed = sync.NewCond(&g.mu)
 	for i, zone := range o.Zones {
 		e, err := newEndpoint(g, fmt.Sprintf("i-%s-%d", o.Name, i), zone)
@@ -110,6 +112,34 @@
 	}
 }
 
+// Depart stops a replica for good and removes its registration. It returns false, and does nothing, if the endpoint leads.
+func (g *Group) Depart(e *Endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.primary() == e {
+		return false
+	}
+	e.stop()
+	e.register()
+	g.members = slices.DeleteFunc(slices.Clone(g.members), func(member *Endpoint) bool { return member == e })
+	return true
+}
+
+// Join starts and registers a replica with an id that was not used before. It receives the primary's log as soon as it can.
+func (g *Group) Join(zone string) (*Endpoint, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.joined++
+	e, err := newEndpoint(g, fmt.Sprintf("i-%s-%d", g.options.Name, len(g.options.Zones)+g.joined), zone)
+	if err != nil {
+		return nil, err
+	}
+	g.members = append(slices.Clone(g.members), e)
+	g.replicate()
+	e.register()
+	return e, nil
+}
+
 // Close stops all endpoints.
 func (g *Group) Close() {
 	for _, e := range g.Members() {
@@ -140,6 +170,13 @@
 	return nil
 }
 
+// SetPromotionDelay changes how long promotions take that are requested from now on.
+func (g *Group) SetPromotionDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.PromotionDelay = delay
+}
+
 // Promotions returns how many promotions were completed.
 func (g *Group) Promotions() int {
 	g.mu.Lock()
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -228,7 +228,7 @@
 	visible := e.visible()
 	g.runs = append(g.runs, Run{
 		Request: id, Endpoint: e.id, Conn: s.number, User: s.user, InTransaction: s.state == "T", Settings: fmt.Sprint(sortedPairs(s.settings)), Text: text,
-		Log: e.lastPosition(visible), Started: time.Now(),
+		Log: lastPosition(visible), Started: time.Now(),
 	})
 	a := s.apply(id, command, rest, writes, visible)
 	if e.answersToLose > 0 {
