connection: log and count failed statements of the proxy

Nothing showed that an endpoint had failed a SET, RESET, PREPARE or ROLLBACK of the proxy's own, or did not know a name that had been prepared.

--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -37,6 +37,7 @@
 		answers, err := h.Conn.Exchange(ctx, deadline, steps...)
 		return answers, true, err
 	})
+	h.reportFailures(steps, answers)
 	return answers, err
 }
 
@@ -70,6 +71,7 @@
 			return conn.ExchangeGuarded(ctx, deadline, guard, steps...)
 		})
 		if supported {
+			h.reportFailures(steps, answers)
 			return answers, err
 		}
 	}
