connection, dispatch, loan: send a statement once its setup has succeeded

SET, RESET and PREPARE went in one write with the statement, only whose answer was looked at, and were recorded as done before they were sent.

The record of a connection now follows the answers (connection.sessionState): what failed is not recorded, a failure that may have had an effect makes the state uncertain, so that the connection is reset, and a name that the endpoint does not know is forgotten whatever the cause, such as READONLY for the PREPARE in a transaction whose endpoint lost the lead. A statement is sent once its setup has succeeded; otherwise it is not run and tried again. Setup goes with the begin where that is awaited anyway; a holder waits on behalf of its borrowers. A failed BEGIN of the proxy is no longer reported as the failure of the caller's statement. A connection whose last answer left a transaction open is not reused, so a failed ROLLBACK of the proxy is noticed.

Tests: the assertions of TestSyncSettings and TestPrepare were made on two methods that are gone. TestSetup has the same table, and TestPrepare compares the very steps where it had counted them.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -46,6 +46,13 @@
 	ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) (answers []statement.Answer, supported bool, err error)
 }
 
+// SessionKeeper is implemented by connections whose other end is another instance that keeps a session's settings and prepared
+// statements, and sends a step to the endpoint only once those have been applied there.
+type SessionKeeper interface {
+	// KeepsSession does nothing; it tells a SessionKeeper from other connections.
+	KeepsSession()
+}
+
 // Dialer opens connections to endpoints.
 type Dialer interface {
 	// Dial connects to an endpoint on behalf of a workspace and verifies its identity. connectTimeout bounds the wait for the first
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -344,10 +344,11 @@
 	p.notifyPlaceFreed()
 }
 
-// Release returns a connection that was in use for the time took. The connection is closed if it is broken or must not
-// be reused, for example because its transaction did not end.
+// Release returns a connection that was in use for the time took. The connection is closed if it is broken, if its transaction did not
+// end or if it must not be reused for another reason.
 func (p *Pool) Release(h *PooledConn, reuse bool, took time.Duration) {
 	h.setIdleInTx(false)
+	reuse = reuse && !h.InTransaction()
 	// The queue estimates waiting times from the time that connections spend on statements.
 	took, h.idleInTxTotal = max(took-h.idleInTxTotal, 0), 0
 	if !reuse && p.options.ByWorkspace {
--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -138,7 +138,7 @@
 	p := newPool(d, 3)
 	utc := map[string]string{"zone": "utc"}
 	a, b := p.mustAcquire(t, nil), p.mustAcquire(t, nil)
-	a.SyncSettings(utc)
+	a.recordSuccess(a.Setup(utc))
 	p.Release(a, true, 0)
 	p.Release(b, true, 0)
 	if got := p.mustAcquire(t, utc); got != a {
@@ -258,7 +258,12 @@
 	})
 }
 
-func TestSyncSettings(t *testing.T) {
+// recordSuccess records that the endpoint has run all steps.
+func (h *PooledConn) recordSuccess(steps []statement.Step) {
+	h.record(steps, make([]statement.Answer, len(steps)))
+}
+
+func TestSetup(t *testing.T) {
 	set := func(name, value string) statement.Step { return statement.ProxySet(name, value) }
 	tests := map[string]struct {
 		before, wanted map[string]string
@@ -275,11 +280,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			h := &PooledConn{}
-			h.SyncSettings(test.before)
+			h.recordSuccess(h.Setup(test.before))
 			if test.uncertain {
 				h.MarkUncertain()
 			}
-			if diff := cmp.Diff(test.want, h.SyncSettings(test.wanted)); diff != "" {
+			if diff := cmp.Diff(test.want, h.Setup(test.wanted)); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -288,14 +293,20 @@
 
 // TestPrepare checks that a reset connection forgets its prepared statements.
 func TestPrepare(t *testing.T) {
-	h := &PooledConn{}
-	if len(h.Prepare("s", "shape", false)) != 1 || len(h.Prepare("s", "shape", false)) != 0 {
-		t.Error("statement is not prepared exactly once")
+	h, s := &PooledConn{}, PreparedStatement{Name: "s", Text: "shape"}
+	prepare := []statement.Step{statement.ProxyPrepare("s", "shape", false)}
+	first := h.Setup(nil, s)
+	h.recordSuccess(first)
+	if diff := cmp.Diff(prepare, first); diff != "" {
+		t.Error(diff)
+	}
+	if again := h.Setup(nil, s); len(again) != 0 {
+		t.Errorf("statement is prepared twice: %v", again)
 	}
-	h.SyncSettings(map[string]string{"a": "1"})
-	h.SyncSettings(nil)
-	if len(h.Prepare("s", "shape", false)) != 1 {
-		t.Error("statement counts as prepared on a reset connection")
+	h.recordSuccess(h.Setup(map[string]string{"a": "1"}))
+	h.recordSuccess(h.Setup(nil))
+	if diff := cmp.Diff(prepare, h.Setup(nil, s)); diff != "" {
+		t.Errorf("statement counts as prepared on a reset connection: %s", diff)
 	}
 }
 
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -2,26 +2,23 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincove/statement"
+	"siskincove/verdict"
 )
 
-// preparedMaximum bounds the prepared statements on a connection; beyond it the connection is reset.
-const preparedMaximum = 200
-
 // PooledConn is a connection acquired from a Pool by one session, with the known state of that connection.
 type PooledConn struct {
 	Conn
 	pool *Pool
 	// workspace is the workspace that the connection was opened for, empty for none.
 	workspace string
-	settings  map[string]string
-	prepared  map[string]bool
-	// uncertain is set when the settings may differ from the recorded ones, as after the rollback of a transaction that
-	// changed them.
-	uncertain bool
+	// session is the state that sessions left on the connection, and transaction that of its last answer.
+	session     sessionState
+	transaction statement.State
 	// idleInTx is set while a transaction on the connection awaits its next statement.
 	idleInTx bool
 	// idleInTxSince is when that state began. idleInTxTotal is the time spent in it since the connection was acquired.
@@ -37,10 +34,18 @@
 		answers, err := h.Conn.Exchange(ctx, deadline, steps...)
 		return answers, true, err
 	})
-	h.reportFailures(steps, answers)
+	h.record(steps, answers)
 	return answers, err
 }
 
+// record updates the known state of the connection by the answers to the steps that were sent.
+func (h *PooledConn) record(steps []statement.Step, answers []statement.Answer) {
+	for i, a := range answers[:min(len(answers), len(steps))] {
+		h.session, h.transaction = h.session.with(steps[i], a), a.State
+	}
+	h.reportFailures(steps, answers)
+}
+
 // track runs an exchange and reports it to the pool. The exchange returns false if it sent nothing since the connection does not
 // support it.
 func (h *PooledConn) track(deadline time.Time, exchange func() ([]statement.Answer, bool, error)) ([]statement.Answer, bool, error) {
@@ -63,26 +68,61 @@
 	return answers, supported, err
 }
 
-// ExchangeGuarded is Exchange of all steps, of which the endpoint gets the ones after the first guard steps only once the last of
-// those has succeeded. If it failed, the answers may end with it.
+// ExchangeGuarded is Exchange of all steps, of which the endpoint gets the ones after the first guard steps only once all of those
+// have succeeded. If one failed, the answers may end with the last of them; see NotSent. The error is marked with ErrUnsent if the
+// connection was lost before the others were sent.
 func (h *PooledConn) ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) ([]statement.Answer, error) {
 	if conn, ok := h.Conn.(GuardedConn); ok {
 		answers, supported, err := h.track(deadline, func() ([]statement.Answer, bool, error) {
 			return conn.ExchangeGuarded(ctx, deadline, guard, steps...)
 		})
 		if supported {
-			h.reportFailures(steps, answers)
+			h.record(steps, answers)
 			return answers, err
 		}
 	}
+	if guard == 0 {
+		return h.Exchange(ctx, deadline, steps...)
+	}
 	answers, err := h.Exchange(ctx, deadline, steps[:guard]...)
-	if err != nil || answers[guard-1].Failure != nil {
-		return answers, err
+	if err != nil {
+		return answers, errors.Mark(err, ErrUnsent)
+	}
+	if NotSent(answers, guard) != nil {
+		return answers, nil
 	}
 	rest, err := h.Exchange(ctx, deadline, steps[guard:]...)
 	return append(answers, rest...), err
 }
 
+// ExchangeAfter exchanges the steps once the setup has succeeded, as ExchangeGuarded does. If the other end is an instance that keeps
+// the session's state and waits for it there, all are sent at once.
+func (h *PooledConn) ExchangeAfter(ctx context.Context, deadline time.Time, setup []statement.Step, steps ...statement.Step) ([]statement.Answer, error) {
+	all := append(setup, steps...)
+	if _, ok := h.Conn.(SessionKeeper); ok || len(setup) == 0 {
+		return h.Exchange(ctx, deadline, all...)
+	}
+	return h.ExchangeGuarded(ctx, deadline, len(setup), all...)
+}
+
+// NotSent returns the answer to the steps after the first guard steps if one of those failed, and nil if none did. The steps after
+// them did not run. The state is that of the connection.
+func NotSent(answers []statement.Answer, guard int) *statement.Answer {
+	answers = answers[:min(guard, len(answers))]
+	for _, a := range answers {
+		if a.Failure == nil {
+			continue
+		}
+		last := answers[len(answers)-1]
+		failure := a.Failure
+		if failure.Verdict != verdict.NotRun {
+			failure = verdict.New(verdict.NotRun, failure.Reason, "statement was not sent").WithCause(failure)
+		}
+		return &statement.Answer{Failure: failure, State: last.State, Position: last.Position}
+	}
+	return nil
+}
+
 // MarkIdleInTransaction records that a transaction on the connection awaits its next statement. Until then the pool may
 // use one more connection.
 func (h *PooledConn) MarkIdleInTransaction() { h.setIdleInTx(true) }
@@ -102,51 +142,17 @@
 	h.pool.addIdleInTx(h.workspace, -1)
 }
 
-// SyncSettings returns the steps that change the connection's settings to those of a session, and records the new
-// settings. The steps begin with a reset if the state is uncertain, a setting has to be removed or the connection has too
-// many prepared statements.
-func (h *PooledConn) SyncSettings(settings map[string]string) []statement.Step {
-	var steps []statement.Step
-	if h.uncertain || len(h.prepared) > preparedMaximum || !covers(settings, h.settings) {
-		steps = append(steps, statement.ProxyStep(statement.Reset))
-		h.settings, h.prepared, h.uncertain = nil, nil, false
-	}
-	if maps.Equal(h.settings, settings) {
-		return steps
-	}
-	for name, value := range settings {
-		if known, ok := h.settings[name]; !ok || known != value {
-			steps = append(steps, statement.ProxySet(name, value))
-		}
-	}
-	h.settings = maps.Clone(settings)
-	return steps
-}
-
-// covers reports whether every name in old is also in wanted, so that the connection needs no reset.
-func covers(wanted, old map[string]string) bool {
-	for name := range old {
-		if _, ok := wanted[name]; !ok {
-			return false
-		}
-	}
-	return true
+// Setup returns the steps that give the connection a session's settings and the prepared statements that it lacks. They begin with a
+// reset if the state is uncertain, a setting has to be removed or too many statements are prepared.
+func (h *PooledConn) Setup(settings map[string]string, statements ...PreparedStatement) []statement.Step {
+	return h.session.setup(settings, statements)
 }
 
-// Prepare returns the step that prepares a statement, or none if it is prepared on the connection already.
-func (h *PooledConn) Prepare(name, text string, writes bool) []statement.Step {
-	if h.prepared[name] {
-		return nil
-	}
-	if h.prepared == nil {
-		h.prepared = make(map[string]bool)
-	}
-	h.prepared[name] = true
-	return []statement.Step{statement.ProxyPrepare(name, text, writes)}
-}
+// InTransaction reports whether the last answer left a transaction open, be it failed or not.
+func (h *PooledConn) InTransaction() bool { return h.transaction != statement.Idle }
 
 // MarkUncertain records that the connection's settings and prepared statements may differ from the recorded ones.
-func (h *PooledConn) MarkUncertain() { h.uncertain = true }
+func (h *PooledConn) MarkUncertain() { h.session.uncertain = true }
 
 func (h *PooledConn) isBroken() bool {
 	select {
--- a/connection/waiter.go
+++ b/connection/waiter.go
@@ -241,7 +241,7 @@
 		if best < 0 {
 			best = i
 		}
-		if maps.Equal(p.idle[i].settings, d.Settings) {
+		if maps.Equal(p.idle[i].session.settings, d.Settings) {
 			best = i
 			break
 		}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -57,10 +57,18 @@
 	return w.handleAnswer(j, c, *a, sent)
 }
 
-// exchangeAndRelease runs the statement on a connection and releases it, also if that panics.
+// exchangeAndRelease runs the statement on a connection and releases it, also if that panics. A transaction that the proxy began and
+// that is still open, since the statement was not sent, is rolled back without waiting for it.
 func (w *workItem) exchangeAndRelease(ctx context.Context, j job, c group.Choice, conn *connection.PooledConn, pool *connection.Pool) (*statement.Answer, error) {
 	sent, reuse := w.session.dispatcher.now(), false
-	defer func() { pool.Release(conn, reuse, w.session.dispatcher.now().Sub(sent)) }()
+	defer func() {
+		d := w.session.dispatcher
+		if reuse && conn.InTransaction() {
+			d.rollBackAndRelease(conn, pool, sent)
+			return
+		}
+		pool.Release(conn, reuse, d.now().Sub(sent))
+	}()
 	a, err := w.exchange(ctx, j, c, conn)
 	reuse = err == nil
 	return a, err
@@ -73,20 +81,33 @@
 func (w *workItem) exchange(ctx context.Context, j job, c group.Choice, conn *connection.PooledConn) (*statement.Answer, error) {
 	w.giveBack = nil
 	deadline := w.attemptDeadline(!j.request.Writes, c)
-	steps := append(conn.SyncSettings(w.session.settings), j.prepare(conn)...)
-	index := len(steps)
+	setup := conn.Setup(w.session.settings, j.needed()...)
 	step := statement.Step{Request: j.request}
 	if j.request.Writes || !c.Lead {
 		step.After = c.After
-		answers, err := conn.Exchange(ctx, deadline, append(steps, step)...)
-		return answerAt(answers, index), err
+		answers, err := conn.ExchangeAfter(ctx, deadline, setup, step)
+		return j.answer(answers, len(setup)), err
 	}
-	guarded := append(steps, statement.ProxyStep(statement.Begin), step, statement.ProxyStep(statement.Rollback))
-	answers, err := conn.ExchangeGuarded(ctx, deadline, index+1, guarded...)
-	if begun := answerAt(answers, index); begun != nil && begun.Failure != nil {
-		return begun, err
+	guard := len(setup) + 1
+	steps := append(setup, statement.ProxyStep(statement.Begin), step, statement.ProxyStep(statement.Rollback))
+	answers, err := conn.ExchangeGuarded(ctx, deadline, guard, steps...)
+	return j.answer(answers, guard), err
+}
+
+// answer returns the answer to the statement, which was sent after the first guard steps, or why it was not sent. It is nil if there is
+// none.
+func (j job) answer(answers []statement.Answer, guard int) *statement.Answer {
+	if refused := connection.NotSent(answers, guard); refused != nil {
+		return refused
+	}
+	a := answerAt(answers, guard)
+	if a == nil || a.Failure == nil || a.Failure.Reason != verdict.Unprepared || j.request.Kind != statement.Execute {
+		return a
 	}
-	return answerAt(answers, index+1), err
+	// The caller's PREPARE was acknowledged, so it must not be told that the name is unknown.
+	unknown := *a
+	unknown.Failure = verdict.New(verdict.NotRun, verdict.Aborted, "endpoint has lost the prepared statement").WithCause(a.Failure)
+	return &unknown
 }
 
 func answerAt(answers []statement.Answer, at int) *statement.Answer {
@@ -96,12 +117,12 @@
 	return &answers[at]
 }
 
-// prepare returns the step that prepares the statement on a connection, none if it is not needed.
-func (j job) prepare(conn *connection.PooledConn) []statement.Step {
+// needed returns the prepared statement that the statement executes, none if it executes none.
+func (j job) needed() []connection.PreparedStatement {
 	if j.request.Kind != statement.Execute {
 		return nil
 	}
-	return conn.Prepare(j.prepared.endpointName, j.prepared.text, j.prepared.writes)
+	return []connection.PreparedStatement{{Name: j.prepared.endpointName, Text: j.prepared.text, Writes: j.prepared.writes}}
 }
 
 // acquire takes a connection to the chosen endpoint from its pool. Its errors have the verdict verdict.NotRun.
--- a/dispatch/transaction.go
+++ b/dispatch/transaction.go
@@ -128,16 +128,13 @@
 func (t *transaction) beginAndRun(ctx context.Context, w *workItem, j job, c group.Choice) (statement.Answer, error) {
 	w.giveBack = nil
 	deadline := w.attemptDeadline(true, t.choice)
-	steps := append(t.conn.SyncSettings(t.session.settings), j.prepare(t.conn)...)
-	index := len(steps)
-	answers, err := t.conn.ExchangeGuarded(ctx, deadline, index+1, append(steps, t.beginStep(c), statement.Step{Request: j.request})...)
+	setup := t.conn.Setup(t.session.settings, j.needed()...)
+	guard := len(setup) + 1
+	answers, err := t.conn.ExchangeGuarded(ctx, deadline, guard, append(setup, t.beginStep(c), statement.Step{Request: j.request})...)
 	if err != nil {
 		return statement.Answer{}, err
 	}
-	if begun := answers[index]; begun.Failure != nil {
-		return begun, nil
-	}
-	return answers[index+1], nil
+	return *j.answer(answers, guard), nil
 }
 
 // releaseFailed releases the connection after the first statement failed, and rolls back a transaction that is still
@@ -166,13 +163,13 @@
 	w := s.tx.nextItem()
 	for {
 		sent := s.dispatcher.now()
-		steps := append(s.tx.conn.SyncSettings(s.settings), j.prepare(s.tx.conn)...)
-		steps = append(steps, statement.Step{Request: j.request})
-		answers, err := s.tx.conn.Exchange(ctx, w.deadline, steps...)
-		if len(answers) < len(steps) {
+		setup := s.tx.conn.Setup(s.settings, j.needed()...)
+		answers, err := s.tx.conn.ExchangeAfter(ctx, w.deadline, setup, statement.Step{Request: j.request})
+		answer := j.answer(answers, len(setup))
+		if answer == nil || err != nil && len(answers) <= len(setup) {
 			return s.handleConnectionLost(w, j.request, err)
 		}
-		a := answers[len(answers)-1]
+		a := *answer
 		if a.Failure == nil {
 			w.recordSuccess(j.request, s.tx.choice, a, sent)
 			s.tx.wrote = s.tx.wrote || j.request.Writes
@@ -241,15 +238,19 @@
 	if t.conn == nil {
 		return
 	}
-	conn, pool, since, changed := t.conn, t.pool, t.connSince, t.settingsChanged
+	if t.settingsChanged {
+		t.conn.MarkUncertain()
+	}
+	t.session.dispatcher.rollBackAndRelease(t.conn, t.pool, t.connSince)
 	t.conn = nil
-	d := t.session.dispatcher
+}
+
+// rollBackAndRelease rolls back the transaction on a connection that was acquired at the given time and releases it, without waiting
+// for either.
+func (d *Dispatcher) rollBackAndRelease(conn *connection.PooledConn, pool *connection.Pool, since time.Time) {
 	d.background.Go(func() {
 		answers, err := conn.Exchange(d.ctx, d.now().Add(rollbackTimeout), statement.ProxyStep(statement.Rollback))
 		clean := err == nil && answers[0].Failure == nil && answers[0].State == statement.Idle
-		if changed {
-			conn.MarkUncertain()
-		}
 		pool.Release(conn, clean, d.now().Sub(since))
 	})
 }
--- a/loan/conn.go
+++ b/loan/conn.go
@@ -81,6 +81,9 @@
 	return c
 }
 
+// KeepsSession marks the connection as a connection.SessionKeeper: the holder records the settings and prepared statements.
+func (c *Conn) KeepsSession() {}
+
 // RoundTrip returns 0: the round-trip time of a borrowed connection is not measured.
 func (c *Conn) RoundTrip() time.Duration { return 0 }
 
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"siskincove/connection"
 	"siskincove/event"
@@ -31,12 +32,6 @@
 	rollbackTimeout = time.Second
 )
 
-// preparedStatement is a statement that the borrower has prepared.
-type preparedStatement struct {
-	text   string
-	writes bool
-}
-
 // loan is the holder's side of a borrowed connection: its settings and prepared statements, and the pooled connection that
 // serves it during an exchange or while a transaction is open.
 type loan struct {
@@ -47,7 +42,7 @@
 	stream peer.Stream
 
 	settings map[string]string
-	prepared map[string]preparedStatement
+	prepared map[string]connection.PreparedStatement
 	pool     *connection.Pool
 	conn     *connection.PooledConn
 	acquired time.Time
@@ -140,9 +135,9 @@
 		l.settings[s.Name] = s.Value
 	case statement.Prepare:
 		if l.prepared == nil {
-			l.prepared = make(map[string]preparedStatement)
+			l.prepared = make(map[string]connection.PreparedStatement)
 		}
-		l.prepared[s.Name] = preparedStatement{text: s.Value, writes: s.Writes}
+		l.prepared[s.Name] = connection.PreparedStatement{Name: s.Name, Text: s.Value, Writes: s.Writes}
 	default:
 		return false
 	}
@@ -157,8 +152,8 @@
 	return statement.Idle
 }
 
-// runSteps runs steps on a pooled connection, those after the first guard steps only if the last of these succeeded. It returns true
-// if the connection was lost before every step was answered.
+// runSteps runs steps on a pooled connection once it has the borrower's settings and prepared statements, those after the first guard
+// steps only if all of these succeeded. It returns true if the connection was lost before every step was answered.
 func (l *loan) runSteps(ctx context.Context, steps []statement.Step, guard int, request *wire.Steps) ([]statement.Answer, bool) {
 	if len(steps) == 0 {
 		return nil, false
@@ -167,7 +162,8 @@
 	remaining := peer.Duration(request.GetRemaining())
 	margin := l.responseMargin(remaining)
 	deadline := now.Add(remaining - margin)
-	if l.conn == nil {
+	begins := l.conn == nil
+	if begins {
 		demand := connection.Demand{
 			Workspace: l.request.GetWorkspace(), Settings: l.settings, Deadline: deadline, Flow: l.flow(),
 			Class: limit.Class{Name: request.GetClass(), Weight: int(request.GetWeight())},
@@ -179,35 +175,60 @@
 			l.lender.options.Logger.Log(event.LoanRefused, log.Fields{
 				"endpoint": l.request.GetEndpoint(), "request": requestID(steps), "error": err.Error(), "remaining": remaining.String(),
 			})
-			return refusals(err, len(steps)), false
+			return refusals(err, len(steps), statement.Idle), false
 		}
 	}
-	setup := l.conn.SyncSettings(l.settings)
-	for _, s := range steps {
-		if stmt, ok := l.prepared[s.Name]; ok && s.Kind == statement.Execute {
-			setup = append(setup, l.conn.Prepare(s.Name, stmt.text, stmt.writes)...)
-		}
+	setup := l.conn.Setup(l.settings, l.needed(steps)...)
+	if guard >= len(steps) {
+		guard = 0
 	}
-	var answers []statement.Answer
-	var err error
-	if all := append(setup, steps...); guard > 0 && guard < len(steps) {
-		answers, err = l.conn.ExchangeGuarded(ctx, deadline, len(setup)+guard, all...)
-	} else {
-		answers, err = l.conn.Exchange(ctx, deadline, all...)
+	answers, err := l.conn.ExchangeGuarded(ctx, deadline, len(setup)+guard, append(setup, steps...)...)
+	if refused := connection.NotSent(answers, len(setup)); refused != nil && err == nil {
+		return refusals(refused.Failure, len(steps), l.endRefused(begins, answers[len(answers)-1].State)), false
 	}
 	answers = answers[min(len(setup), len(answers)):]
-	if err != nil {
+	switch {
+	case begins && errors.Is(err, connection.ErrUnsent) && len(answers) == 0:
+		l.release(false)
+		lost := verdict.New(verdict.NotRun, verdict.Broken, "connection to the endpoint was lost before the statement").WithCause(err)
+		return refusals(lost, len(steps), statement.Idle), false
+	case err != nil:
 		l.release(false)
 		return answers, true
-	}
-	if answers[len(answers)-1].State == statement.Idle {
+	case answers[len(answers)-1].State == statement.Idle:
 		l.release(true)
-	} else {
+	default:
 		l.conn.MarkIdleInTransaction()
 	}
 	return answers, false
 }
 
+// needed returns the prepared statements that steps execute.
+func (l *loan) needed(steps []statement.Step) []connection.PreparedStatement {
+	var needed []connection.PreparedStatement
+	for _, s := range steps {
+		if p, ok := l.prepared[s.Name]; ok && s.Kind == statement.Execute {
+			needed = append(needed, p)
+		}
+	}
+	return needed
+}
+
+// endRefused ends an exchange whose steps were not sent, and returns the state of the loan. What the exchange has begun is rolled back,
+// since the borrower takes it for refused; an earlier transaction stays open.
+func (l *loan) endRefused(begins bool, state statement.State) statement.State {
+	switch {
+	case state == statement.Idle:
+		l.release(true)
+	case begins:
+		l.rollBackOpen()
+		return statement.Idle
+	default:
+		l.conn.MarkIdleInTransaction()
+	}
+	return state
+}
+
 // responseMargin returns how much of the borrower's remaining time is reserved for sending the answers back.
 func (l *loan) responseMargin(remaining time.Duration) time.Duration {
 	margin := min(time.Duration(responseMarginShare*float64(remaining)), responseMarginMax)
@@ -247,10 +268,10 @@
 }
 
 // refusals returns one failed answer per step, for steps that were not run.
-func refusals(err error, steps int) []statement.Answer {
+func refusals(err error, steps int, state statement.State) []statement.Answer {
 	out := make([]statement.Answer, steps)
 	for i := range out {
-		out[i] = statement.Refusal(verdict.From(err), statement.Idle)
+		out[i] = statement.Refusal(verdict.From(err), state)
 	}
 	return out
 }
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"testing"
@@ -32,8 +33,8 @@
 	steps  []string
 	// silent leaves exchanges unanswered until their deadline.
 	silent bool
-	// refuses is the kind of the steps that are refused, 0 for none.
-	refuses statement.Kind
+	// refuses is the kind of the steps that are refused, and breaks of those that end the connection; 0 for none.
+	refuses, breaks statement.Kind
 }
 
 func (f *fakeEndpoint) Dial(context.Context, connection.Target, time.Duration) (connection.Conn, error) {
@@ -45,6 +46,13 @@
 	return &fakeConn{endpoint: f, number: f.dialed, broken: make(chan struct{})}, nil
 }
 
+// fail sets the kinds of the steps that are refused and that end the connection.
+func (f *fakeEndpoint) fail(refuses, breaks statement.Kind) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refuses, f.breaks = refuses, breaks
+}
+
 func (f *fakeEndpoint) DialOver(ctx context.Context, e connection.Target, _ net.Conn) (connection.Conn, error) {
 	return f.Dial(ctx, e, 0)
 }
@@ -86,6 +94,10 @@
 	answers := make([]statement.Answer, 0, len(steps))
 	for _, s := range steps {
 		c.endpoint.steps = append(c.endpoint.steps, fmt.Sprintf("%d %s %s", c.number, s.Kind, s.Name))
+		if s.Kind == c.endpoint.breaks {
+			c.endpoint.breaks = 0
+			return answers, io.ErrUnexpectedEOF
+		}
 		if s.Kind == c.endpoint.refuses {
 			answers = append(answers, statement.Refusal(verdict.New(verdict.NotRun, verdict.NotPrimary, "refused"), c.state))
 			continue
