dispatch: give a commit the settings of its session

A SET as the last statement before COMMIT was acknowledged, but not sent to the endpoint: the commit ran with the values of before. Found by TestGreyEndpoint in the 3,418th sequence. The commit is now sent after the settings, like any other statement; if those fail, nothing is kept.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -35,11 +35,13 @@
 	w := s.tx.nextItem()
 	for {
 		sent := s.dispatcher.now()
-		answers, err := s.tx.conn.Exchange(ctx, w.deadline, statement.Step{Request: r})
-		if len(answers) == 0 {
+		setup := s.tx.conn.Setup(s.settings)
+		answers, err := s.tx.conn.ExchangeAfter(ctx, w.deadline, setup, statement.Step{Request: r})
+		answer := job{request: r}.answer(answers, len(setup))
+		if answer == nil || err != nil && len(answers) <= len(setup) {
 			return s.handleCommitNoAnswer(w, r, err)
 		}
-		a := answers[0]
+		a := *answer
 		if a.Failure == nil {
 			s.recordCommit(w, r, a, sent)
 			return w.finish(r, a)
--- a/dispatch/grey_test.go
+++ b/dispatch/grey_test.go
@@ -344,6 +344,15 @@
 			only: statement.Set, reactions: []reaction{breaks},
 			requests: []request{setBy(first), {first, write("")}}, want: outcome{Receipt: "2"},
 		},
+		"set is the last statement before the commit": {
+			requests: []request{{first, control(statement.Begin)}, {first, write("")}, setBy(first), {first, control(statement.Commit)}},
+			want:     outcome{Receipt: "4"},
+		},
+		"set fails before the commit": {
+			only: statement.Set, reactions: []reaction{fails},
+			requests: []request{{first, control(statement.Begin)}, {first, write("")}, setBy(first), {first, control(statement.Commit)}},
+			want:     outcome{Verdict: "not run", Reason: verdict.Failed},
+		},
 		"rollback fails after a read at the primary": {
 			only: statement.Rollback, reactions: []reaction{refuses},
 			requests: []request{{first, read("")}, {first, write("")}}, want: outcome{Receipt: "2"},
