--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -30,11 +30,17 @@
 
 // Exchange sends the steps and returns their answers as Conn does. The pool adjusts its window to the outcome.
 func (h *PooledConn) Exchange(ctx context.Context, deadline time.Time, steps ...statement.Step) ([]statement.Answer, error) {
+	answers, err := h.send(ctx, deadline, steps)
+	h.record(steps, answers)
+	return answers, err
+}
+
+// send is Exchange without a record of the answers.
+func (h *PooledConn) send(ctx context.Context, deadline time.Time, steps []statement.Step) ([]statement.Answer, error) {
 	answers, _, err := h.track(deadline, func() ([]statement.Answer, bool, error) {
 		answers, err := h.Conn.Exchange(ctx, deadline, steps...)
 		return answers, true, err
 	})
-	h.record(steps, answers)
 	return answers, err
 }
 
@@ -72,26 +78,31 @@
 // have succeeded. If one failed, the answers may end with the last of them; see NotSent. The error is marked with ErrUnsent if the
 // connection was lost before the others were sent.
 func (h *PooledConn) ExchangeGuarded(ctx context.Context, deadline time.Time, guard int, steps ...statement.Step) ([]statement.Answer, error) {
+	answers, err := h.sendGuarded(ctx, deadline, guard, steps)
+	h.record(steps, answers)
+	return answers, err
+}
+
+func (h *PooledConn) sendGuarded(ctx context.Context, deadline time.Time, guard int, steps []statement.Step) ([]statement.Answer, error) {
 	if conn, ok := h.Conn.(GuardedConn); ok {
 		answers, supported, err := h.track(deadline, func() ([]statement.Answer, bool, error) {
 			return conn.ExchangeGuarded(ctx, deadline, guard, steps...)
 		})
 		if supported {
-			h.record(steps, answers)
 			return answers, err
 		}
 	}
 	if guard == 0 {
-		return h.Exchange(ctx, deadline, steps...)
+		return h.send(ctx, deadline, steps)
 	}
-	answers, err := h.Exchange(ctx, deadline, steps[:guard]...)
+	answers, err := h.send(ctx, deadline, steps[:guard])
 	if err != nil {
 		return answers, errors.Mark(err, ErrUnsent)
 	}
 	if NotSent(answers, guard) != nil {
 		return answers, nil
 	}
-	rest, err := h.Exchange(ctx, deadline, steps[guard:]...)
+	rest, err := h.send(ctx, deadline, steps[guard:])
 	return append(answers, rest...), err
 }
 
