soak: let endpoints fail a part of their requests

One endpoint after the other now fails 0.45 of its requests for 2 s, SET, RESET, PREPARE and BEGIN included. The series is drawn beside the others, so older seeds keep their schedules.

--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -15,6 +15,8 @@
 		"each change": {Seed: 1, Duration: time.Minute, Instances: 3},
 		// The stand-in's endpoint kept a commit that it had answered READONLY.
 		"refused commits came back": {Seed: 2, Duration: 20 * time.Second, Instances: 12},
+		// Statements ran with the settings of other sessions, since a failed SET or RESET was not noticed.
+		"settings of other sessions": {Seed: 402, Duration: 30 * time.Second, Instances: 4},
 	}
 	for name, options := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,6 +20,9 @@
 	// drainTime is how long a leaving endpoint serves before another takes its place, which the settings of the instances promise.
 	drainTime = 7 * time.Second
 	cutTime   = 2 * time.Second
+	// failingShare is the share of its requests that an endpoint fails for failingTime.
+	failingShare = 0.45
+	failingTime  = 2 * time.Second
 	// largeGrowth and smallGrowth are how many routes a change of the configuration adds.
 	largeGrowth = 1400
 	smallGrowth = 3
@@ -68,7 +71,11 @@
 	"primary is leaving": func(i *Injector, _ int) { i.replacePrimary() },
 }
 
-// FaultNames returns the names of all faults, in order.
+// failRequests is the fault of an endpoint that fails a part of its requests. It has a series of its own, so that the seeds from before
+// it existed keep their schedules.
+const failRequests = "fail requests"
+
+// FaultNames returns the names of all faults but failRequests, in order.
 func FaultNames() []string { return slices.Sorted(maps.Keys(faults)) }
 
 // Injector injects faults into a deployment.
@@ -98,6 +105,10 @@
 	i.mu.Lock()
 	i.injected[f.Name]++
 	i.mu.Unlock()
+	if f.Name == failRequests {
+		i.failRequests(f.Target)
+		return
+	}
 	faults[f.Name](i, f.Target)
 }
 
@@ -208,6 +219,16 @@
 	return all[target%len(all)]
 }
 
+// failRequests lets an endpoint fail a part of its requests for some time.
+func (i *Injector) failRequests(target int) {
+	e := i.endpoint(target)
+	e.SetFailing(failingShare)
+	i.running.Go(func() {
+		time.Sleep(failingTime)
+		e.SetFailing(0)
+	})
+}
+
 func (i *Injector) crashPrimary() {
 	e := i.deployment.Group.Primary()
 	if e == nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -58,7 +58,14 @@
 			out[n] = append(out[n], Fault{After: after, Name: all[random.IntN(len(all))], Target: random.IntN(1 << 16)})
 		}
 	}
-	return out
+	var failing []Fault
+	random := rand.New(rand.NewPCG(seed, uint64(len(out))))
+	for at := time.Duration(0); at < duration; {
+		after := failingTime + time.Duration(random.Int64N(int64(2*failingTime)))
+		at += after
+		failing = append(failing, Fault{After: after, Name: failRequests, Target: random.IntN(1 << 16)})
+	}
+	return append(out, failing)
 }
 
 // Run runs a soak and returns its report. An error means that the soak itself failed, not that a check did.
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -1,6 +1,7 @@
 package hosting
 
 import (
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -28,8 +29,10 @@
 	leaving        bool
 	// answersToLose is how many of the next answers are dropped after their statements ran.
 	answersToLose int
-	busySlots     int
-	conns         map[net.Conn]bool
+	// failingShare is the share of the requests that fail without an effect.
+	failingShare float64
+	busySlots    int
+	conns        map[net.Conn]bool
 	// accepted counts the connections, also those from before a restart.
 	accepted atomic.Int64
 	// born is the start time in Unix milliseconds.
@@ -108,6 +111,17 @@
 // LoseAnswers makes the endpoint run the next n statements and close the connection instead of answering.
 func (e *Endpoint) LoseAnswers(n int) { e.update(func() { e.answersToLose = n }) }
 
+// SetFailing makes the endpoint fail a share of all requests but those that end a transaction, its own orders and its health check;
+// 0 for none. They have no effect but that an open transaction fails.
+func (e *Endpoint) SetFailing(share float64) { e.update(func() { e.failingShare = share }) }
+
+// fails draws whether the next request fails.
+func (e *Endpoint) fails() bool {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return e.failingShare > 0 && rand.Float64() < e.failingShare
+}
+
 // update applies a change under the group's lock and replicates with the new state.
 func (e *Endpoint) update(change func()) {
 	e.group.mu.Lock()
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -141,6 +141,16 @@
 		return answer{code: "BAD"}
 	}
 	switch command {
+	case "COMMIT", "ROLLBACK", "STATUS", "HOLD", "RESUME", "DEMOTE":
+	default:
+		if s.endpoint.fails() {
+			if s.state == "T" {
+				s.state = "E"
+			}
+			return answer{code: "FAILED"}
+		}
+	}
+	switch command {
 	case "BEGIN":
 		return s.begin(rest, after)
 	case "ROLLBACK":
