--- a/soak/run.go
+++ b/soak/run.go
@@ -54,10 +54,12 @@
 
 // Series returns the faults of a seed as series that run side by side.
 func Series(seed uint64, duration time.Duration, instances int) [][]Fault {
-	out := make([][]Fault, 0, leastSeries+instances/instancesPerSeries+1)
-	for n := range cap(out) - 1 {
+	var out [][]Fault
+	for n := range leastSeries + instances/instancesPerSeries {
 		out = append(out, drawSeries(rand.New(rand.NewPCG(seed, uint64(n))), duration, FaultNames(), minPause, maxPause))
 	}
+	failing := rand.New(rand.NewPCG(seed, uint64(len(out))))
+	out = append(out, drawSeries(failing, duration, []string{failRequests}, failingTime, 3*failingTime))
 	compound := rand.New(rand.NewPCG(seed, compoundStream))
 	return append(out, drawSeries(compound, duration, CompoundFaultNames(), minCompoundPause, maxCompoundPause))
 }
