directory: bound and count the log lines about refused entries

Operators saw event 312 for an entry of another writer each time that the table of endpoints was read, as long as the entry stood, with its name and the whole text of its cause, and no metric told how many entries are refused.

A refused entry is logged when its value is new, at most 20 lines a minute, with texts of at most 200 bytes; siskincove_entries_refused and siskincove_entries_refused_total count.

TestRefusalsAreBounded failed before: 100 lines for one value in 100 reads, 59 instead of 20 lines in a minute for a value that changes, a line of 60,066 bytes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -83,6 +83,8 @@
 	primaries map[string]string
 	// unavailableSince is since when the store does not answer, by kind of read.
 	unavailableSince map[string]time.Time
+	// refusals bounds the lines about entries that can't be used.
+	refusals refusals
 }
 
 // New starts a directory, which stops when ctx ends.
@@ -171,10 +173,10 @@
 	if version <= d.snapshot.Version() && d.endpointsLoaded {
 		return
 	}
-	unreadable := func(name string, err error) {
-		d.options.Logger.Log(event.EntryUnreadable, log.Fields{"endpoint": name, "error": err.Error()})
-	}
-	next, diff := d.snapshot.With(rows, version, d.options.Decoder, d.options.Clock.Now(), unreadable)
+	now := d.options.Clock.Now()
+	unreadable := func(name string, err error) { d.refusals.log(d.options.Logger, name, err, now) }
+	next, diff := d.snapshot.With(rows, version, d.options.Decoder, now, unreadable)
+	refusedEntries.Set(float64(next.Refused()))
 	if source == sourcePeer {
 		// Take over the peer's version even if the endpoints are the same, so that they are not fetched again.
 		next.version = version
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -43,6 +43,8 @@
 	// entry.changedAt cover all changes after recordedFrom.
 	delisted     map[string]store.Version
 	recordedFrom store.Version
+	// refused maps the rows that could not be decoded to hashes of their values.
+	refused map[string]uint64
 }
 
 // Version returns the store version at which the endpoints last changed.
@@ -80,10 +82,13 @@
 // Empty reports whether nothing changed.
 func (d Difference) Empty() bool { return len(d.Changed)+len(d.Missing)+len(d.Removed) == 0 }
 
+// Refused returns the number of rows that could not be decoded.
+func (s Snapshot) Refused() int { return len(s.refused) }
+
 // With returns the snapshot after the whole endpoint table was read at a version of the store, and what differs from s. Rows
-// that can't be decoded are skipped and their names passed to unreadable.
+// that can't be decoded are skipped. Their names are passed to unreadable when a value is read for the first time.
 func (s Snapshot) With(rows []store.Row, version store.Version, decoder Decoder, now time.Time, unreadable func(string, error)) (Snapshot, Difference) {
-	next := Snapshot{version: s.version, entries: make(map[string]entry, len(rows)), recordedFrom: s.recordedFrom}
+	next := Snapshot{version: s.version, entries: make(map[string]entry, len(rows)), recordedFrom: s.recordedFrom, refused: make(map[string]uint64)}
 	if s.version == 0 {
 		next.recordedFrom = version
 	}
@@ -92,7 +97,10 @@
 		name := row.Key.Key
 		registration, err := s.registration(name, row, decoder)
 		if err != nil {
-			unreadable(name, err)
+			next.refused[name] = xxhash.Sum64(row.Value)
+			if digest, known := s.refused[name]; !known || digest != next.refused[name] {
+				unreadable(name, err)
+			}
 			continue
 		}
 		e, changed := s.newEntry(name, row, registration, version)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,7 +51,7 @@
 var (
 	PrimaryChanged       = define(310, log.InfoLevel, "database", "primary changed", "This instance now treats another endpoint, or none, as the primary; why is proof, peer (a peer's proof), hint (a peer's report without an exact time), claim or denial.")
 	EndpointsChanged     = define(311, log.InfoLevel, "directory", "endpoints changed", "The registered endpoints of this version are in use; from tells whether the store or a peer supplied them.")
-	EntryUnreadable      = define(312, log.WarnLevel, "directory", "entry not readable", "A registered entry has missing or unknown fields and is ignored; the other entries stay in use.")
+	EntryUnreadable      = define(312, log.WarnLevel, "directory", "entry not readable", "Another writer left an entry among those of the endpoints, or an endpoint overwrote its own, with fields missing, of another type or out of range; error names the field. The entry is not used: it is no endpoint, and an endpoint that was registered under its name counts as no longer listed. The other entries stay in use. Each value is logged once, at most 20 in a minute; dropped counts the lines left out since the last one, and siskincove_entries_refused_total all.")
 	ConfigurationApplied = define(313, log.InfoLevel, "directory", "configuration applied", "The operator's configuration of this version is in use; from tells whether the store or a peer supplied it.")
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
