directory: ignore rows of other parts in the feed of the configuration

A row with the key of the configuration in another part of its table was applied as the configuration if its version was higher, and its deletion ended the proof that the configuration is the newest. The feed has the rows of all parts, and only the key was compared.

TestConfigurationOfAnotherPart failed before, 2 of 4 cases: version 3 instead of 2, and 0 confirmed instead of 2.

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -118,7 +118,8 @@
 	position := feed{after: changes.Version, version: from.version}
 	for _, c := range changes.Changes {
 		switch {
-		case c.Row.Key.Key != key:
+		case c.Row.Key.Part != "" || c.Row.Key.Key != key:
+			// Another row of the table, which other writers may have put there.
 		case c.Deleted:
 			position.version = 0
 		default:
