--- a/succession/reservation_test.go
+++ b/succession/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,3 +102,40 @@
 		t.Errorf("%d successions hold replicas under %d terms", len(tokens), len(terms))
 	}
 }
+
+// TestReserveFenceUnreadable guards against a database that can't be given a primary any more, or a token below an older one, since
+// another writer has replaced the row that counts the tokens.
+func TestReserveFenceUnreadable(t *testing.T) {
+	for name, value := range map[string]string{
+		"text": "none", "empty": "", "bytes": "\xff\x00", "JSON": `{"next":7}`, "negative": "-1", "fraction": "1.5", "zero": "0", "largest of the number": "4294967295",
+		"above the number": "4294967296", "largest": "18446744073709551615", "too large": "99999999999999999999", "long": strings.Repeat("9", 60_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := hosting.NewStore()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(s.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			client := rows.New(s.Address())
+			var tokens []uint64
+			for n := range 9 {
+				if n%3 == 2 {
+					s.WriteRaw("fences", "db", []byte(value))
+				}
+				token, err := ReserveFence(ctx, client, "db")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(tokens) > 0 && token <= tokens[len(tokens)-1] {
+					t.Errorf("token %d was reserved after %d", token, tokens)
+				}
+				tokens = append(tokens, token)
+				if tokenEra(token) != tokenEra(tokens[0]) {
+					t.Errorf("token %d is of era %d", token, tokenEra(token))
+				}
+			}
+		})
+	}
+}
