member: skip rows of the roster that name no instance

A row of another writer in the table of instances counted as an instance if it was a JSON object, or null: it was sent heartbeats, and the connections to endpoints were divided by one more. Each such row was logged at each reading.

A row needs an address to connect to and a domain; five are logged for each reading. TestForeignRows failed before, 10 of 17 cases.

--- a/member/roster.go
+++ b/member/roster.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"slices"
+	"strings"
 	"sync/atomic"
+	"unicode/utf8"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
@@ -16,6 +19,9 @@
 // rosterTable is the table in which instances find each other, with one row for each.
 const rosterTable = "instances"
 
+// maxRowsLogged bounds the lines about rows that are skipped, for each time that the roster is read.
+const maxRowsLogged = 5
+
 // Lister reads the roster, the list of instances, which may be out of date.
 type Lister interface {
 	// List returns the listed instances and registers this one if it is not listed.
@@ -46,7 +52,7 @@
 
 func (r *Roster) key() store.Key { return store.Key{Table: rosterTable, Key: r.self.ID} }
 
-// List returns all registered instances; rows that can't be decoded are logged and skipped. It registers this instance
+// List returns all registered instances; rows that name none are skipped, and the first of them are logged. It registers this instance
 // once in each era of the store, unless its row from before a restart is still right: when all instances restart at once, the
 // store can serve their reads but not as many writes.
 func (r *Roster) List(ctx context.Context) ([]Instance, error) {
@@ -88,17 +94,40 @@
 		return nil, 0, errors.Wrap(err, "reading the list of instances")
 	}
 	out := make([]Instance, 0, len(page.Rows))
+	skipped := 0
 	for _, row := range page.Rows {
-		var decoded registration
-		if err := json.Unmarshal(row.Value, &decoded); err != nil {
-			r.logger.Log(event.RosterFailed, log.Fields{"instance": row.Key.Key, "error": err.Error()})
+		listed, err := decodeInstance(row)
+		if err == nil {
+			out = append(out, listed)
 			continue
 		}
-		out = append(out, Instance{ID: row.Key.Key, Address: decoded.Address, Domain: decoded.Domain})
+		if skipped++; skipped <= maxRowsLogged {
+			r.logger.Log(event.RosterFailed, log.Fields{"instance": row.Key.Key, "error": err.Error()})
+		}
 	}
 	return out, page.Version.Era(), nil
 }
 
+// decodeInstance returns the instance that a row names. Any writer may have left the row, and an instance that can't exist would be
+// sent heartbeats and get its part of the connections.
+func decodeInstance(row store.Row) (Instance, error) {
+	var decoded registration
+	if json.Unmarshal(row.Value, &decoded) != nil {
+		return Instance{}, errors.New("not a JSON object with texts")
+	}
+	address, err := netip.ParseAddrPort(decoded.Address)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		return Instance{}, errors.New("address is not an IP:port to connect to")
+	}
+	if region, domain, found := strings.Cut(decoded.Domain, "/"); !found || region == "" || domain == "" {
+		return Instance{}, errors.New("domain is not of the form region/domain")
+	}
+	if row.Key.Key == "" || !utf8.ValidString(row.Key.Key) {
+		return Instance{}, errors.New("key is no name of an instance")
+	}
+	return Instance{ID: row.Key.Key, Address: decoded.Address, Domain: decoded.Domain}, nil
+}
+
 func (r *Roster) register(ctx context.Context) error {
 	value, err := json.Marshal(registration{Address: r.self.Address, Domain: r.self.Domain})
 	if err != nil {
--- a/member/roster_test.go
+++ b/member/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,3 +55,35 @@
 	}
 	list(ownRoster, first)
 }
+
+// TestForeignRows guards against rows of other writers that count as instances, which get a part of the connections and are sent
+// heartbeats, and against a roster that can't be read because of one of them.
+func TestForeignRows(t *testing.T) {
+	for name, value := range map[string]string{
+		"not JSON": "{", "bytes": "\xff\x00", "empty": "", "null": "null", "list": "[]", "text": `"x"`, "no fields": "{}",
+		"nested deeply":          `{"address":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + "}",
+		"number for the address": `{"address":7,"domain":"r/a"}`, "no port": `{"address":"127.0.0.1","domain":"r/a"}`,
+		"port out of range": `{"address":"127.0.0.1:65536","domain":"r/a"}`, "port 0": `{"address":"127.0.0.1:0","domain":"r/a"}`,
+		"host name": `{"address":"localhost:7","domain":"r/a"}`, "unspecified": `{"address":"0.0.0.0:7","domain":"r/a"}`,
+		"no domain": `{"address":"127.0.0.1:7"}`, "no region": `{"address":"127.0.0.1:7","domain":"/a"}`, "no slash": `{"address":"127.0.0.1:7","domain":"ra"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := hosting.NewStore()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(s.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			self := member.Instance{ID: "i0", Address: "127.0.0.1:1", Domain: "r/a"}
+			s.WriteRaw("instances", "odd", []byte(value))
+			got, err := member.NewRoster(rows.New(s.Address()), self, event.Discard()).List(ctx)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]member.Instance{self}, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
