hosted: test odd rows in own tables and over an endpoint's own

TestForeignEntries also replaces a primary while another writer has overwritten a replica's entry, has named the address of an endpoint in an odd entry, or has left odd rows in the tables of fencing tokens and instances. On the cases 'over that of a replica' and 'rows of own tables' failed: no other endpoint was primary after 17 s; the other passed.

--- a/hosted/foreign_test.go
+++ b/hosted/foreign_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"time"
@@ -8,7 +9,7 @@
 	"siskincove/standin/hosting"
 )
 
-// TestForeignEntries guards against entries of other writers that end an instance, that keep it from following the endpoints and the
+// TestForeignEntries guards against rows of other writers that end an instance, that keep it from following the endpoints and the
 // configuration, or that count as replicas which may hold commits, so that no primary is replaced any more.
 func TestForeignEntries(t *testing.T) {
 	entry := func(changed map[string]any) map[string]any {
@@ -25,6 +26,12 @@
 	}
 	deep := []byte(`{"service":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + "}")
 	tests := map[string]func(s *hosting.Store){
+		"over that of a replica": func(s *hosting.Store) { s.Write("servers", "i-g-2", entry(map[string]any{"sequence": "none"})) },
+		"address of an endpoint": func(s *hosting.Store) {
+			var own map[string]any
+			_ = json.Unmarshal(s.Rows("servers")["i-g-1"], &own)
+			s.Write("servers", "x-1", entry(map[string]any{"address": own["address"], "slots": "5"}))
+		},
 		"fields missing": func(s *hosting.Store) {
 			s.Write("servers", "x-1", entry(map[string]any{"version": nil, "cold-remaining-ms": nil, "sequence": "none"}))
 		},
@@ -47,6 +54,12 @@
 		"id that is several words": func(s *hosting.Store) {
 			s.Write("servers", "x 1\r\nQUERY - STATUS", entry(nil))
 		},
+		"rows of own tables": func(s *hosting.Store) {
+			s.WriteRaw("fences", "g", []byte("none"))
+			s.WriteRaw("instances", "x-1", []byte("null"))
+			s.WriteRaw("instances", "x-2", []byte(`{"address":"nowhere:99999","domain":"/"}`))
+			s.WriteRaw("instances", "x-3", deep)
+		},
 		"service that no configuration names": func(s *hosting.Store) {
 			s.Write("servers", "x-1", entry(map[string]any{"service": "other", "db-role": "primary"}))
 		},
