directory: log failed reads of the store and who reads for a domain

Cause: only the first failure of an outage was logged, without how long it was waited for; nothing told when the store last answered or which instances read for the others. Change: event 330 for each failed read, with the time waited, the time allowed and the time since the last answer; 331 and 332 when an instance begins or ends to read for its domain, and why; 317 has the time since the versions were first announced. Result: no logic has changed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -81,13 +81,14 @@
 	endpointsLoadedAt time.Time
 	// primaries maps each database of the current catalog to the endpoint that is registered as its primary.
 	primaries map[string]string
-	// unavailableSince is since when the store does not answer, by kind of read.
+	// unavailableSince is since when the store does not answer, and contacts when it last did, by kind of read.
 	unavailableSince map[string]time.Time
+	contacts         map[string]contact
 }
 
 // New starts a directory, which stops when ctx ends.
 func New(ctx context.Context, o Options) *Directory {
-	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time)}
+	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time), contacts: make(map[string]contact)}
 	d.goroutines.Go(func() {
 		if o.Bootstrap != nil {
 			o.Bootstrap(ctx)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -53,19 +53,20 @@
 	backoff := retryMin
 	for ctx.Err() == nil {
 		var err error
-		followed := loaded
+		followed, sent := loaded, call{kind: configurationReads, sent: d.options.Clock.Now()}
 		switch {
 		case d.Versions().Configuration > 0 && !d.options.ShouldFollow():
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
-			position, err = d.followChanges(ctx, table, key, position, followWait)
+			sent.wait = followWait
+			position, err = d.followChanges(ctx, table, key, position, sent.wait)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		default:
 			position, err = d.readConfiguration(ctx, table, key)
 			loaded = err == nil
 		}
-		d.logAvailability(configurationReads, err)
+		d.recordCall(sent, err)
 		if err != nil {
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
 			backoff = min(2*backoff, retryMax)
@@ -173,7 +174,6 @@
 		if d.options.ShouldPoll() || !d.haveEndpoints() {
 			var err error
 			feed, quiet, err = d.pollOnce(ctx, feed)
-			d.logAvailability(endpointReads, err)
 			if err != nil {
 				_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
 				backoff = min(2*backoff, retryMax)
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -19,6 +19,7 @@
 	started := d.options.Clock.Now()
 	if !feed.mayFollow(started) {
 		page, err := d.readEndpoints(ctx)
+		d.recordCall(call{kind: endpointReads, sent: started}, err)
 		if err != nil {
 			return feed, false, err
 		}
@@ -28,6 +29,7 @@
 	ctx, cancel := store.WithProgress(ctx, wait+followGrace)
 	defer cancel()
 	changes, err := d.options.Rows.Follow(ctx, d.options.Decoder.EndpointTable(), feed.version, wait)
+	d.recordCall(call{kind: endpointReads, sent: started, wait: wait}, err)
 	now := d.options.Clock.Now()
 	if errors.Is(err, store.ErrCompacted) {
 		return feed.compacted(now), false, nil
--- a/directory/poll_test.go
+++ b/directory/poll_test.go
@@ -131,7 +131,7 @@
 			d := &Directory{options: Options{
 				Rows: s, Decoder: wordDecoder{}, Clock: clk, Logger: event.Discard(), Apply: func(*config.Catalog, map[string]string) {},
 				Regions: func() map[string]string { return nil },
-			}}
+			}, unavailableSince: make(map[string]time.Time), contacts: make(map[string]contact)}
 			feed, quiet := endpointFeed{}, false
 			for len(s.answers) > 0 {
 				feed, quiet, _ = d.pollOnce(context.Background(), feed)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -63,6 +63,13 @@
 	WorkspaceRefused     = define(321, log.ErrorLevel, "directory", "workspace refused", "A workspace of the operator's configuration is malformed and was left out, or a key is listed by two workspaces and belongs to neither; cause tells which. The rest of the configuration is in use. Correct the configuration.")
 )
 
+// Events of reading the store, 330 to 339.
+var (
+	StoreCallFailed = define(330, log.WarnLevel, "directory", "call to the store failed", "A read of the store that name tells failed or was given up after the time took; held is how long the store was allowed to wait for changes, silence the time since it last answered such a read, 0s if it has not.")
+	ReadingBegun    = define(331, log.InfoLevel, "directory", "reading of the store begun", "This instance reads what name tells from the store for its failure domain from now on; why gives the reason.")
+	ReadingEnded    = define(332, log.InfoLevel, "directory", "reading of the store ended", "Another instance of the failure domain reads what name tells from the store from now on; took is how long this one did.")
+)
+
 // Endpoint events, 400 to 499.
 var (
 	EndpointOwned        = define(400, log.InfoLevel, "pool", "endpoint owned", "This instance now opens the connections to the endpoint.")
--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -51,6 +51,9 @@
 
 	mu      sync.Mutex
 	sources directory.Sources
+	// announced holds the newest versions that peers have announced, and announcedAt when the first peer did.
+	announced   directory.Versions
+	announcedAt time.Time
 }
 
 func newFetcher(i *Instance) *fetcher {
@@ -66,6 +69,7 @@
 	}
 	distance := meter.DistanceBetween(f.instance.options.Settings.Instance.Domain, domain)
 	notBefore := f.instance.options.Clock.Now().Add(fetchDelay(distance, rand.Float64()))
+	f.recordAnnouncement(v)
 	f.change(func(s directory.Sources) directory.Sources {
 		return s.Newer(own).With(directory.Source{Address: address, Distance: distance, Versions: v, NotBefore: notBefore})
 	})
@@ -75,6 +79,22 @@
 	}
 }
 
+// recordAnnouncement records when the newest versions were first announced.
+func (f *fetcher) recordAnnouncement(v directory.Versions) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v.NewerThan(f.announced) {
+		f.announced, f.announcedAt = v, f.instance.options.Clock.Now()
+	}
+}
+
+// sinceAnnounced returns the time since the newest versions were first announced.
+func (f *fetcher) sinceAnnounced() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instance.options.Clock.Now().Sub(f.announcedAt)
+}
+
 func (f *fetcher) change(next func(s directory.Sources) directory.Sources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,7 +153,7 @@
 	}
 	fields := log.Fields{
 		"address": source.Address, "configuration": source.Versions.Configuration, "endpoints": source.Versions.Endpoints,
-		"bytes": received, "took": clk.Now().Sub(started).String(),
+		"bytes": received, "took": clk.Now().Sub(started).String(), "announced": f.sinceAnnounced().String(),
 	}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -379,7 +379,7 @@
 	followers := func() int {
 		n := 0
 		for _, i := range d.instances {
-			if i.isFollower() {
+			if i.following.active() {
 				n++
 			}
 		}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -24,14 +24,6 @@
 )
 
 const (
-	// pollersPerDomain is how many instances of a failure domain read the endpoints from the store; the others learn of
-	// changes from them.
-	pollersPerDomain = 1
-	// followersPerDomain is how many instances of a failure domain follow the changes of the configuration. One may be cut
-	// off from the store.
-	followersPerDomain = 2
-	// followerTask is the prefix under which instances are ranked for following the configuration.
-	followerTask = "follower/"
 	// heartbeatPeriod is the time between two rounds of heartbeats, which also carry the directory's versions and proofs of
 	// which endpoints lead.
 	heartbeatPeriod = 700 * time.Millisecond
@@ -57,6 +49,8 @@
 	node        *peer.Node
 	members     *member.Driver
 	roster      *member.Roster
+	polling     *reading
+	following   *reading
 	directory   *directory.Directory
 	freshness   *freshness.Keeper
 	databases   *database.Registry
@@ -92,6 +86,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
 	i.fetcher, i.tables.logger = newFetcher(i), o.Logger
+	i.polling = &reading{instance: i, name: endpointReading, task: pollerTask, count: pollersPerDomain}
+	i.following = &reading{instance: i, name: configurationReading, task: followerTask, count: followersPerDomain}
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
@@ -122,8 +118,8 @@
 	i.startMembers()
 	i.freshness = i.newFreshness()
 	i.directory = directory.New(i.ctx, directory.Options{
-		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
+		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.polling.active, Apply: i.applyCatalog,
+		ShouldFollow: i.following.active, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
 	})
 	go i.fetcher.run(i.ctx)
 	i.startAllotments()
@@ -152,7 +148,7 @@
 	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
-		RosterInterval: rosterInterval, PresumeUnproven: true, ShouldReadRoster: i.isPoller, Period: heartbeatPeriod, Seeds: i.seeds,
+		RosterInterval: rosterInterval, PresumeUnproven: true, ShouldReadRoster: i.polling.active, Period: heartbeatPeriod, Seeds: i.seeds,
 		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.redistributor.request, OnDeath: i.node.Drop,
 		OnMissed: i.holderHealth.RecordSilence,
 	})
@@ -194,27 +190,6 @@
 // RecordPeerRevision ignores revisions.
 func (noRevisions) RecordPeerRevision(uint64, string) {}
 
-// isPoller reports whether this instance reads the endpoints and the list of instances from the store for its failure
-// domain.
-func (i *Instance) isPoller() bool { return i.actsForDomain("poller/", pollersPerDomain) }
-
-// isFollower reports whether this instance follows the changes of the configuration for its failure domain.
-func (i *Instance) isFollower() bool { return i.actsForDomain(followerTask, followersPerDomain) }
-
-// actsForDomain reports whether this instance is one of count instances that have a task for its failure domain. The ranking
-// depends only on the prefix, the domain and the known instances, so that instances with the same view of the others agree without
-// messages.
-func (i *Instance) actsForDomain(taskPrefix string, count int) bool {
-	<-i.initialized
-	own := i.options.Settings.Instance
-	for _, ranked := range i.members.HighestRanked(taskPrefix+own.Domain, own.Domain, count) {
-		if ranked.ID == own.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // announceChange tells the partners at once that this instance has a newer directory, and ends the sessions whose keys are no
 // longer valid.
 func (i *Instance) announceChange() {
