directory: bound how long a lost call hides changes

Cause: a long poll that a silent store had lost was given up after 12 s, longer than the stable window and config-apply-ms together. All followers lost theirs at once, as each change answers all of them in the same moment; polls of the endpoints took 7 s. Ruled out: a connection that is used again after a lost answer; the client closes it with the call. Change: polls are held for 2.4 to 3 s and given up 1.5 s after they are due. The call after a failure is not held and may take 3 s, so a slow store is still followed, and the pause before it counts from when the failed call was sent. Tests: in TestEndpointFeed the case "a call fails" has one poll more and expects the one after the failure not to be held, as is new; waits that are drawn from the time a poll may be held count as the longest, and any other wait must still be exact.

--- a/directory/call.go
+++ b/directory/call.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"siskincove/clock"
 	"siskincove/event"
 	"siskincove/store"
 )
@@ -43,3 +45,32 @@
 		"name": "store/" + c.kind, "took": now.Sub(c.sent).String(), "held": c.wait.String(), "silence": silence.String(), "error": err.Error(),
 	})
 }
+
+func (d *Directory) contact(kind string) contact {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.contacts[kind]
+}
+
+// holdTime returns how long the store may hold the next call of a kind: somewhat less than longest, so that instances don't call in
+// step, and not at all after a call that failed, so that another lost answer is noticed sooner.
+func (d *Directory) holdTime(kind string, longest time.Duration) time.Duration {
+	if d.contact(kind).failing() {
+		return 0
+	}
+	return time.Duration(float64(longest) * (1 - jitter*rand.Float64()))
+}
+
+// grace returns how long an answer of a kind may make no progress once it is due.
+func (d *Directory) grace(kind string) time.Duration {
+	if d.contact(kind).failing() {
+		return failingGrace
+	}
+	return followGrace
+}
+
+// waitForRetry waits after a call that failed until backoff has passed since it was sent.
+func (d *Directory) waitForRetry(ctx context.Context, failed call, backoff time.Duration) {
+	pause := withJitter(backoff) - d.options.Clock.Now().Sub(failed.sent)
+	_ = clock.Wait(ctx, d.options.Clock, max(pause, retryMin/2))
+}
--- a/directory/contact.go
+++ b/directory/contact.go
@@ -27,6 +27,9 @@
 	return c
 }
 
+// failing reports whether the latest call failed.
+func (c contact) failing() bool { return !c.failingSince.IsZero() }
+
 // silence returns the time since the store last answered, 0 if it has not.
 func (c contact) silence(now time.Time) time.Duration {
 	if c.answeredAt.IsZero() {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	// followWait is how long the store may hold a long poll for changes. If the poll's connection dies meanwhile, changes
-	// arrive from peers.
-	followWait = 10 * time.Second
-	// followGrace is added to followWait for the answer to arrive.
-	followGrace = 2 * time.Second
+	// followWait is how long the store may hold a long poll for changes at most. All instances that follow may lose theirs at once,
+	// so with followGrace and a repeated call it must stay below the time in which a change has to be in force.
+	followWait = 3 * time.Second
+	// followGrace is how long an answer of the store may make no progress once it is due, and failingGrace the same after a call
+	// that failed, so that a slow store is still followed.
+	followGrace  = 1500 * time.Millisecond
+	failingGrace = 3 * time.Second
 	// readTimeout bounds how long a read that the store normally answers at once makes no progress; the store may be some tens
 	// of times slower.
 	readTimeout = 1500 * time.Millisecond
@@ -59,7 +61,7 @@
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
-			sent.wait = followWait
+			sent.wait = d.holdTime(configurationReads, followWait)
 			position, err = d.followChanges(ctx, table, key, position, sent.wait)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		default:
@@ -68,7 +70,7 @@
 		}
 		d.recordCall(sent, err)
 		if err != nil {
-			_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
+			d.waitForRetry(ctx, sent, backoff)
 			backoff = min(2*backoff, retryMax)
 			continue
 		}
@@ -109,7 +111,7 @@
 // followChanges waits for at most wait for changes after a position and applies those of the configuration row. It returns the
 // position up to which it has seen all changes.
 func (d *Directory) followChanges(ctx context.Context, table, key string, from feed, wait time.Duration) (feed, error) {
-	callCtx, cancel := store.WithProgress(ctx, wait+followGrace)
+	callCtx, cancel := store.WithProgress(ctx, wait+d.grace(configurationReads))
 	defer cancel()
 	sent := d.options.Clock.Now()
 	changes, err := d.options.Rows.Follow(callCtx, table, from.after, wait)
@@ -173,9 +175,10 @@
 	for ctx.Err() == nil {
 		if d.options.ShouldPoll() || !d.haveEndpoints() {
 			var err error
+			sent := call{kind: endpointReads, sent: d.options.Clock.Now()}
 			feed, quiet, err = d.pollOnce(ctx, feed)
 			if err != nil {
-				_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
+				d.waitForRetry(ctx, sent, backoff)
 				backoff = min(2*backoff, retryMax)
 				continue
 			}
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -9,9 +9,9 @@
 	"siskincove/store"
 )
 
-// endpointWait is how long the store may hold a request for changes of the endpoint table. While an endpoint is missing it is
+// endpointWait is how long the store may hold a request for changes of the endpoint table at most. While an endpoint is missing it is
 // pollInterval, so that the endpoint is removed in time.
-const endpointWait = 5 * time.Second
+const endpointWait = 3 * time.Second
 
 // pollOnce brings the endpoints up to date, by the changes of the table if feed allows that and by reading all of it otherwise. It
 // returns the next feed, and true if the store was waited for and nothing changed.
@@ -26,7 +26,7 @@
 		return feed.readFrom(page, started), false, nil
 	}
 	wait := d.endpointWait()
-	ctx, cancel := store.WithProgress(ctx, wait+followGrace)
+	ctx, cancel := store.WithProgress(ctx, wait+d.grace(endpointReads))
 	defer cancel()
 	changes, err := d.options.Rows.Follow(ctx, d.options.Decoder.EndpointTable(), feed.version, wait)
 	d.recordCall(call{kind: endpointReads, sent: started, wait: wait}, err)
@@ -47,9 +47,10 @@
 // endpointWait returns how long the store may hold the next request for changes.
 func (d *Directory) endpointWait() time.Duration {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.snapshot.anyMissing() {
-		return pollInterval
+	missing := d.snapshot.anyMissing()
+	d.mu.Unlock()
+	if hold := d.holdTime(endpointReads, endpointWait); !missing || hold == 0 {
+		return hold
 	}
-	return endpointWait
+	return pollInterval
 }
--- a/directory/poll_test.go
+++ b/directory/poll_test.go
@@ -54,6 +54,9 @@
 }
 
 func (s *scriptedRows) Follow(_ context.Context, _ string, _ store.Version, wait time.Duration) (store.Changes, error) {
+	if shortest := time.Duration((1 - jitter) * float64(endpointWait)); wait >= shortest && wait <= endpointWait {
+		wait = endpointWait
+	}
 	s.waits = append(s.waits, wait)
 	a := s.next("follow")
 	return a.changes, a.err
@@ -106,8 +109,9 @@
 				read(1, a),
 				{call: "follow", err: store.ErrRejected},
 				{call: "follow", changes: store.Changes{Changes: []store.Change{listed("b")}, Version: 3}},
+				{call: "follow", changes: store.Changes{Version: 3}, takes: endpointWait},
 			},
-			want: []string{"a", "b"}, waits: []time.Duration{endpointWait, endpointWait},
+			want: []string{"a", "b"}, waits: []time.Duration{endpointWait, 0, endpointWait}, quiet: true,
 		},
 		"the store has dropped its history, and may do so again": {
 			answers: []answer{
