directory: hold long polls longer where instances ask for proofs

Cause: polls of at most 3 s at every follower, also where one instance confirms the configuration every 0.95 s anyway. Change: polls are held for up to 10 s where proofs are needed. A lost poll hides no change there, as the questions for proofs, which are given up after 0.7 s, bring it. Result: TestProofsInCalm passes; TestLostCall has the case.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -41,6 +41,8 @@
 	// OnConfirmed, if set, is called when the store has answered that no configuration was newer than one of the operator's
 	// versions, with that version, the time at which the question was sent, and the era of the store.
 	OnConfirmed func(version uint64, sent time.Time, era uint64)
+	// Confirms, if set, reports whether the deployment calls Confirm so often that it notices changes although polls are lost.
+	Confirms func() bool
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each new catalog and with the name of the endpoint that is registered as primary of each
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -17,6 +17,8 @@
 	// followWait is how long the store may hold a long poll for changes at most. All instances that follow may lose theirs at once,
 	// so with followGrace and a repeated call it must stay below the time in which a change has to be in force.
 	followWait = 3 * time.Second
+	// confirmedWait is the same where Options.Confirms holds.
+	confirmedWait = 10 * time.Second
 	// followGrace is how long an answer of the store may make no progress once it is due, and failingGrace the same after a call
 	// that failed, so that a slow store is still followed.
 	followGrace  = 1500 * time.Millisecond
@@ -61,7 +63,7 @@
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
-			sent.wait = d.holdTime(configurationReads, followWait)
+			sent.wait = d.holdTime(configurationReads, d.followWait())
 			position, err = d.followChanges(ctx, table, key, position, sent.wait)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		default:
@@ -81,6 +83,14 @@
 	}
 }
 
+// followWait returns how long the store may hold a long poll for changes of the configuration at most.
+func (d *Directory) followWait() time.Duration {
+	if d.options.Confirms != nil && d.options.Confirms() {
+		return confirmedWait
+	}
+	return followWait
+}
+
 // feed is a position in the changes of the configuration's table.
 type feed struct {
 	// after is the version of the store up to which all changes have been seen.
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -78,12 +78,12 @@
 	return store.Changes{Changes: []store.Change{{Row: row}}, Version: row.Version}, nil
 }
 
-// startDirectory starts a directory that follows and polls.
-func startDirectory(ctx context.Context, rows store.Rows) *Directory {
+// startDirectory starts a directory that follows and polls. confirms is Options.Confirms.
+func startDirectory(ctx context.Context, rows store.Rows, confirms bool) *Directory {
 	return New(ctx, Options{
 		Rows: rows, Decoder: wordDecoder{}, Clock: clock.System{}, Logger: event.Discard(),
 		Apply: func(*config.Catalog, map[string]string) {}, OnChange: func() {}, Regions: func() map[string]string { return nil },
-		ShouldFollow: func() bool { return true }, ShouldPoll: func() bool { return true },
+		Confirms: func() bool { return confirms }, ShouldFollow: func() bool { return true }, ShouldPoll: func() bool { return true },
 	})
 }
 
@@ -102,12 +102,17 @@
 		row, changed store.Row
 		want         Versions
 		bound, delay time.Duration
+		// confirms is set if the directory is asked to confirm the configuration at intervals.
+		confirms bool
 	}{
 		"configuration": {row: configuration("a", 1), changed: configuration("ab", 2), want: Versions{Configuration: 2}, bound: inForce},
 		"endpoints":     {row: endpoint("replica ready 1", 1), changed: endpoint("replica leaving 2", 2), want: Versions{Endpoints: 2}, bound: drained},
 		"configuration, each answer takes 0.7 s": {
 			row: configuration("a", 1), changed: configuration("ab", 2), want: Versions{Configuration: 2}, bound: inForce, delay: 700 * time.Millisecond,
 		},
+		"configuration, confirmed at intervals": {
+			row: configuration("a", 1), changed: configuration("ab", 2), want: Versions{Configuration: 2}, bound: inForce, confirms: true,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -119,13 +124,23 @@
 							start: time.Now(), from: from, to: to, changedAt: to + stable, row: test.row, changed: test.changed, delay: test.delay,
 						}
 						ctx, cancel := context.WithCancel(context.Background())
-						d := startDirectory(ctx, rows)
+						d := startDirectory(ctx, rows, test.confirms)
+						confirmed := make(chan struct{})
+						go func() {
+							defer close(confirmed)
+							for test.confirms && clock.Wait(ctx, clock.System{}, 950*time.Millisecond) == nil {
+								callCtx, stop := store.WithProgress(ctx, 700*time.Millisecond)
+								_ = d.Confirm(callCtx)
+								stop()
+							}
+						}()
 						time.Sleep(rows.changedAt + test.bound)
 						if got := d.Versions(); got != test.want {
 							t.Errorf("silent from %s to %s: %s after a change at %s the versions are %+v", from, to, test.bound, rows.changedAt, got)
 						}
 						cancel()
 						<-d.Done()
+						<-confirmed
 					})
 				}
 			}
@@ -143,7 +158,7 @@
 				changed.Value, changed.Version = []byte("ab"), 2
 				rows := &outageRows{start: time.Now(), changedAt: 20 * time.Second, row: row, changed: changed, delay: delay, slowFrom: 10 * time.Second}
 				ctx, cancel := context.WithCancel(context.Background())
-				d := startDirectory(ctx, rows)
+				d := startDirectory(ctx, rows, false)
 				time.Sleep(rows.changedAt + 4*delay + followWait)
 				if got := d.Versions().Configuration; got != 2 {
 					t.Errorf("version %d in force", got)
--- a/hosted/freshness.go
+++ b/hosted/freshness.go
@@ -43,6 +43,12 @@
 	return bound
 }
 
+// needsProofs reports whether instances ask for proofs.
+func (i *Instance) needsProofs() bool {
+	<-i.initialized
+	return i.withdrawal() > 0
+}
+
 // recordConfirmation records that the store knew no configuration newer than a version when a question was sent to it.
 func (i *Instance) recordConfirmation(version uint64, sent time.Time, era uint64) {
 	<-i.initialized
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -120,6 +120,7 @@
 	i.directory = directory.New(i.ctx, directory.Options{
 		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.polling.active, Apply: i.applyCatalog,
 		ShouldFollow: i.following.active, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
+		Confirms: i.needsProofs,
 	})
 	go i.fetcher.run(i.ctx)
 	i.startAllotments()
