hosted: hand reads of the store over where it does not answer

Cause: who reads for a failure domain follows from ranks over the living instances, whether the store answers them or not. Change: a reader whose calls have failed for 0.4 s, or whose poll was given up, asks the next in rank by a heartbeat (field wanted) to read in its place; the reply (field taken) tells whether that one does. One at a time is asked, and none twice in 10 s if the store does not answer it either. Builds that don't know the fields ignore them and count as declining. Result: TestReadersTurnedAway failed without the requests (changes not in force in 17 s).

--- a/directory/call.go
+++ b/directory/call.go
@@ -15,6 +15,14 @@
 	"siskincove/store"
 )
 
+// Kinds of reads.
+const (
+	// ConfigurationReads are reads of the operator's configuration and its changes.
+	ConfigurationReads = configurationReads
+	// EndpointReads are reads of the registered endpoints and their changes.
+	EndpointReads = endpointReads
+)
+
 // call is a call to the store.
 type call struct {
 	// kind is the kind of read.
@@ -46,6 +54,16 @@
 	})
 }
 
+// StoreLost reports whether the store has not answered reads of a kind for some time although this instance has tried.
+func (d *Directory) StoreLost(kind string) bool { return d.contact(kind).lost }
+
+// forgetCalls forgets whether the store has answered reads of a kind, which another instance makes from now on.
+func (d *Directory) forgetCalls(kind string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.contacts, kind)
+}
+
 func (d *Directory) contact(kind string) contact {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -35,7 +35,10 @@
 	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
 	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the other instances check whether they should poll or follow.
-	standbyInterval = time.Second
+	standbyInterval = 300 * time.Millisecond
+	// settleTime is how long after its first read an instance waits before it follows. After a start the other instances are found
+	// meanwhile, so that not all of them follow.
+	settleTime = time.Second
 	// retryMin and retryMax bound the backoff while the store does not answer.
 	retryMin = 200 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -60,6 +63,7 @@
 		followed, sent := loaded, call{kind: configurationReads, sent: d.options.Clock.Now()}
 		switch {
 		case d.Versions().Configuration > 0 && !d.options.ShouldFollow():
+			d.forgetCalls(configurationReads)
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
@@ -77,8 +81,7 @@
 			continue
 		}
 		if backoff = retryMin; !followed {
-			// After a start the other instances are found meanwhile, so that not all of them follow.
-			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
+			_ = clock.Wait(ctx, d.options.Clock, withJitter(settleTime))
 		}
 	}
 }
@@ -195,6 +198,7 @@
 			backoff = retryMin
 		} else {
 			feed, quiet = endpointFeed{}, false
+			d.forgetCalls(endpointReads)
 		}
 		d.expireMissing()
 		if !quiet && !d.waitForPoll(ctx) {
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -19,6 +19,7 @@
 	<-i.initialized
 	if request != nil {
 		i.addConfirmed(h)
+		h.Taken = i.takenReads(request.GetWanted())
 	}
 	v := i.directory.Versions()
 	i.observeEra(v.Endpoints.Era())
@@ -50,6 +51,9 @@
 func (i *Instance) handleHeartbeat(h *wire.Heartbeat, sentAt time.Time) {
 	<-i.initialized
 	i.recordConfirmed(h, sentAt)
+	if sentAt.IsZero() {
+		i.takeReads(h.GetWanted())
+	}
 	for _, lead := range h.GetLeads() {
 		if d, ok := i.databases.Get(lead.GetDatabase()); ok {
 			i.recordLead(d, lead, sentAt)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -46,16 +46,18 @@
 	initialized chan struct{}
 	trimDone    chan struct{}
 	trafficDone chan struct{}
-	node        *peer.Node
-	members     *member.Driver
-	roster      *member.Roster
-	polling     *reading
-	following   *reading
-	directory   *directory.Directory
-	freshness   *freshness.Keeper
-	databases   *database.Registry
-	dispatcher  *dispatch.Dispatcher
-	lender      *loan.Lender
+	// handoverDone is closed once handOverReads has returned.
+	handoverDone chan struct{}
+	node         *peer.Node
+	members      *member.Driver
+	roster       *member.Roster
+	polling      *reading
+	following    *reading
+	directory    *directory.Directory
+	freshness    *freshness.Keeper
+	databases    *database.Registry
+	dispatcher   *dispatch.Dispatcher
+	lender       *loan.Lender
 	// holderHealth tracks which holders of borrowed connections answer.
 	holderHealth *loan.Health
 	// spread tells which workspaces use several holders.
@@ -84,14 +86,15 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{}), handoverDone: make(chan struct{})}
 	i.fetcher, i.tables.logger = newFetcher(i), o.Logger
-	i.polling = &reading{instance: i, name: endpointReading, task: pollerTask, count: pollersPerDomain}
-	i.following = &reading{instance: i, name: configurationReading, task: followerTask, count: followersPerDomain}
+	i.polling = &reading{instance: i, kind: directory.EndpointReads, bit: endpointsBit, task: pollerTask, count: pollersPerDomain}
+	i.following = &reading{instance: i, kind: directory.ConfigurationReads, bit: configurationBit, task: followerTask, count: followersPerDomain}
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
 	go i.trimConnections()
+	go i.handOverReads()
 	go i.logTraffic()
 	i.directory.Reapply()
 	s := o.Settings
@@ -274,6 +277,7 @@
 	<-i.health.done
 	<-i.trimDone
 	<-i.trafficDone
+	<-i.handoverDone
 	<-i.fetcher.done
 }
 
--- a/hosted/reading.go
+++ b/hosted/reading.go
@@ -22,21 +22,24 @@
 	followerTask = "follower/"
 )
 
-// What is read, as it appears in logs.
+// What is read, as it appears in heartbeats.
 const (
-	endpointReading      = "endpoints"
-	configurationReading = "configuration"
+	endpointsBit     = 1
+	configurationBit = 2
 )
 
 // Reasons why an instance reads the store, as they appear in logs.
 const (
-	readsByRank = "rank"
+	readsByRank    = "rank"
+	readsByRequest = "request"
 )
 
 // reading decides whether this instance reads something from the store on behalf of its failure domain.
 type reading struct {
 	instance *Instance
-	name     string
+	// kind is the kind of reads, and bit stands for it in heartbeats.
+	kind string
+	bit  uint32
 	// task is the prefix under which instances are ranked, and count how many of them read.
 	task  string
 	count int
@@ -45,6 +48,9 @@
 	// why is the reason for reading since a time, empty if this instance does not read.
 	why   string
 	since time.Time
+	// requestedUntil is until when this instance reads in the place of another one, and declinesUntil until when it does not as the
+	// store did not answer it either.
+	requestedUntil, declinesUntil time.Time
 }
 
 // active reports whether this instance reads. It logs changes.
@@ -58,9 +64,9 @@
 		return why != ""
 	}
 	if why != "" {
-		r.instance.options.Logger.Log(event.ReadingBegun, log.Fields{"name": r.name, "why": why})
+		r.instance.options.Logger.Log(event.ReadingBegun, log.Fields{"name": r.kind, "why": why})
 	} else {
-		r.instance.options.Logger.Log(event.ReadingEnded, log.Fields{"name": r.name, "took": now.Sub(r.since).String()})
+		r.instance.options.Logger.Log(event.ReadingEnded, log.Fields{"name": r.kind, "took": now.Sub(r.since).String()})
 	}
 	r.why, r.since = why, now
 	return why != ""
@@ -71,6 +77,9 @@
 	if r.ranksFirst() {
 		return readsByRank
 	}
+	if r.substitutes() {
+		return readsByRequest
+	}
 	return ""
 }
 
--- a/member/announce.go
+++ b/member/announce.go
@@ -30,6 +30,20 @@
 	wait.Wait()
 }
 
+// Ask sends a heartbeat with further data to the instance with an ID and returns the reply, nil if none came.
+func (d *Driver) Ask(ctx context.Context, id string, extend func(h *wire.Heartbeat)) *wire.Heartbeat {
+	d.mu.Lock()
+	asked, known := d.table.instances[id]
+	d.mu.Unlock()
+	if !known {
+		return nil
+	}
+	return d.exchange(ctx, asked, func(h *wire.Heartbeat) {
+		withoutInterests(h)
+		extend(h)
+	})
+}
+
 // withoutInterests makes a heartbeat ask for no leads in the reply. Leads come from partners.
 func withoutInterests(h *wire.Heartbeat) { h.Interests = nil }
 
--- a/member/heartbeats.go
+++ b/member/heartbeats.go
@@ -70,8 +70,9 @@
 	return urgent
 }
 
-// exchange sends a heartbeat, extended by extend unless that is nil, and records the reply, or that none came.
-func (d *Driver) exchange(ctx context.Context, i Instance, extend func(h *wire.Heartbeat)) {
+// exchange sends a heartbeat, extended by extend unless that is nil, and records the reply, or that none came. It returns the reply,
+// nil if none came.
+func (d *Driver) exchange(ctx context.Context, i Instance, extend func(h *wire.Heartbeat)) (answer *wire.Heartbeat) {
 	defer d.options.Logger.Contain("heartbeat")
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -84,7 +85,7 @@
 	if err == nil && reply.GetHeartbeat().GetId() == i.ID {
 		d.applyReply(h, reply.GetHeartbeat())
 		d.notifyHeartbeat(reply.GetHeartbeat(), sentAt)
-		return
+		return reply.GetHeartbeat()
 	}
 	d.mu.Lock()
 	changes := d.table.Missed(i.ID, d.options.Clock.Now())
@@ -93,6 +94,7 @@
 		d.options.OnMissed(i.Address)
 	}
 	d.handleChanges(changes)
+	return nil
 }
 
 func (d *Driver) notifyHeartbeat(h *wire.Heartbeat, sentAt time.Time) {
