--- a/directory/directory.go
+++ b/directory/directory.go
@@ -41,6 +41,8 @@
 	// OnConfirmed, if set, is called when the store has answered that no configuration was newer than one of the operator's
 	// versions, with that version, the time at which the question was sent, and the era of the store.
 	OnConfirmed func(version uint64, sent time.Time, era uint64)
+	// Confirms, if set, reports whether the deployment calls Confirm so often that it notices changes although polls are lost.
+	Confirms func() bool
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each new catalog and with the name of the endpoint that is registered as primary of each
@@ -81,15 +83,16 @@
 	endpointsLoadedAt time.Time
 	// primaries maps each database of the current catalog to the endpoint that is registered as its primary.
 	primaries map[string]string
-	// unavailableSince is since when the store does not answer, by kind of read.
+	// unavailableSince is since when the store does not answer, and contacts when it last did, by kind of read.
 	unavailableSince map[string]time.Time
+	contacts         map[string]contact
 	// refusals bounds the lines about entries that can't be used.
 	refusals refusals
 }
 
 // New starts a directory, which stops when ctx ends.
 func New(ctx context.Context, o Options) *Directory {
-	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time)}
+	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time), contacts: make(map[string]contact)}
 	d.goroutines.Go(func() {
 		if o.Bootstrap != nil {
 			o.Bootstrap(ctx)
