succession: log which endpoints a succession counts and when they were read

Cause: "succession started" named only how many replicas it held. Change: it names the counted endpoints with the ends of their logs, those without an answer, the departed ones, and the age and error of the read of the endpoints; Directory.Refresh returns these as a Reading. No logic has changed.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -79,6 +79,8 @@
 	snapshot          Snapshot
 	endpointsLoaded   bool
 	endpointsLoadedAt time.Time
+	// endpointsReadAt is when the latest read of the endpoints that the store answered was sent, zero if there was none.
+	endpointsReadAt time.Time
 	// primaries maps each database of the current catalog to the endpoint that is registered as its primary.
 	primaries map[string]string
 	// unavailableSince is since when the store does not answer, by kind of read.
@@ -119,16 +121,18 @@
 	return d.configuration.Version
 }
 
-// Refresh reads the endpoints again, with a short timeout. It reports whether endpoints have been known for at least
-// missingGrace; before that, one may be absent only because its entry has lapsed briefly.
-func (d *Directory) Refresh(ctx context.Context) bool {
+// Refresh reads the endpoints again, with a short timeout, and returns how current they are.
+func (d *Directory) Refresh(ctx context.Context) Reading {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	_, err := d.readEndpoints(ctx)
 	d.logAvailability(endpointReads, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.endpointsLoaded && d.options.Clock.Now().Sub(d.endpointsLoadedAt) >= missingGrace
+	now := d.options.Clock.Now()
+	return Reading{
+		Settled: d.endpointsLoaded && now.Sub(d.endpointsLoadedAt) >= missingGrace, Err: err, ReadAt: d.endpointsReadAt,
+	}
 }
 
 // updateConfiguration applies the configuration row unless the current configuration has the same or a later version. The
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -214,11 +214,12 @@
 func (d *Directory) readEndpoints(ctx context.Context) (store.Page, error) {
 	ctx, cancel := store.WithProgress(ctx, readTimeout)
 	defer cancel()
-	table := d.options.Decoder.EndpointTable()
+	table, sent := d.options.Decoder.EndpointTable(), d.options.Clock.Now()
 	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
 	if err != nil {
 		return page, err
 	}
+	d.recordRead(sent)
 	d.updateEndpoints(page.Rows, page.Version, sourceStore)
 	return page, nil
 }
--- a/directory/poll.go
+++ b/directory/poll.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return feed, false, err
 	}
+	d.recordRead(started)
 	next := feed.with(changes)
 	if len(changes.Changes) > 0 {
 		d.updateEndpoints(next.all(), next.version, sourceStore)
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -99,7 +99,7 @@
 // Succession events, 520 to 539.
 var (
 	PrimarySuspected   = define(520, log.WarnLevel, "succession", "primary suspected", "The coordinator queries every endpoint of the group; why gives the evidence.")
-	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged.")
+	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged. counted gives the endpoints whose logs count and where they end, omitted those without an answer, departed those no longer registered; endpointsage is the age of the last read of the endpoints, and unread why the latest one failed.")
 	PromotionRequested = define(522, log.WarnLevel, "succession", "promotion requested", "The platform is asked to promote the endpoint whose log holds every acknowledged commit.")
 	PromotionRefused   = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the request, which has no effect; another attempt starts with a higher fencing token.")
 	PromotionUnknown   = define(524, log.WarnLevel, "succession", "promotion result unknown", "The request may still take effect; it is repeated unchanged until the endpoint leads or the platform refuses it.")
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -13,6 +13,7 @@
 	"siskincove/config"
 	"siskincove/connection"
 	"siskincove/database"
+	"siskincove/directory"
 	"siskincove/event"
 	"siskincove/statement"
 	"siskincove/store"
@@ -71,9 +72,8 @@
 	Rows      store.Rows
 	Databases *database.Registry
 	Ranking   Ranking
-	// Refresh reloads the endpoints if the store answers at once. It reports whether the set of endpoints is current enough
-	// to tell which logs may hold acknowledged commits.
-	Refresh func(ctx context.Context) bool
+	// Refresh reloads the endpoints if the store answers at once, and returns how current they are.
+	Refresh func(ctx context.Context) directory.Reading
 	// Announce is called with the name of a database whose primary was replaced.
 	Announce func(database string)
 }
@@ -226,7 +226,7 @@
 		db.DropSettledDepartures(func(e config.Endpoint) bool { return slices.Contains(assessment.Settled, targets.label(e)) })
 	}
 	if assessment.Replace {
-		c.replace(ctx, db, targets.counted(results), assessment)
+		c.replace(ctx, db, targets, results, assessment)
 	}
 }
 
@@ -251,13 +251,18 @@
 }
 
 // replace runs a succession over the counted endpoints to its end.
-func (c *Coordinator) replace(ctx context.Context, db *database.Database, counted []config.Endpoint, assessment Assessment) {
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, targets probeTargets, results []ProbeResult, assessment Assessment) {
 	if c.fencingToken == 0 {
 		c.reserveTokenAhead(ctx)
 	}
-	if c.fencingToken == 0 || !c.options.Refresh(ctx) {
+	if c.fencingToken == 0 {
+		return
+	}
+	reading := c.options.Refresh(ctx)
+	if !reading.Settled {
 		return
 	}
+	counted := targets.counted(results)
 	known, acknowledge := c.group()
 	registered := slices.DeleteFunc(slices.Clone(counted), func(e config.Endpoint) bool { return !slices.Contains(known, e) })
 	if !slices.Equal(known, registered) {
@@ -271,10 +276,12 @@
 			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name, Leaving: e.Leaving})
 		}
 	}
-	c.options.Logger.Log(event.SuccessionStarted, log.Fields{
+	fields := log.Fields{
 		"database": c.name, "why": string(assessment.Reason), "since": c.options.Clock.Now().Sub(assessment.Since).String(), "lost": plan.OldPrimary,
 		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
-	})
+	}
+	c.addEvidence(fields, targets, results, plan, reading)
+	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
 	r.run(ctx)
 	c.detector, c.suspected = c.detector.afterAttempt(plan.Term), true
