succession: list in the store which endpoints may hold acknowledged commits

Cause: departed endpoints were known in memory only. Ruled out that the registrations tell: they name those that are left. Change: the first coordinator of a database keeps the registered endpoints and the departed ones that count in a row of the table members, by conditional writes from a goroutine of its own; a coordinator reads it before its first succession and takes listed endpoints that are not registered for departures. An endpoint that is registered again under its incarnation is none any longer. Builds that do not know the table ignore it; a stale row delays and settles itself. Result: TestDepartureBeforeRestart failed before (C promoted, 20 acknowledged writes lost) and passes.

--- a/database/database.go
+++ b/database/database.go
@@ -29,6 +29,8 @@
 	leavingSince map[string]time.Time
 	// departures lists the endpoints that left and may hold commits that no other replica has.
 	departures []Departure
+	// concluded lists endpoints whose departures no longer count, the latest last.
+	concluded []config.Endpoint
 	// changed is closed and replaced when another endpoint leads, when none does any longer, and at the first proof of
 	// the lead after a period of more than proofGap without one.
 	changed chan struct{}
@@ -213,6 +215,7 @@
 		current[e.Name] = true
 		d.updatePool(e, share(e))
 		d.recordLeaving(e)
+		d.recordRegistered(e)
 	}
 	for name, p := range d.pools {
 		if !current[name] {
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -96,7 +96,7 @@
 	FollowerRedirected = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed no primary was told to follow the current one.")
 )
 
-// Succession events, 520 to 539.
+// Succession events, 520 to 549.
 var (
 	PrimarySuspected   = define(520, log.WarnLevel, "succession", "primary suspected", "The coordinator queries every endpoint of the group; why gives the evidence.")
 	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged. counted gives the endpoints whose logs count and where they end, omitted those without an answer, departed those no longer registered; endpointsage is the age of the last read of the endpoints, and unread why the latest one failed.")
@@ -110,6 +110,9 @@
 	DepartureSettled   = define(530, log.InfoLevel, "succession", "departure settled", "Every commit on the endpoints that left is also on a registered replica.")
 	SuccessionBlocked  = define(531, log.WarnLevel, "succession", "succession blocked", "The primary should be replaced but can't be; why gives the obstacle, evidence what speaks against the primary and since for how long.")
 	FenceMissing       = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store supplies none; another coordinator has to act.")
+	MembersStored      = define(540, log.InfoLevel, "succession", "members stored", "The list of the endpoints that may hold acknowledged commits was written to the store, where coordinators find it after a restart.")
+	MembersFailed      = define(541, log.WarnLevel, "succession", "members not stored", "The list of the endpoints that may hold acknowledged commits could not be read, written or decoded; it is tried again.")
+	MembersDeparted    = define(542, log.WarnLevel, "succession", "listed endpoints departed", "Endpoints that may hold acknowledged commits are listed in the store but not registered; they count as departed.")
 )
 
 // Membership events, 600 to 699.
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -166,7 +166,7 @@
 			return succession.Start(ctx, succession.Options{
 				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter,
 				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.directory.Refresh,
-				Announce: i.announce,
+				Era: func() uint64 { return i.directory.Versions().Endpoints.Era() }, Announce: i.announce,
 			}, d, endpoints)
 		},
 	})
--- a/succession/blocked.go
+++ b/succession/blocked.go
@@ -5,7 +5,10 @@
 	"strings"
 	"time"
 
+	"github.com/apex/log"
+
 	"siskincove/endpoint"
+	"siskincove/event"
 )
 
 // blockedBy returns why a succession must not start now, empty if it may. An acknowledged commit is in the logs of the primary
@@ -43,3 +46,13 @@
 		return ""
 	}
 }
+
+// setBlocked records what keeps a due succession from starting, empty for nothing, and logs it when it has changed.
+func (c *Coordinator) setBlocked(why string, a Assessment, lead string) {
+	if why != "" && why != c.blockedBy {
+		c.options.Logger.Log(event.SuccessionBlocked, log.Fields{
+			"database": c.name, "why": why, "evidence": string(a.Reason), "lead": lead, "since": c.options.Clock.Now().Sub(a.Since).String(),
+		})
+	}
+	c.blockedBy = why
+}
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -74,6 +74,8 @@
 	Ranking   Ranking
 	// Refresh reloads the endpoints if the store answers at once, and returns how current they are.
 	Refresh func(ctx context.Context) directory.Reading
+	// Era returns the latest era of the store that is known.
+	Era func() uint64
 	// Announce is called with the name of a database whose primary was replaced.
 	Announce func(database string)
 }
@@ -90,6 +92,9 @@
 	// blockedBy is what last kept a due succession from starting; it is logged when it changes.
 	blockedBy  string
 	lastSurvey time.Time
+	// keeper keeps the list of members in the store; membersRead is set once it has been read.
+	keeper      *memberKeeper
+	membersRead bool
 
 	mu      sync.Mutex
 	members []config.Endpoint
@@ -106,7 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Coordinator{
 		options: o, name: d.Name, prober: newProber(ctx, o.Dialer, o.Clock), cancel: cancel, done: make(chan struct{}),
-		members: members, acknowledge: d.SyncReplicas,
+		members: members, acknowledge: d.SyncReplicas, keeper: startMemberKeeper(ctx, o, d.Name),
 	}
 	go c.run(ctx)
 	return c
@@ -133,6 +138,7 @@
 
 func (c *Coordinator) run(ctx context.Context) {
 	defer close(c.done)
+	defer func() { <-c.keeper.done }()
 	defer c.prober.close()
 	for ctx.Err() == nil {
 		pause := roundInterval
@@ -155,7 +161,7 @@
 
 // round probes the endpoints unless the primary was proved to lead recently, and acts on the results.
 func (c *Coordinator) round(ctx context.Context, db *database.Database, rank int) {
-	members, _ := c.group()
+	members, acknowledge := c.group()
 	lead, led := db.View().Lead()
 	now := c.options.Clock.Now()
 	interval := surveyInterval
@@ -166,7 +172,7 @@
 	if rank > 0 {
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofMaxAge+c.options.Timing.Unresponsive
 	}
-	departures := db.Departures()
+	departures := c.keepMembers(db, acknowledge, rank)
 	if fresh && !c.suspected && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
 		return
 	}
@@ -207,13 +213,9 @@
 		c.options.Logger.Log(event.PrimarySuspected, log.Fields{"database": c.name, "why": string(assessment.Reason), "lead": lead.Endpoint, "rank": rank})
 	}
 	c.suspected = suspected
-	if assessment.BlockedBy != "" && assessment.BlockedBy != c.blockedBy {
-		c.options.Logger.Log(event.SuccessionBlocked, log.Fields{
-			"database": c.name, "why": assessment.BlockedBy, "evidence": string(assessment.Reason), "lead": lead.Endpoint,
-			"since": c.options.Clock.Now().Sub(assessment.Since).String(),
-		})
+	if !assessment.Replace {
+		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
 	}
-	c.blockedBy = assessment.BlockedBy
 	if len(assessment.Release) > 0 && c.invalidateOldPromotions(ctx, assessment.Primary) {
 		for _, e := range members {
 			if slices.Contains(assessment.Release, e.Name) {
@@ -255,7 +257,7 @@
 	if c.fencingToken == 0 {
 		c.reserveTokenAhead(ctx)
 	}
-	if c.fencingToken == 0 {
+	if c.fencingToken == 0 || !c.mayCountMembers(assessment) {
 		return
 	}
 	reading := c.options.Refresh(ctx)
@@ -280,6 +282,7 @@
 		"database": c.name, "why": string(assessment.Reason), "since": c.options.Clock.Now().Sub(assessment.Since).String(), "lost": plan.OldPrimary,
 		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
 	}
+	c.setBlocked("", assessment, plan.OldPrimary)
 	c.addEvidence(fields, targets, results, plan, reading)
 	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
