succession: defer to others while the endpoints can't be read

Cause: Directory.Refresh reported the endpoints as current although the store had refused the read. Change: a coordinator whose read fails defers a due succession until each of the others would have started one, unless a later read succeeds; it reads again every 0.3 s, for up to 0.6 s. While the store is down for all, a failover starts 2.1 s later. Ruled out: asking peers for a read, which needs a new message; peers' present knowledge, which is as old as their last poll. Result: TestUnknownReplica failed 3 of 3 before, passes. TestFailover "store is down" passes in 9.7 s (the other cases: 7.2 to 8.4 s).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -121,9 +121,9 @@
 	return d.configuration.Version
 }
 
-// Refresh reads the endpoints again, with a short timeout, and returns how current they are.
-func (d *Directory) Refresh(ctx context.Context) Reading {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+// Refresh reads the endpoints again, for at most a timeout, and returns how current they are.
+func (d *Directory) Refresh(ctx context.Context, timeout time.Duration) Reading {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := d.readEndpoints(ctx)
 	d.logAvailability(endpointReads, err)
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -28,8 +28,6 @@
 	// pollInterval is the least time between two answers with changes of the endpoints, or two reads of all endpoints, to the
 	// instance that polls for its failure domain.
 	pollInterval = 1200 * time.Millisecond
-	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
-	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the other instances check whether they should poll or follow.
 	standbyInterval = time.Second
 	// retryMin and retryMax bound the backoff while the store does not answer.
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -72,8 +72,8 @@
 	Rows      store.Rows
 	Databases *database.Registry
 	Ranking   Ranking
-	// Refresh reloads the endpoints if the store answers at once, and returns how current they are.
-	Refresh func(ctx context.Context) directory.Reading
+	// Refresh reloads the endpoints if the store answers within a timeout, and returns how current they are.
+	Refresh func(ctx context.Context, timeout time.Duration) directory.Reading
 	// Era returns the latest era of the store that is known.
 	Era func() uint64
 	// Announce is called with the name of a database whose primary was replaced.
@@ -92,6 +92,8 @@
 	// blockedBy is what last kept a due succession from starting; it is logged when it changes.
 	blockedBy  string
 	lastSurvey time.Time
+	// deferral is how long a due succession has been left to coordinators that can read the endpoints.
+	deferral deferral
 	// keeper keeps the list of members in the store; membersRead is set once it has been read.
 	keeper      *memberKeeper
 	membersRead bool
@@ -212,7 +214,9 @@
 	if suspected && !c.suspected {
 		c.options.Logger.Log(event.PrimarySuspected, log.Fields{"database": c.name, "why": string(assessment.Reason), "lead": lead.Endpoint, "rank": rank})
 	}
-	c.suspected = suspected
+	if c.suspected = suspected; !suspected {
+		c.deferral = deferral{}
+	}
 	if !assessment.Replace {
 		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
 	}
@@ -252,6 +256,20 @@
 	return results
 }
 
+// readEndpoints reads the endpoints again and returns how current they are. It returns false if a due succession must not start yet.
+func (c *Coordinator) readEndpoints(ctx context.Context, a Assessment) (directory.Reading, bool) {
+	timeout, due := c.deferral.readTimeout(c.options.Clock.Now())
+	if !due {
+		return directory.Reading{}, false
+	}
+	reading := c.options.Refresh(ctx, timeout)
+	var current bool
+	if c.deferral, current = c.deferral.with(reading, c.options.Timing, c.options.Clock.Now()); !current {
+		c.setBlocked("the endpoints can't be read, coordinators that read them act first", a, a.OldPrimary)
+	}
+	return reading, current && reading.Settled
+}
+
 // replace runs a succession over the counted endpoints to its end.
 func (c *Coordinator) replace(ctx context.Context, db *database.Database, targets probeTargets, results []ProbeResult, assessment Assessment) {
 	if c.fencingToken == 0 {
@@ -260,8 +278,8 @@
 	if c.fencingToken == 0 || !c.mayCountMembers(assessment) {
 		return
 	}
-	reading := c.options.Refresh(ctx)
-	if !reading.Settled {
+	reading, current := c.readEndpoints(ctx, assessment)
+	if !current {
 		return
 	}
 	counted := targets.counted(results)
@@ -287,7 +305,7 @@
 	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
 	r.run(ctx)
-	c.detector, c.suspected = c.detector.afterAttempt(plan.Term), true
+	c.detector, c.suspected, c.deferral = c.detector.afterAttempt(plan.Term), true, deferral{}
 	c.lastSurvey = time.Time{}
 	c.reserveTokenAhead(ctx)
 }
