succession: end the deferral when the next coordinator has had its turn

Callers waited 0.3 s longer than needed for a failover while the store was down for all. Cause: a deferred read could begin just before the end of the deferral and last 0.6 s beyond it; the limit of 2.1 s was also shorter than the next coordinator may need to notice. Change: the limit is the sum of what the next coordinator waits longer, 2.5 s, and reads end with it.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -258,7 +258,7 @@
 
 // readEndpoints reads the endpoints again and returns how current they are. It returns false if a due succession must not start yet.
 func (c *Coordinator) readEndpoints(ctx context.Context, a Assessment) (directory.Reading, bool) {
-	timeout, due := c.deferral.readTimeout(c.options.Clock.Now())
+	timeout, due := c.deferral.readTimeout(c.options.Timing, c.options.Clock.Now())
 	if !due {
 		return directory.Reading{}, false
 	}
--- a/succession/deferral.go
+++ b/succession/deferral.go
@@ -24,12 +24,13 @@
 	triedAt time.Time
 }
 
-// readTimeout returns how long the next read may take, and false if it is not due yet.
-func (d deferral) readTimeout(now time.Time) (time.Duration, bool) {
+// readTimeout returns how long the next read may take, and false if it is not due yet. The last one ends with the deferral.
+func (d deferral) readTimeout(t Timing, now time.Time) (time.Duration, bool) {
 	if d.since.IsZero() {
 		return refreshTimeout, true
 	}
-	return deferredRefreshTimeout, now.Sub(d.triedAt) >= deferredRefreshInterval
+	remaining := t.unreadDelay() - now.Sub(d.since)
+	return max(min(deferredRefreshTimeout, remaining), refreshTimeout), now.Sub(d.triedAt) >= deferredRefreshInterval || remaining <= 0
 }
 
 // with returns the deferral after a read, and whether the succession may start.
@@ -44,6 +45,9 @@
 	return d, reading.ReadAt.After(d.since) || now.Sub(d.since) >= t.unreadDelay()
 }
 
-// unreadDelay is how long a coordinator that can't read the endpoints defers a succession: until each of the others would have
-// started one.
-func (t Timing) unreadDelay() time.Duration { return CoordinatorsPerDatabase * t.Stagger }
+// unreadDelay is how long a coordinator that can't read the endpoints defers a succession, so that the next one can start it
+// first. That one accepts proofs of the lead for Unresponsive longer, has longer rounds, waits Stagger longer, and then probes twice
+// as this one did.
+func (t Timing) unreadDelay() time.Duration {
+	return t.Unresponsive + standbyFactor*roundInterval + t.Stagger + 2*probeTimeout
+}
--- a/succession/deferral_test.go
+++ b/succession/deferral_test.go
@@ -50,3 +50,30 @@
 		})
 	}
 }
+
+// TestDeferralEnds guards against reads that make the deferral longer than it has to be, or that follow each other without a pause.
+func TestDeferralEnds(t *testing.T) {
+	delay := timing.unreadDelay()
+	tests := map[string]struct {
+		tried, now time.Duration
+		timeout    time.Duration
+		due        bool
+	}{
+		"just tried":                  {tried: time.Second, now: time.Second + deferredRefreshInterval - 1, timeout: deferredRefreshTimeout},
+		"tried a while ago":           {tried: time.Second, now: time.Second + deferredRefreshInterval, timeout: deferredRefreshTimeout, due: true},
+		"the deferral ends soon":      {tried: time.Second, now: delay - 400*time.Millisecond, timeout: 400 * time.Millisecond, due: true},
+		"the deferral has ended":      {tried: delay - time.Millisecond, now: delay, timeout: refreshTimeout, due: true},
+		"the deferral ended long ago": {tried: delay, now: 2 * delay, timeout: refreshTimeout, due: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			timeout, due := deferral{since: epoch, triedAt: epoch.Add(test.tried)}.readTimeout(timing, epoch.Add(test.now))
+			if diff := cmp.Diff([]any{test.timeout, test.due}, []any{timeout, due}); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+	if timeout, due := (deferral{}).readTimeout(timing, epoch); timeout != refreshTimeout || !due {
+		t.Errorf("the first read takes %s, due %v", timeout, due)
+	}
+}
