--- a/directory/follow.go
+++ b/directory/follow.go
@@ -32,8 +32,6 @@
 	// pollInterval is the least time between two answers with changes of the endpoints, or two reads of all endpoints, to the
 	// instance that polls for its failure domain.
 	pollInterval = 1200 * time.Millisecond
-	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
-	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the other instances check whether they should poll or follow.
 	standbyInterval = 300 * time.Millisecond
 	// settleTime is how long after its first read an instance waits before it follows. After a start the other instances are found
@@ -232,11 +230,12 @@
 func (d *Directory) readEndpoints(ctx context.Context) (store.Page, error) {
 	ctx, cancel := store.WithProgress(ctx, readTimeout)
 	defer cancel()
-	table := d.options.Decoder.EndpointTable()
+	table, sent := d.options.Decoder.EndpointTable(), d.options.Clock.Now()
 	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
 	if err != nil {
 		return page, err
 	}
+	d.recordRead(sent)
 	d.updateEndpoints(page.Rows, page.Version, sourceStore)
 	return page, nil
 }
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -13,6 +13,7 @@
 	"siskincove/config"
 	"siskincove/connection"
 	"siskincove/database"
+	"siskincove/directory"
 	"siskincove/event"
 	"siskincove/statement"
 	"siskincove/store"
@@ -71,9 +72,10 @@
 	Rows      store.Rows
 	Databases *database.Registry
 	Ranking   Ranking
-	// Refresh reloads the endpoints if the store answers at once. It reports whether the set of endpoints is current enough
-	// to tell which logs may hold acknowledged commits.
-	Refresh func(ctx context.Context) bool
+	// Refresh reloads the endpoints if the store answers within a timeout, and returns how current they are.
+	Refresh func(ctx context.Context, timeout time.Duration) directory.Reading
+	// Era returns the latest era of the store that is known.
+	Era func() uint64
 	// Announce is called with the name of a database whose primary was replaced.
 	Announce func(database string)
 }
@@ -90,6 +92,11 @@
 	// blockedBy is what last kept a due succession from starting; it is logged when it changes.
 	blockedBy  string
 	lastSurvey time.Time
+	// deferral is how long a due succession has been left to coordinators that can read the endpoints.
+	deferral deferral
+	// keeper keeps the list of members in the store; membersRead is set once it has been read.
+	keeper      *memberKeeper
+	membersRead bool
 
 	mu      sync.Mutex
 	members []config.Endpoint
@@ -106,7 +113,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	c := &Coordinator{
 		options: o, name: d.Name, prober: newProber(ctx, o.Dialer, o.Clock), cancel: cancel, done: make(chan struct{}),
-		members: members, acknowledge: d.SyncReplicas,
+		members: members, acknowledge: d.SyncReplicas, keeper: startMemberKeeper(ctx, o, d.Name),
 	}
 	go c.run(ctx)
 	return c
@@ -133,6 +140,7 @@
 
 func (c *Coordinator) run(ctx context.Context) {
 	defer close(c.done)
+	defer func() { <-c.keeper.done }()
 	defer c.prober.close()
 	for ctx.Err() == nil {
 		pause := roundInterval
@@ -155,7 +163,7 @@
 
 // round probes the endpoints unless the primary was proved to lead recently, and acts on the results.
 func (c *Coordinator) round(ctx context.Context, db *database.Database, rank int) {
-	members, _ := c.group()
+	members, acknowledge := c.group()
 	lead, led := db.View().Lead()
 	now := c.options.Clock.Now()
 	interval := surveyInterval
@@ -166,7 +174,7 @@
 	if rank > 0 {
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofMaxAge+c.options.Timing.Unresponsive
 	}
-	departures := db.Departures()
+	departures := c.keepMembers(db, acknowledge, rank)
 	if fresh && !c.suspected && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
 		return
 	}
@@ -206,14 +214,12 @@
 	if suspected && !c.suspected {
 		c.options.Logger.Log(event.PrimarySuspected, log.Fields{"database": c.name, "why": string(assessment.Reason), "lead": lead.Endpoint, "rank": rank})
 	}
-	c.suspected = suspected
-	if assessment.BlockedBy != "" && assessment.BlockedBy != c.blockedBy {
-		c.options.Logger.Log(event.SuccessionBlocked, log.Fields{
-			"database": c.name, "why": assessment.BlockedBy, "evidence": string(assessment.Reason), "lead": lead.Endpoint,
-			"since": c.options.Clock.Now().Sub(assessment.Since).String(),
-		})
+	if c.suspected = suspected; !suspected {
+		c.deferral = deferral{}
+	}
+	if !assessment.Replace {
+		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
 	}
-	c.blockedBy = assessment.BlockedBy
 	if len(assessment.Release) > 0 && c.invalidateOldPromotions(ctx, assessment.Primary) {
 		for _, e := range members {
 			if slices.Contains(assessment.Release, e.Name) {
@@ -226,7 +232,7 @@
 		db.DropSettledDepartures(func(e config.Endpoint) bool { return slices.Contains(assessment.Settled, targets.label(e)) })
 	}
 	if assessment.Replace {
-		c.replace(ctx, db, targets.counted(results), assessment)
+		c.replace(ctx, db, targets, results, assessment)
 	}
 }
 
@@ -250,14 +256,33 @@
 	return results
 }
 
+// readEndpoints reads the endpoints again and returns how current they are. It returns false if a due succession must not start yet.
+func (c *Coordinator) readEndpoints(ctx context.Context, a Assessment) (directory.Reading, bool) {
+	timeout, due := c.deferral.readTimeout(c.options.Timing, c.options.Clock.Now())
+	if !due {
+		return directory.Reading{}, false
+	}
+	reading := c.options.Refresh(ctx, timeout)
+	var current bool
+	if c.deferral, current = c.deferral.with(reading, c.options.Timing, c.options.Clock.Now()); !current {
+		c.setBlocked("the endpoints can't be read, coordinators that read them act first", a, a.OldPrimary)
+	}
+	return reading, current && reading.Settled
+}
+
 // replace runs a succession over the counted endpoints to its end.
-func (c *Coordinator) replace(ctx context.Context, db *database.Database, counted []config.Endpoint, assessment Assessment) {
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, targets probeTargets, results []ProbeResult, assessment Assessment) {
 	if c.fencingToken == 0 {
 		c.reserveTokenAhead(ctx)
 	}
-	if c.fencingToken == 0 || !c.options.Refresh(ctx) {
+	if c.fencingToken == 0 || !c.mayCountMembers(assessment) {
+		return
+	}
+	reading, current := c.readEndpoints(ctx, assessment)
+	if !current {
 		return
 	}
+	counted := targets.counted(results)
 	known, acknowledge := c.group()
 	registered := slices.DeleteFunc(slices.Clone(counted), func(e config.Endpoint) bool { return !slices.Contains(known, e) })
 	if !slices.Equal(known, registered) {
@@ -271,13 +296,16 @@
 			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name, Leaving: e.Leaving})
 		}
 	}
-	c.options.Logger.Log(event.SuccessionStarted, log.Fields{
+	fields := log.Fields{
 		"database": c.name, "why": string(assessment.Reason), "since": c.options.Clock.Now().Sub(assessment.Since).String(), "lost": plan.OldPrimary,
 		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
-	})
+	}
+	c.setBlocked("", assessment, plan.OldPrimary)
+	c.addEvidence(fields, targets, results, plan, reading)
+	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
 	r.run(ctx)
-	c.detector, c.suspected = c.detector.afterAttempt(plan.Term), true
+	c.detector, c.suspected, c.deferral = c.detector.afterAttempt(plan.Term), true, deferral{}
 	c.lastSurvey = time.Time{}
 	c.reserveTokenAhead(ctx)
 }
