succession: log whether holds stood until the target led

The runner watches the old primary and the replicas from the first promotion request until the target leads. Events 550 and 551 say when a hold has ended or the old primary leads, with the inputs, the age of the answer and the ends of the held logs at the request; 522 has these too, and 525 and 526 what each endpoint answered last. Nothing else changes yet.

go test ./succession ./event ./layout: ok.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -96,20 +96,22 @@
 	FollowerRedirected = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed no primary was told to follow the current one.")
 )
 
-// Succession events, 520 to 539.
+// Succession events, 520 to 539 and 550 to 559.
 var (
 	PrimarySuspected   = define(520, log.WarnLevel, "succession", "primary suspected", "The coordinator queries every endpoint of the group; why gives the evidence.")
 	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged.")
 	PromotionRequested = define(522, log.WarnLevel, "succession", "promotion requested", "The platform is asked to promote the endpoint whose log holds every acknowledged commit.")
 	PromotionRefused   = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the request, which has no effect; another attempt starts with a higher fencing token.")
 	PromotionUnknown   = define(524, log.WarnLevel, "succession", "promotion result unknown", "The request may still take effect; it is repeated unchanged until the endpoint leads or the platform refuses it.")
-	SuccessionDone     = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took gives the time since the succession started.")
+	SuccessionDone     = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took gives the time since the succession started, watched what each other endpoint answered last and how often its hold had ended or it led.")
 	SuccessionStopped  = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
 	HoldReleased       = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held unnecessarily resumes receiving.")
 	FenceReserved      = define(528, log.InfoLevel, "succession", "fencing token reserved", "A unique fencing token was reserved in the store ahead of need.")
 	DepartureSettled   = define(530, log.InfoLevel, "succession", "departure settled", "Every commit on the endpoints that left is also on a registered replica.")
 	SuccessionBlocked  = define(531, log.WarnLevel, "succession", "succession blocked", "The primary should be replaced but can't be; why gives the obstacle, evidence what speaks against the primary and since for how long.")
 	FenceMissing       = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store supplies none; another coordinator has to act.")
+	HoldEnded          = define(550, log.WarnLevel, "succession", "hold ended during a promotion", "A replica that was held for an outstanding promotion is no longer held; logs gives the ends of the held logs at the request, log its own end now, since the time since the request, age that of the answer, and found what was seen.")
+	OldPrimaryLeads    = define(551, log.WarnLevel, "succession", "former primary leads during a promotion", "The primary to be replaced answers as primary while the promotion of another endpoint is outstanding; fields as for 550.")
 )
 
 // Membership events, 600 to 699.
--- a/succession/run.go
+++ b/succession/run.go
@@ -48,7 +48,10 @@
 	// promotion.
 	confirmingSince time.Time
 	promoteUntil    time.Time
-	running         sync.WaitGroup
+	// promotingSince is when the promotion was first requested, and watches observe the other endpoints from then on.
+	promotingSince time.Time
+	watches        []*watch
+	running        sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -57,6 +60,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.running.Wait()
 	defer cancel()
+	defer r.cancelWatches()
 	o := r.coordinator.options
 	started := o.Clock.Now()
 	r.confirmingSince = started
@@ -75,11 +79,12 @@
 		}
 		actions := r.handle(e)
 		if r.succession.Phase() >= Done {
+			r.cancelWatches()
 			r.releaseHolds(parent, actions)
 			break
 		}
 		if phase := r.succession.Phase(); phase != before && phase >= Promoting {
-			timeout = o.Clock.After(r.beginPhase(ctx, phase, events))
+			timeout = o.Clock.After(r.beginPhase(ctx, parent, phase, events))
 		}
 		r.execute(ctx, actions, events)
 	}
@@ -88,7 +93,7 @@
 
 // beginPhase records the beginning of a phase from Promoting on and returns its time limit. The target is probed from the first
 // promotion request on.
-func (r *runner) beginPhase(ctx context.Context, phase Phase, events chan<- Event) time.Duration {
+func (r *runner) beginPhase(ctx, parent context.Context, phase Phase, events chan<- Event) time.Duration {
 	now := r.coordinator.options.Clock.Now()
 	if phase == Reconfirming {
 		r.confirmingSince = now
@@ -98,6 +103,7 @@
 		r.promoteUntil = now.Add(promoteTimeout)
 		target := r.succession.Target()
 		r.running.Go(func() { r.pollTarget(ctx, target, events) })
+		r.startWatches(parent)
 	}
 	return r.promoteUntil.Sub(now)
 }
@@ -121,7 +127,7 @@
 	plan := r.succession.Plan()
 	fields := log.Fields{
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
-		"took": took.String(),
+		"took": took.String(), "watched": r.watched(),
 	}
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
@@ -155,7 +161,8 @@
 		case Demote:
 			r.running.Go(func() { r.demote(ctx, e, events) })
 		case Promote:
-			r.running.Go(func() { r.promote(ctx, e, events) })
+			logs := r.succession.guard().logs()
+			r.running.Go(func() { r.promote(ctx, e, logs, events) })
 		}
 	}
 }
@@ -219,12 +226,12 @@
 	}
 }
 
-// promote sends the promotion request once and reports the platform's answer.
-func (r *runner) promote(ctx context.Context, e config.Endpoint, events chan<- Event) {
+// promote sends the promotion request once and reports the platform's answer. logs are the ends of the held logs, as text.
+func (r *runner) promote(ctx context.Context, e config.Endpoint, logs string, events chan<- Event) {
 	o := r.coordinator.options
 	plan := r.succession.Plan()
 	fields := func() log.Fields {
-		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term)}
+		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term), "logs": logs}
 	}
 	o.Logger.Log(event.PromotionRequested, fields())
 	call, cancel := context.WithTimeout(ctx, promoteCallTimeout)
@@ -287,6 +294,7 @@
 
 func (r *runner) releaseHold(ctx context.Context, e config.Endpoint) {
 	c := r.coordinator
+	r.stopWatch(e.Name)
 	for range releaseAttempts {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
 		switch {
