--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -275,7 +275,7 @@
 		"database": c.name, "why": string(assessment.Reason), "since": c.options.Clock.Now().Sub(assessment.Since).String(), "lost": plan.OldPrimary,
 		"term": uint64(plan.Term), "fence": plan.Fence, "replicas": len(plan.Replicas), "acknowledge": acknowledge,
 	})
-	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
+	r := &runner{coordinator: c, database: db, members: counted, plan: plan, succession: New(plan)}
 	r.run(ctx)
 	c.detector, c.suspected = c.detector.afterAttempt(plan.Term), true
 	c.lastSurvey = time.Time{}
--- a/succession/run.go
+++ b/succession/run.go
@@ -44,6 +44,8 @@
 	database    *database.Database
 	members     []config.Endpoint
 	succession  Succession
+	// plan is the plan of the succession; the goroutines of commands read it.
+	plan Plan
 	// confirmingSince is when the phases began that end with all holds confirmed, and promoteUntil the end of the wait for the
 	// promotion.
 	confirmingSince time.Time
@@ -124,7 +126,7 @@
 // finish logs the outcome and announces a replaced primary.
 func (r *runner) finish(took time.Duration) {
 	o := r.coordinator.options
-	plan := r.succession.Plan()
+	plan := r.plan
 	fields := log.Fields{
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
 		"took": took.String(), "watched": r.watched(),
@@ -171,7 +173,7 @@
 // the plan is contested, that is, the other succession counts as abandoned.
 func (r *runner) hold(ctx context.Context, e config.Endpoint, events chan<- Event) {
 	c := r.coordinator
-	plan := r.succession.Plan()
+	plan := r.plan
 	step := statement.ProxyStep(statement.Hold)
 	step.Term = plan.Term
 	for ctx.Err() == nil {
@@ -206,7 +208,7 @@
 func (r *runner) demote(ctx context.Context, e config.Endpoint, events chan<- Event) {
 	c := r.coordinator
 	step := statement.ProxyStep(statement.Demote)
-	step.Term = r.succession.Plan().Term
+	step.Term = r.plan.Term
 	for ctx.Err() == nil {
 		result := c.prober.query(ctx, e, step, probeTimeout)
 		if result.Status != nil {
@@ -229,7 +231,7 @@
 // promote sends the promotion request once and reports the platform's answer. logs are the ends of the held logs, as text.
 func (r *runner) promote(ctx context.Context, e config.Endpoint, logs string, events chan<- Event) {
 	o := r.coordinator.options
-	plan := r.succession.Plan()
+	plan := r.plan
 	fields := func() log.Fields {
 		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term), "logs": logs}
 	}
@@ -298,7 +300,7 @@
 	for range releaseAttempts {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
 		switch {
-		case result.Status != nil && result.Status.Held != r.succession.Plan().Term:
+		case result.Status != nil && result.Status.Held != r.plan.Term:
 			return
 		case result.Status != nil && c.releaseHold(ctx, e):
 			return
