succession: guard the endpoints while a promotion is outstanding

Callers lost acknowledged writes: while the platform carried out a promotion that it had accepted, a replica restarted, which ended its hold, the old primary was back, and both acknowledged commits that the promoted log lacks.

All holds were confirmed before the request, but nothing looked at them or at the old primary after it, and a primary that had not answered was never demoted. From the first request until the target leads, the watches now demote a former primary whenever it leads and hold a restarted replica again. They outlast a succession that stops while its request may be carried out. A hold that ends over an unbroken connection was released by another coordinator after it had invalidated the request; then the watches end.

--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -147,6 +147,13 @@
 	return g.promotions
 }
 
+// SetPromotionDelay changes how long promotions take.
+func (g *Group) SetPromotionDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.PromotionDelay = delay
+}
+
 // Runs returns every execution of a statement, in order.
 func (g *Group) Runs() []Run {
 	g.mu.Lock()
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -99,6 +99,8 @@
 	// fencingToken is the token reserved in advance, 0 for none.
 	fencingToken    uint64
 	lastReservation time.Time
+	// watches are those of the last promotion that this coordinator requested, nil before the first.
+	watches *watches
 }
 
 // Start starts a coordinator for a database. It runs until ctx ends or Close is called.
@@ -134,6 +136,7 @@
 func (c *Coordinator) run(ctx context.Context) {
 	defer close(c.done)
 	defer c.prober.close()
+	defer func() { c.watches.end() }()
 	for ctx.Err() == nil {
 		pause := roundInterval
 		rank, ok := c.options.Ranking.Rank(c.name)
--- a/succession/detector.go
+++ b/succession/detector.go
@@ -12,6 +12,8 @@
 	Incarnation uint64
 	// Answered is set if the endpoint answered, even if only that it has no free slot.
 	Answered bool
+	// Connection is the number of the connection over which the status came. It changes with a restart of the endpoint.
+	Connection uint64
 	// Refused is set if the endpoint's address refused the connection.
 	Refused bool
 	// Status is the status that the endpoint returned, nil if it returned none.
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -28,6 +28,7 @@
 		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": primary, "fence": token, "error": err.Error()})
 		return false
 	}
+	c.watches.end()
 	return true
 }
 
--- a/succession/guard.go
+++ b/succession/guard.go
@@ -1,6 +1,10 @@
 package succession
 
-import "siskincove/endpoint"
+import (
+	"slices"
+
+	"siskincove/endpoint"
+)
 
 // guard tells which endpoints may acknowledge commits that the log chosen for an outstanding promotion lacks; it is an immutable
 // value.
@@ -15,6 +19,18 @@
 	return guard{plan: s.plan, target: s.target, held: s.held}
 }
 
+// guards reports whether a promotion that the succession has requested may be outstanding.
+func (s Succession) guards() bool {
+	switch s.phase {
+	case Promoting, Reconfirming:
+		return true
+	case Stopped:
+		return s.target != "" && (s.unknown || s.accepted)
+	default:
+		return false
+	}
+}
+
 // finding is what an endpoint's status tells about an outstanding promotion of another.
 type finding string
 
@@ -29,9 +45,9 @@
 // inspect returns what an endpoint's status tells.
 func (g guard) inspect(name string, status endpoint.PlatformStatus) finding {
 	switch {
-	case status.Role == endpoint.Primary && name == g.plan.OldPrimary:
+	case status.Role == endpoint.Primary && status.Term <= g.plan.Floor.Term:
 		return leads
-	case status.Role == endpoint.Primary || !g.holds(name):
+	case status.Role == endpoint.Primary || !g.counts(name):
 		return harmless
 	case status.Held >= g.plan.Term:
 		return held
@@ -40,12 +56,21 @@
 	}
 }
 
-// holds reports whether an endpoint's hold belongs to the succession.
-func (g guard) holds(name string) bool {
-	for _, h := range g.held {
-		if h.replica.Name == name {
-			return true
-		}
+// command returns the command that an endpoint gets for a finding, and false if it gets none. A former primary becomes a replica, as
+// it could acknowledge commits together with a replica that has returned. A hold that a restart has ended is taken again; one
+// that has ended otherwise was released by another coordinator, which has invalidated the promotion.
+func (g guard) command(f finding, reconnected bool) (Command, bool) {
+	switch {
+	case f == leads:
+		return Demote, true
+	case f == holdEnded && reconnected:
+		return Hold, true
+	default:
+		return 0, false
 	}
-	return false
+}
+
+// counts reports whether an endpoint is one of the plan's replicas. Those that did not answer before are held too.
+func (g guard) counts(name string) bool {
+	return slices.ContainsFunc(g.plan.Replicas, func(r Replica) bool { return r.Name == name })
 }
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -185,10 +185,15 @@
 	allowRestart      bool
 	allowRetries      bool
 	repeatUnconfirmed bool
-	visited           map[string]bool
-	pending           []modelState
-	lostCommit        string
-	promoted          int
+	// allowDelay lets accepted promotions take effect later. With guardsFirst, a guard's call reaches an endpoint that has returned
+	// before a commit does; without it, the guards act at any time or, with unguarded, a mutation that must be caught, not at all.
+	allowDelay  bool
+	guardsFirst bool
+	unguarded   bool
+	visited     map[string]bool
+	pending     []modelState
+	lostCommit  string
+	promoted    int
 }
 
 func (m *model) push(state modelState) {
@@ -223,14 +228,14 @@
 		return
 	}
 	leader := state.leader
-	if state.endpoints[leader].alive && state.commits < m.maxCommits {
+	if state.endpoints[leader].alive && state.commits < m.maxCommits && !m.awaitsGuard(state, leader) {
 		n := state.next("commit")
 		n.endpoints[leader].log += string([]byte{state.term, byte('x' + state.commits)})
 		n.commits++
 		m.push(n)
 	}
 	for i := range state.endpoints {
-		if i != leader && state.endpoints[leader].alive && state.endpoints[i].alive && state.endpoints[i].held == 0 && state.endpoints[i].log != state.endpoints[leader].log {
+		if i != leader && state.endpoints[leader].alive && state.endpoints[i].alive && state.endpoints[i].held == 0 && state.endpoints[i].log != state.endpoints[leader].log && !m.awaitsGuard(state, leader) && !m.awaitsGuard(state, i) {
 			n := state.next("replicate to " + endpointNames[i])
 			n.endpoints[i].log = state.endpoints[leader].log
 			// A commit is acknowledged as soon as a replica has received it.
@@ -314,6 +319,11 @@
 			m.handle(state.next(fmt.Sprintf("%d: probes %s", c, coordinator.succession.Target())), c, Reply{Endpoint: coordinator.succession.Target(), Status: state.status(i)})
 		}
 	}
+	for i := range state.endpoints {
+		if command, ok := m.guardCommand(state, c, i); ok {
+			m.stepGuard(state, c, i, command)
+		}
+	}
 	if coordinator.succession.Phase() < Done {
 		n := state.next(fmt.Sprintf("%d: timeout", c))
 		n.coordinators[c].pending = ""
@@ -321,6 +331,37 @@
 	}
 }
 
+// guardCommand returns the command that a coordinator's guard has for the i-th endpoint now, and false if it has none.
+func (m *model) guardCommand(state modelState, c, i int) (Command, bool) {
+	s := state.coordinators[c].succession
+	if m.unguarded || !s.guards() || s.target == endpointNames[i] || !state.endpoints[i].alive {
+		return 0, false
+	}
+	g := s.guard()
+	return g.command(g.inspect(endpointNames[i], state.status(i)), !state.holdsReleased)
+}
+
+// awaitsGuard reports whether a guard's call has to reach the i-th endpoint before the endpoint can commit or receive.
+func (m *model) awaitsGuard(state modelState, i int) bool {
+	for c := range m.coordinators {
+		if _, ok := m.guardCommand(state, c, i); ok && m.guardsFirst {
+			return true
+		}
+	}
+	return false
+}
+
+// stepGuard carries out the command of a guard.
+func (m *model) stepGuard(state modelState, c, i int, command Command) {
+	n := state.next(fmt.Sprintf("%d: guards %s", c, endpointNames[i]))
+	if command == Demote {
+		n.leader = -1
+	} else {
+		n.endpoints[i].held = n.coordinators[c].succession.plan.Term
+	}
+	m.push(n)
+}
+
 func (m *model) startSuccession(state modelState, c int) {
 	oldPrimary := state.leader
 	if oldPrimary < 0 {
@@ -423,6 +464,12 @@
 			m.handle(n, c, PromotionResult{Outcome: Retryable})
 			m.handle(n, c, PromotionResult{Outcome: Unknown})
 		}
+		if m.allowDelay && plan.Fence >= n.fence && n.endpoints[i].alive && len(n.latePromotions) < m.maxLatePromotions {
+			delayed := n
+			delayed.fence = plan.Fence
+			delayed.latePromotions = append(slices.Clone(n.latePromotions), modelPromotion{fence: plan.Fence, target: i})
+			m.handle(delayed, c, PromotionResult{Outcome: Accepted})
+		}
 		promoted, outcome := m.executePromotion(n, modelPromotion{fence: plan.Fence, target: i})
 		m.handle(promoted, c, PromotionResult{Outcome: outcome})
 		if len(n.latePromotions) < m.maxLatePromotions {
@@ -497,8 +544,11 @@
 		"requests are repeated without a check of the holds":       {model: model{maxCommits: 2, coordinators: 1, allowCrash: true, allowRestart: true, allowRetries: true, repeatUnconfirmed: true}, loses: true},
 		// No call of the coordinator can precede a request that takes effect between the return of a held replica and the next
 		// request with a higher token.
-		"a replica restarts before a late promotion": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true}, loses: true},
-		"a replica is not counted":                   {model: model{maxCommits: 1, coordinators: 1, omitReplica: true}, loses: true},
+		"a replica restarts before a late promotion":                   {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true}, loses: true},
+		"endpoints return while a promotion is carried out":            {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true, guardsFirst: true}},
+		"endpoints return while a promotion is carried out, unguarded": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true, guardsFirst: true, unguarded: true}, loses: true},
+		"endpoints return and acknowledge before a guard's call":       {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true}, loses: true},
+		"a replica is not counted":                                     {model: model{maxCommits: 1, coordinators: 1, omitReplica: true}, loses: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/succession/probe.go
+++ b/succession/probe.go
@@ -36,14 +36,22 @@
 
 	mu    sync.Mutex
 	conns map[string]*endpointConn
+	// opened counts the connections that were opened.
+	opened uint64
 	// dials counts the running dials.
 	dials sync.WaitGroup
 }
 
+// numberedConn is a connection that can be told from others by its number.
+type numberedConn struct {
+	connection.Conn
+	number uint64
+}
+
 // endpointConn holds the idle connection to an endpoint and the running dial.
 type endpointConn struct {
 	endpoint config.Endpoint
-	conn     connection.Conn
+	conn     *numberedConn
 	// dialDone is closed when the running dial has ended, and nil if none is running. dialErr is the error of the last dial.
 	dialDone chan struct{}
 	dialErr  error
@@ -71,12 +79,12 @@
 		return result
 	}
 	p.release(e.Name, conn)
-	result.Answered, result.Status = true, answers[0].Status
+	result.Answered, result.Status, result.Connection = true, answers[0].Status, conn.number
 	return result
 }
 
 // acquire returns the idle connection, or waits up to timeout for a new one.
-func (p *prober) acquire(ctx context.Context, e config.Endpoint, timeout time.Duration) (connection.Conn, error) {
+func (p *prober) acquire(ctx context.Context, e config.Endpoint, timeout time.Duration) (*numberedConn, error) {
 	conn, dialDone := p.idleOrDial(e)
 	if conn != nil {
 		return conn, nil
@@ -105,7 +113,7 @@
 
 // idleOrDial returns the idle connection, or else a channel that is closed when the running dial has ended. It starts a
 // dial if none is running.
-func (p *prober) idleOrDial(e config.Endpoint) (connection.Conn, <-chan struct{}) {
+func (p *prober) idleOrDial(e config.Endpoint) (*numberedConn, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.conns[e.Name]
@@ -140,14 +148,15 @@
 	switch {
 	case err != nil:
 	case p.conns[e.Name] == c && c.conn == nil:
-		c.conn = conn
+		p.opened++
+		c.conn = &numberedConn{Conn: conn, number: p.opened}
 	default:
 		conn.Close()
 	}
 }
 
 // release stores a connection as idle for the next probe.
-func (p *prober) release(name string, conn connection.Conn) {
+func (p *prober) release(name string, conn *numberedConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := p.conns[name]
--- a/succession/run.go
+++ b/succession/run.go
@@ -50,10 +50,7 @@
 	// promotion.
 	confirmingSince time.Time
 	promoteUntil    time.Time
-	// promotingSince is when the promotion was first requested, and watches observe the other endpoints from then on.
-	promotingSince time.Time
-	watches        []*watch
-	running        sync.WaitGroup
+	running         sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -62,7 +59,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.running.Wait()
 	defer cancel()
-	defer r.cancelWatches()
 	o := r.coordinator.options
 	started := o.Clock.Now()
 	r.confirmingSince = started
@@ -81,7 +77,7 @@
 		}
 		actions := r.handle(e)
 		if r.succession.Phase() >= Done {
-			r.cancelWatches()
+			r.settleWatches()
 			r.releaseHolds(parent, actions)
 			break
 		}
@@ -123,6 +119,14 @@
 	return actions
 }
 
+// watched returns what the watches of the promotion have found, empty if none was requested.
+func (r *runner) watched() string {
+	if r.promoteUntil.IsZero() {
+		return ""
+	}
+	return r.coordinator.watches.findings()
+}
+
 // finish logs the outcome and announces a replaced primary.
 func (r *runner) finish(took time.Duration) {
 	o := r.coordinator.options
@@ -296,7 +300,7 @@
 
 func (r *runner) releaseHold(ctx context.Context, e config.Endpoint) {
 	c := r.coordinator
-	r.stopWatch(e.Name)
+	c.watches.stop(e.Name)
 	for range releaseAttempts {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
 		switch {
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -12,12 +12,25 @@
 
 	"siskincove/clock"
 	"siskincove/config"
+	"siskincove/database"
 	"siskincove/endpoint"
 	"siskincove/event"
 	"siskincove/statement"
 )
 
-// watch observes an endpoint other than the target while a promotion may be outstanding. It is the business of one goroutine.
+// watches guard an outstanding promotion: they observe the endpoints other than the target from the first request until the
+// target leads, and act on what they find. They outlast a succession that stops while its promotion may still take effect.
+type watches struct {
+	coordinator *Coordinator
+	database    *database.Database
+	guard       guard
+	since       time.Time
+	all         []*watch
+	// cancel ends all watches without waiting for them.
+	cancel context.CancelFunc
+}
+
+// watch observes an endpoint. It is the business of one goroutine.
 type watch struct {
 	endpoint config.Endpoint
 	// cancel ends the goroutine, and done is closed when it has ended.
@@ -34,18 +47,54 @@
 	<-w.done
 }
 
-// startWatches starts the watches of the old primary and of all replicas but the target. Their commands end with parent.
-func (r *runner) startWatches(parent context.Context) {
-	r.promotingSince = r.coordinator.options.Clock.Now()
-	g := r.succession.guard()
-	for _, e := range r.watchedMembers(g) {
-		ctx, cancel := context.WithCancel(parent)
+// startWatches starts the watches of the succession's promotion; those of an earlier one end. Their commands end with ctx.
+func (r *runner) startWatches(ctx context.Context) {
+	c := r.coordinator
+	c.watches.end()
+	watching, cancel := context.WithTimeout(ctx, promoteTimeout)
+	c.watches = &watches{coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), cancel: cancel}
+	for _, e := range r.watchedMembers(c.watches.guard) {
+		one, cancel := context.WithCancel(watching)
 		w := &watch{endpoint: e, cancel: cancel, done: make(chan struct{})}
-		r.watches = append(r.watches, w)
-		r.running.Go(func() {
-			defer close(w.done)
-			r.watchEndpoint(ctx, parent, w, g)
-		})
+		c.watches.all = append(c.watches.all, w)
+		go c.watches.observe(one, ctx, w)
+	}
+}
+
+// settleWatches ends the watches unless the promotion may still take effect.
+func (r *runner) settleWatches() {
+	if !r.succession.guards() {
+		r.coordinator.watches.cancelAll()
+	}
+}
+
+// cancelAll ends the watches without waiting for them.
+func (w *watches) cancelAll() {
+	if w != nil {
+		w.cancel()
+	}
+}
+
+// end ends the watches and waits for their last commands.
+func (w *watches) end() {
+	if w == nil {
+		return
+	}
+	w.cancel()
+	for _, one := range w.all {
+		<-one.done
+	}
+}
+
+// stop ends the watch of an endpoint, if it has one, and waits for its last command.
+func (w *watches) stop(name string) {
+	if w == nil {
+		return
+	}
+	for _, one := range w.all {
+		if one.endpoint.Name == name {
+			one.stop()
+		}
 	}
 }
 
@@ -68,63 +117,93 @@
 	return out
 }
 
-// stopWatch ends the watch of an endpoint, if it has one.
-func (r *runner) stopWatch(name string) {
-	for _, w := range r.watches {
-		if w.endpoint.Name == name {
-			w.stop()
-		}
-	}
-}
-
-// cancelWatches ends all watches without waiting for them.
-func (r *runner) cancelWatches() {
-	for _, w := range r.watches {
-		w.cancel()
-	}
-}
-
-// watchEndpoint probes an endpoint until ctx ends and logs when its hold has ended or it leads.
-func (r *runner) watchEndpoint(ctx, parent context.Context, w *watch, g guard) {
-	o := r.coordinator.options
+// observe probes an endpoint until ctx ends. It demotes a former primary that leads and takes holds that have ended again. Its
+// commands end with parent, so that none is carried out after the release of a hold. All watches end once another endpoint is known to lead
+// or another coordinator has released a hold, since the promotion has been invalidated then.
+func (w *watches) observe(ctx, parent context.Context, one *watch) {
+	defer close(one.done)
+	o := w.coordinator.options
 	before := silent
+	// heldOver is the connection over which the endpoint was last seen to be held, 0 before.
+	heldOver := uint64(0)
 	for ctx.Err() == nil {
 		probedAt := o.Clock.Now()
-		result := r.coordinator.prober.query(parent, w.endpoint, statement.ProxyStep(statement.Status), probeTimeout)
-		found, pause := silent, commandRetryInterval
+		result := w.coordinator.prober.query(parent, one.endpoint, statement.ProxyStep(statement.Status), probeTimeout)
+		found := silent
 		if result.Status != nil {
-			found, pause = g.inspect(w.endpoint.Name, *result.Status), targetPollInterval
+			found = w.guard.inspect(one.endpoint.Name, *result.Status)
+		}
+		one.last.Store(found)
+		after := found
+		command, ok := w.guard.command(found, heldOver == 0 || result.Connection != heldOver)
+		switch {
+		case w.settled():
+			w.cancel()
+			return
+		case ok && ctx.Err() == nil:
+			after = w.send(parent, one.endpoint, command)
+		case found == holdEnded:
+			w.cancel()
 		}
-		w.last.Store(found)
 		if found != before && (found == holdEnded || found == leads) {
-			w.ended.Add(1)
-			r.logFinding(w.endpoint, g, found, *result.Status, probedAt)
+			one.ended.Add(1)
+			w.log(one.endpoint, found, after, *result.Status, probedAt)
 		}
-		before = found
+		if found == held {
+			heldOver = result.Connection
+		}
+		pause := targetPollInterval
+		if after == silent || after == leads || after == holdEnded {
+			pause = commandRetryInterval
+		}
+		before = after
 		_ = clock.Wait(ctx, o.Clock, pause)
 	}
 }
 
-func (r *runner) logFinding(e config.Endpoint, g guard, found finding, status endpoint.PlatformStatus, probedAt time.Time) {
-	o := r.coordinator.options
+// settled reports whether an endpoint other than the old primary has been proved to lead since the request.
+func (w *watches) settled() bool {
+	lead, known := w.database.View().Lead()
+	return known && !lead.Claimed && lead.Endpoint != w.guard.plan.OldPrimary && lead.At.After(w.since)
+}
+
+// send sends a command to an endpoint and returns what its answer tells.
+func (w *watches) send(ctx context.Context, e config.Endpoint, command Command) finding {
+	step := statement.ProxyStep(statement.Hold)
+	if command == Demote {
+		step = statement.ProxyStep(statement.Demote)
+	}
+	step.Term = w.guard.plan.Term
+	result := w.coordinator.prober.query(ctx, e, step, probeTimeout)
+	if result.Status == nil {
+		return silent
+	}
+	return w.guard.inspect(e.Name, *result.Status)
+}
+
+func (w *watches) log(e config.Endpoint, found, after finding, status endpoint.PlatformStatus, probedAt time.Time) {
+	o := w.coordinator.options
 	now := o.Clock.Now()
 	what := event.HoldEnded
 	if found == leads {
 		what = event.OldPrimaryLeads
 	}
 	o.Logger.Log(what, log.Fields{
-		"database": r.database.Name(), "endpoint": e.Name, "target": g.target, "term": uint64(g.plan.Term), "fence": g.plan.Fence,
-		"held": uint64(status.Held), "log": status.Log.String(), "logs": g.logs(), "since": now.Sub(r.promotingSince).String(),
-		"age": now.Sub(probedAt).String(), "found": string(found),
+		"database": w.database.Name(), "endpoint": e.Name, "target": w.guard.target, "term": uint64(w.guard.plan.Term), "fence": w.guard.plan.Fence,
+		"held": uint64(status.Held), "log": status.Log.String(), "logs": w.guard.logs(), "since": now.Sub(w.since).String(),
+		"age": now.Sub(probedAt).String(), "found": string(found), "outcome": string(after),
 	})
 }
 
-// watched returns what the last answers of the other endpoints told, and how often a hold had ended or one led, as text.
-func (r *runner) watched() string {
-	out := make([]string, 0, len(r.watches))
-	for _, w := range r.watches {
-		last, _ := w.last.Load().(finding)
-		out = append(out, fmt.Sprintf("%s=%s/%d", w.endpoint.Name, cmp.Or(last, silent), w.ended.Load()))
+// findings returns what the last answers of the endpoints told, and how often a hold had ended or one led, as text.
+func (w *watches) findings() string {
+	if w == nil {
+		return ""
+	}
+	out := make([]string, 0, len(w.all))
+	for _, one := range w.all {
+		last, _ := one.last.Load().(finding)
+		out = append(out, fmt.Sprintf("%s=%s/%d", one.endpoint.Name, cmp.Or(last, silent), one.ended.Load()))
 	}
 	return strings.Join(out, ",")
 }
