succession: tell instances of promotions that may be outstanding

Callers lost acknowledged writes when the coordinator that had requested a promotion was killed: the request was carried out 2.2 s later, and meanwhile the old primary and a restarted replica acknowledged what instances sent them. Nobody else knew that a promotion was outstanding, and until a coordinator's call reaches the old primary, instances send it writes.

While another endpoint's promotion may be outstanding, an instance sends the old primary no writes and no commits of writes, and reports what it acknowledges as "may have run". Statements wait as they do for a missing primary.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -33,6 +33,9 @@
 		return a
 	}
 	w := s.tx.nextItem()
+	if s.tx.wrote && w.database.IsBeingReplaced(s.tx.choice.Endpoint.Name) {
+		return w.finish(r, statement.Refusal(errBeingReplaced(), statement.Idle))
+	}
 	for {
 		sent := s.dispatcher.now()
 		answers, err := s.tx.conn.Exchange(ctx, w.deadline, statement.Step{Request: r})
@@ -40,6 +43,10 @@
 			return s.handleCommitNoAnswer(w, r, err)
 		}
 		a := answers[0]
+		if a.Failure == nil && s.tx.wrote && w.database.IsBeingReplaced(s.tx.choice.Endpoint.Name) {
+			s.tx.release(true)
+			return w.finish(r, w.doubtful(r, a))
+		}
 		if a.Failure == nil {
 			s.recordCommit(w, r, a, sent)
 			return w.finish(r, a)
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -119,6 +119,10 @@
 		pool.Release(conn, true, 0)
 		return nil, nil, verdict.New(verdict.NotRun, verdict.Leaving, "endpoint is leaving")
 	}
+	if err == nil && w.query.Writes && w.database.IsBeingReplaced(c.Endpoint.Name) {
+		pool.Release(conn, true, 0)
+		return nil, nil, errBeingReplaced()
+	}
 	return conn, pool, err
 }
 
@@ -145,6 +149,9 @@
 
 // handleAnswer handles an endpoint's answer and reports whether it is final.
 func (w *workItem) handleAnswer(j job, c group.Choice, a statement.Answer, sent time.Time) (statement.Answer, bool) {
+	if a.Failure == nil && j.request.Writes && w.database.IsBeingReplaced(c.Endpoint.Name) {
+		return w.doubtful(j.request, a), true
+	}
 	if a.Failure == nil {
 		w.recordSuccess(j.request, c, a, sent)
 		return a, true
--- a/dispatch/workitem.go
+++ b/dispatch/workitem.go
@@ -100,7 +100,7 @@
 	return &workItem{
 		session: s, workspace: s.workspace, route: route, database: db, class: queueClass(priority),
 		query: group.Query{
-			PrimaryOnly: write || route.Reads == config.ReadsPrimary, Token: token, MaxAge: allowance.Age.Std(),
+			PrimaryOnly: write || route.Reads == config.ReadsPrimary, Writes: write, Token: token, MaxAge: allowance.Age.Std(),
 			Domain: d.options.Domain, Salt: s.salt,
 		},
 		started: now, deadline: now.Add(timeout - answerMargin), routeBackoff: newBackoff(timeout, priority), backoff: newBackoff(timeout, priority),
--- a/group/choose.go
+++ b/group/choose.go
@@ -15,6 +15,8 @@
 type Query struct {
 	// PrimaryOnly is set if only the primary may serve the statement.
 	PrimaryOnly bool
+	// Writes is set if the statement, or its transaction, may write. It is not served by a primary that is being replaced.
+	Writes bool
 	// Token is the log position of the session's token, which the statement must observe.
 	Token endpoint.Position
 	// MaxAge is the greatest accepted age of the data, 0 for no limit.
@@ -126,7 +128,7 @@
 func (v View) primaryCandidates(q Query, members []config.Endpoint, now time.Time) []Choice {
 	var out []Choice
 	for _, e := range members {
-		if slices.Contains(q.Tried, e.Name) {
+		if slices.Contains(q.Tried, e.Name) || q.Writes && v.IsBeingReplaced(e.Name, now) {
 			continue
 		}
 		if e.Name == v.lead.Endpoint {
--- /dev/null
+++ b/group/promotion_test.go
@@ -0,0 +1,77 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// TestIsBeingReplaced guards against writes that a primary acknowledges although the promotion of another endpoint is outstanding, and
+// against refusing writes for good once the notice of its end is lost.
+func TestIsBeingReplaced(t *testing.T) {
+	requested := Promotion{Fence: 5, Replaced: "p", Target: "r1", At: epoch}
+	with := func(change func(p *Promotion)) Promotion {
+		p := requested
+		change(&p)
+		return p
+	}
+	ended := with(func(p *Promotion) { p.Ended = true })
+	tests := map[string]struct {
+		promotions []Promotion
+		after      time.Duration
+		want       bool
+	}{
+		"none":                            {},
+		"requested":                       {promotions: []Promotion{requested}, want: true},
+		"ended":                           {promotions: []Promotion{requested, ended}},
+		"requested, told late":            {promotions: []Promotion{ended, requested}},
+		"requested again by another":      {promotions: []Promotion{requested, ended, with(func(p *Promotion) { p.Fence++ })}, want: true},
+		"the end of an older one":         {promotions: []Promotion{with(func(p *Promotion) { p.Fence++ }), ended}, want: true},
+		"the old primary is the target":   {promotions: []Promotion{requested, with(func(p *Promotion) { p.Fence, p.Target = 6, "p" })}},
+		"the end of a newer one":          {promotions: []Promotion{requested, with(func(p *Promotion) { p.Fence, p.Target, p.Ended = 6, "p", true })}},
+		"another primary is replaced":     {promotions: []Promotion{with(func(p *Promotion) { p.Replaced = "r2" })}},
+		"the end is lost, a while later":  {promotions: []Promotion{requested}, after: MaxPromotionAge - time.Millisecond, want: true},
+		"the end is lost, after its time": {promotions: []Promotion{requested}, after: MaxPromotionAge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := viewLedByP()
+			for _, p := range test.promotions {
+				v = v.WithPromotion(p)
+			}
+			now := epoch.Add(test.after)
+			if diff := cmp.Diff(test.want, v.IsBeingReplaced("p", now)); diff != "" {
+				t.Error(diff)
+			}
+			if chosen := v.Choose(Query{PrimaryOnly: true, Writes: true}, members, noneInFlight, now); test.want != (len(chosen) == 0) {
+				t.Errorf("chosen for a write: %+v", chosen)
+			}
+			if chosen := v.Choose(Query{PrimaryOnly: true}, members, noneInFlight, now); len(chosen) != 1 {
+				t.Errorf("chosen for a read: %+v", chosen)
+			}
+		})
+	}
+}
+
+// TestPromotionOrder checks that instances which were told the same in different orders know the same.
+func TestPromotionOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		told := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Promotion {
+			p := Promotion{Fence: rapid.Uint64Range(1, 4).Draw(t, "fence"), Ended: rapid.Bool().Draw(t, "ended"), Replaced: "p"}
+			p.Target = members[p.Fence%uint64(len(members))].Name
+			return p
+		})).Draw(t, "told")
+		know := func(in []Promotion) Promotion {
+			v := View{}
+			for _, p := range in {
+				v = v.WithPromotion(p)
+			}
+			return v.Promotion()
+		}
+		if diff := cmp.Diff(know(told), know(rapid.Permutation(told).Draw(t, "other order"))); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -13,7 +13,7 @@
 	"siskincove/store"
 )
 
-// extendHeartbeat adds to a heartbeat the versions of the directory. A request also gets the databases in which this instance
+// extendHeartbeat adds to a heartbeat the versions of the directory and the promotions that may be outstanding. A request also gets the databases in which this instance
 // is interested, and a reply the leads of those in which the sender of the request is.
 func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
@@ -23,6 +23,7 @@
 	v := i.directory.Versions()
 	i.observeEra(v.Endpoints.Era())
 	h.Configuration, h.Endpoints = v.Configuration, uint64(v.Endpoints)
+	h.Promotions = i.promotions()
 	if request == nil {
 		h.Interests = i.interests()
 		return
@@ -55,6 +56,11 @@
 			i.recordLead(d, lead, sentAt)
 		}
 	}
+	for _, p := range h.GetPromotions() {
+		if d, ok := i.databases.Get(p.GetDatabase()); ok {
+			i.recordPromotion(d, p)
+		}
+	}
 	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: store.Version(h.GetEndpoints())}
 	i.fetcher.announce(peerVersions, h.GetAddress(), h.GetDomain())
 }
--- a/hosted/leads.go
+++ b/hosted/leads.go
@@ -96,8 +96,8 @@
 	d.RecordPeerLead(lead.GetEndpoint(), session.FreshnessCertificate{Position: peer.FromPosition(lead.GetPosition()), At: sentAt.Add(-age)})
 }
 
-// announce sends a heartbeat with the lead of a database to every live peer at once, so that they learn of a new primary
-// without waiting for the next round.
+// announce sends a heartbeat with the lead of a database to every live peer at once, so that they learn of a new primary, or that
+// one is being replaced, without waiting for the next round.
 func (i *Instance) announce(name string) {
 	ctx, cancel := context.WithTimeout(i.ctx, announceTimeout)
 	defer cancel()
@@ -107,7 +107,7 @@
 	}
 	i.members.Announce(ctx, func(h *wire.Heartbeat) {
 		h.Leads = slices.DeleteFunc(h.Leads, func(l *wire.Lead) bool { return l.GetDatabase() == name })
-		if lead := provenLead(d, i.options.Clock.Now()); lead != nil {
+		if lead := provenLead(d, i.options.Clock.Now()); lead != nil && !d.IsBeingReplaced(lead.GetEndpoint()) {
 			h.Leads = append(h.Leads, lead)
 		}
 	})
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -74,7 +74,7 @@
 	// Refresh reloads the endpoints if the store answers at once. It reports whether the set of endpoints is current enough
 	// to tell which logs may hold acknowledged commits.
 	Refresh func(ctx context.Context) bool
-	// Announce is called with the name of a database whose primary was replaced.
+	// Announce is called with the name of a database whose primary was replaced, or for which a promotion was requested or has ended.
 	Announce func(database string)
 }
 
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -9,6 +9,7 @@
 	"siskincove/config"
 	"siskincove/endpoint"
 	"siskincove/event"
+	"siskincove/group"
 	"siskincove/statement"
 )
 
@@ -29,6 +30,10 @@
 		return false
 	}
 	c.watches.end()
+	if db, ok := c.options.Databases.Get(c.name); ok {
+		db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, At: c.options.Clock.Now()})
+		c.options.Announce(c.name)
+	}
 	return true
 }
 
--- a/succession/run.go
+++ b/succession/run.go
@@ -102,6 +102,7 @@
 		target := r.succession.Target()
 		r.running.Go(func() { r.pollTarget(ctx, target, events) })
 		r.startWatches(parent)
+		r.announceRequest()
 	}
 	return r.promoteUntil.Sub(now)
 }
@@ -135,6 +136,7 @@
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
 		"took": took.String(), "watched": r.watched(),
 	}
+	r.recordEnd()
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
 		o.Announce(r.database.Name())
@@ -142,6 +144,9 @@
 	}
 	fields["why"] = r.succession.StopReason()
 	o.Logger.Log(event.SuccessionStopped, fields)
+	if !r.promoteUntil.IsZero() && !r.succession.guards() {
+		o.Announce(r.database.Name())
+	}
 }
 
 func (r *runner) member(name string) (config.Endpoint, bool) {
