succession: guard the promotions of other coordinators

A coordinator that has requested a promotion may be killed or cut off from the old primary before the platform carries the request out; then nobody demoted the old primary when it was back, and the loss of one message left an instance sending it writes.

Without an announcement nothing changes, so abandoned holds beside a primary that leads are released as before.

--- a/hosted/promotion_test.go
+++ b/hosted/promotion_test.go
@@ -58,3 +58,59 @@
 		})
 	}
 }
+
+// TestReturnsAfterKill guards against the loss of acknowledged commits (harness late): the coordinator that has requested a promotion ends, the
+// platform carries the request out 2.2 s later, and meanwhile the old primary is back and the other replica restarts.
+func TestReturnsAfterKill(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 3)
+	d.promotion.SetFaults(hosting.PromotionFaults{LoseAnswers: 100, Delay: 2200 * time.Millisecond})
+	lost := d.group.Primary()
+	writers := []*writer{d.startWriter(0), d.startWriter(1), d.startWriter(2)}
+	d.eventually("coordinators have reserved fencing tokens", func() bool {
+		return len(d.store.Rows("fences")) == 1 && writers[0].acknowledged() > 20
+	})
+	time.Sleep(4500 * time.Millisecond)
+	var requester *Instance
+	others := 0
+	for n, i := range d.instances {
+		if rank, ok := i.coordinators.Rank("g"); ok && rank == 0 {
+			requester = i
+		} else {
+			others = n
+		}
+	}
+	lost.Crash()
+	var target string
+	d.eventually("another instance knows of the promotion", func() bool {
+		db, _ := d.instances[others].databases.Get("g")
+		p := db.View().Promotion()
+		target = p.Target
+		return p.Outstanding(d.instances[others].options.Clock.Now()) && p.Replaced == lost.ID()
+	})
+	requester.Close()
+	time.Sleep(700 * time.Millisecond)
+	if err := lost.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	d.eventually("the old primary is demoted", func() bool { return d.group.Primary() == nil })
+	if requests := d.promotion.Requests(); len(requests) > 0 {
+		t.Errorf("promotion of %s was carried out before the old primary was demoted", requests[0].ID)
+	}
+	for _, e := range d.group.Members() {
+		if e != lost && e.ID() != target {
+			e.Crash()
+			time.Sleep(200 * time.Millisecond)
+			if err := e.Restart(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	d.eventually("another endpoint is primary", func() bool {
+		p := d.group.Primary()
+		return p != nil && p != lost
+	})
+	before := writers[others].acknowledged()
+	d.eventually("writes are acknowledged again", func() bool { return writers[others].acknowledged() > before+20 })
+	d.checkWrites(writers...)
+}
--- /dev/null
+++ b/succession/assist.go
@@ -0,0 +1,63 @@
+package succession
+
+import (
+	"context"
+	"time"
+
+	"siskincove/config"
+	"siskincove/database"
+)
+
+// assistance is what a coordinator remembers of the endpoints that the outstanding promotion of another coordinator concerns.
+type assistance struct {
+	fence uint64
+	// heldOver maps each endpoint to the connection over which it was last seen to be held.
+	heldOver map[string]uint64
+}
+
+// assists reports whether another coordinator's promotion may be outstanding, which this one guards as well.
+func (c *Coordinator) assists(db *database.Database) bool {
+	p := db.View().Promotion()
+	return p.Outstanding(c.options.Clock.Now()) && (c.watches == nil || c.watches.guard.plan.Fence < p.Fence)
+}
+
+// assist guards the outstanding promotion of another coordinator, which may be unable to: it demotes a former primary that leads, and
+// holds a replica again that was seen to be held before a restart.
+func (c *Coordinator) assist(ctx context.Context, db *database.Database, members []config.Endpoint, results []ProbeResult, probedAt time.Time) {
+	if !c.assists(db) {
+		return
+	}
+	p := db.View().Promotion()
+	if c.assistance.fence != p.Fence {
+		c.assistance = assistance{fence: p.Fence, heldOver: make(map[string]uint64)}
+	}
+	plan := Plan{Term: p.Term, Fence: p.Fence, OldPrimary: p.Replaced, Floor: Floor{Term: p.Newest}}
+	for _, e := range members {
+		if e.Name != p.Replaced {
+			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name})
+		}
+	}
+	w := &watches{coordinator: c, database: db, guard: guard{plan: plan, target: p.Target}, since: p.At}
+	for _, r := range results {
+		at := indexOf(members, r.Endpoint)
+		if at < 0 || r.Status == nil || r.Endpoint == p.Target {
+			continue
+		}
+		found, before := w.guard.inspect(r.Endpoint, *r.Status), c.assistance.heldOver[r.Endpoint]
+		if found == held {
+			c.assistance.heldOver[r.Endpoint] = r.Connection
+		}
+		if command, ok := w.guard.command(found, before != 0 && before != r.Connection); ok {
+			w.log(members[at], found, w.send(ctx, members[at], command), *r.Status, probedAt)
+		}
+	}
+}
+
+func indexOf(members []config.Endpoint, name string) int {
+	for i, e := range members {
+		if e.Name == name {
+			return i
+		}
+	}
+	return -1
+}
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -101,6 +101,8 @@
 	lastReservation time.Time
 	// watches are those of the last promotion that this coordinator requested, nil before the first.
 	watches *watches
+	// assistance concerns the promotion of another coordinator.
+	assistance assistance
 }
 
 // Start starts a coordinator for a database. It runs until ctx ends or Close is called.
@@ -145,7 +147,7 @@
 			c.round(ctx, db, rank)
 		}
 		switch {
-		case c.suspected:
+		case c.suspected || ok && known && c.assists(db):
 			pause = suspectInterval
 		case c.detector.needsFrequentProbes():
 			pause = roundInterval
@@ -170,7 +172,7 @@
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofMaxAge+c.options.Timing.Unresponsive
 	}
 	departures := db.Departures()
-	if fresh && !c.suspected && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
+	if fresh && !c.suspected && !c.assists(db) && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
 		return
 	}
 	c.lastSurvey = now
@@ -194,6 +196,7 @@
 	c.prober.retain(targets.all())
 	probedAt := c.options.Clock.Now()
 	results := c.probeAll(ctx, targets)
+	c.assist(ctx, db, targets.all(), results, probedAt)
 	lead, _ := db.View().Lead()
 	_, acknowledge := c.group()
 	survey := Survey{Primary: lead.Endpoint, Results: results, Acknowledge: acknowledge}
