group: send no writes to a returned primary that was unknown at the request

While a promotion without a known old primary may be outstanding, writes go to its target only.

TestIsBeingReplaced, "no primary was known", fails on the code before.

--- a/group/promotion.go
+++ b/group/promotion.go
@@ -59,7 +59,9 @@
 func (v View) Promotion() Promotion { return v.promotion }
 
 // IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead. A commit that
-// the endpoint acknowledges then may not be in the promoted log.
+// the endpoint acknowledges then may not be in the promoted log. If no primary was known at the request, any other endpoint may
+// be the one that is replaced, such as a demoted primary after a restart.
 func (v View) IsBeingReplaced(name string, now time.Time) bool {
-	return v.promotion.Replaced == name && v.promotion.Target != name && v.promotion.Outstanding(now)
+	p := v.promotion
+	return (p.Replaced == name || p.Replaced == "") && p.Target != name && p.Outstanding(now)
 }
--- a/group/promotion_test.go
+++ b/group/promotion_test.go
@@ -32,6 +32,7 @@
 		"the old primary is the target":   {promotions: []Promotion{requested, with(func(p *Promotion) { p.Fence, p.Target = 6, "p" })}},
 		"the end of a newer one":          {promotions: []Promotion{requested, with(func(p *Promotion) { p.Fence, p.Target, p.Ended = 6, "p", true })}},
 		"another primary is replaced":     {promotions: []Promotion{with(func(p *Promotion) { p.Replaced = "r2" })}},
+		"no primary was known":            {promotions: []Promotion{with(func(p *Promotion) { p.Replaced = "" })}, want: true},
 		"the end is lost, a while later":  {promotions: []Promotion{requested}, after: MaxPromotionAge - time.Millisecond, want: true},
 		"the end is lost, after its time": {promotions: []Promotion{requested}, after: MaxPromotionAge},
 	}
