succession: announce a promotion before it is requested

It is now sent when the holds are confirmed, and the request waits for the replies for up to 60 ms.

An announcement may now be followed by no request at all, and its end must not end an earlier promotion that may still take effect, nor did it have to before: a request that the platform never saw does not outrun one with a lower token. A coordinator that sees another endpoint lead tells the others.

TestIsBeingReplaced, "the end of a newer one", fails on the code before.

--- a/group/promotion.go
+++ b/group/promotion.go
@@ -1,6 +1,8 @@
 package group
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"siskincove/endpoint"
@@ -8,7 +10,7 @@
 
 // Promotion is a promotion that a coordinator has requested from the platform. It may take effect until it has ended.
 type Promotion struct {
-	// Fence is the fencing token of the request. A promotion with a higher one replaces those with lower ones.
+	// Fence is the fencing token of the request.
 	Fence uint64
 	// Term is the term under which replicas are held for the promotion, and Newest the newest term that was known when it was
 	// requested.
@@ -17,8 +19,10 @@
 	// Replaced is the primary to be replaced, empty when none is known, and Target the endpoint to be promoted.
 	Replaced string
 	Target   string
-	// Ended is set once the promotion has taken effect or can't do so any more.
-	Ended bool
+	// Ended is set once the promotion has taken effect or can't do so any more, and Settled if that holds for all with lower tokens
+	// too, since the platform has seen this one.
+	Ended   bool
+	Settled bool
 	// At is when the promotion was requested, or when it ended.
 	At time.Time
 }
@@ -29,6 +33,8 @@
 	MaxPromotionAge = 15 * time.Second
 	// endNoticeAge is the age up to which the end of a promotion is worth telling.
 	endNoticeAge = 5 * time.Second
+	// maxPromotions bounds the promotions that a view keeps, those with the highest tokens.
+	maxPromotions = 8
 )
 
 // Outstanding reports whether the promotion may still take effect.
@@ -41,27 +47,54 @@
 	return p.Outstanding(now) || p.Ended && now.Sub(p.At) < endNoticeAge
 }
 
-// supersedes reports whether the promotion, or its end, is news to one who knows of another.
-func (p Promotion) supersedes(known Promotion) bool {
-	return p.Fence > known.Fence || p.Fence == known.Fence && p.Ended && !known.Ended
+// progress orders what is told of one promotion: its request, its end, and the end of all before it.
+func (p Promotion) progress() int {
+	switch {
+	case p.Settled:
+		return 2
+	case p.Ended:
+		return 1
+	default:
+		return 0
+	}
 }
 
-// WithPromotion returns the view after a promotion was requested or has ended. One with a lower fencing token than a known one
-// changes nothing.
+// WithPromotion returns the view after a promotion was requested or has ended. What is known already, or is about a promotion below a
+// settled one, changes nothing.
 func (v View) WithPromotion(p Promotion) View {
-	if p.supersedes(v.promotion) {
-		v.promotion = p
+	next := make([]Promotion, 0, len(v.promotions)+1)
+	for _, known := range v.promotions {
+		switch {
+		case known.Fence > p.Fence && known.Settled || known.Fence == p.Fence && known.progress() >= p.progress():
+			return v
+		case known.Fence > p.Fence || known.Fence < p.Fence && !p.Settled:
+			next = append(next, known)
+		}
 	}
+	next = append(next, p)
+	slices.SortFunc(next, func(a, b Promotion) int { return cmp.Compare(b.Fence, a.Fence) })
+	v.promotions = next[:min(len(next), maxPromotions)]
 	return v
 }
 
-// Promotion returns the promotion with the highest fencing token, zero if none is known.
-func (v View) Promotion() Promotion { return v.promotion }
+// Promotions returns the known promotions, the highest fencing token first.
+func (v View) Promotions() []Promotion { return v.promotions }
+
+// OutstandingPromotion returns the promotion with the highest fencing token that may still take effect, and false if there is none.
+func (v View) OutstandingPromotion(now time.Time) (Promotion, bool) {
+	for _, p := range v.promotions {
+		if p.Outstanding(now) {
+			return p, true
+		}
+	}
+	return Promotion{}, false
+}
 
 // IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead. A commit that
 // the endpoint acknowledges then may not be in the promoted log. If no primary was known at the request, any other endpoint may
 // be the one that is replaced, such as a demoted primary after a restart.
 func (v View) IsBeingReplaced(name string, now time.Time) bool {
-	p := v.promotion
-	return (p.Replaced == name || p.Replaced == "") && p.Target != name && p.Outstanding(now)
+	return slices.ContainsFunc(v.promotions, func(p Promotion) bool {
+		return (p.Replaced == name || p.Replaced == "") && p.Target != name && p.Outstanding(now)
+	})
 }
--- a/group/view.go
+++ b/group/view.go
@@ -23,7 +23,7 @@
 	claim        string
 	observations []observation
 	history      session.History
-	promotion    Promotion
+	promotions   []Promotion
 }
 
 // minCertificateInterval is the least time between two certificates kept, so that the history, which is bounded in length,
--- a/hosted/promotions.go
+++ b/hosted/promotions.go
@@ -19,8 +19,10 @@
 	var out []*wire.Promotion
 	now := i.options.Clock.Now()
 	for _, d := range rotated(i.databases.All(), rand.IntN) {
-		if p := d.View().Promotion(); p.WorthTelling(now) && len(out) < maxPromotions {
-			out = append(out, promotionMessage(d.Name(), p, now))
+		for _, p := range d.View().Promotions() {
+			if p.WorthTelling(now) && len(out) < maxPromotions {
+				out = append(out, promotionMessage(d.Name(), p, now))
+			}
 		}
 	}
 	return out
@@ -29,7 +31,7 @@
 func promotionMessage(database string, p group.Promotion, now time.Time) *wire.Promotion {
 	return &wire.Promotion{
 		Database: database, Fence: p.Fence, Term: uint64(p.Term), Newest: uint64(p.Newest), Replaced: p.Replaced, Target: p.Target, Ended: p.Ended,
-		Age: peer.Micros(now.Sub(p.At)),
+		Settled: p.Settled, Age: peer.Micros(now.Sub(p.At)),
 	}
 }
 
@@ -38,6 +40,6 @@
 func (i *Instance) recordPromotion(d *database.Database, p *wire.Promotion) {
 	d.RecordPromotion(group.Promotion{
 		Fence: p.GetFence(), Term: endpoint.FencedTerm(p.GetTerm()), Newest: endpoint.FencedTerm(p.GetNewest()), Replaced: p.GetReplaced(),
-		Target: p.GetTarget(), Ended: p.GetEnded(), At: i.options.Clock.Now().Add(-peer.Duration(p.GetAge())),
+		Target: p.GetTarget(), Ended: p.GetEnded(), Settled: p.GetSettled(), At: i.options.Clock.Now().Add(-peer.Duration(p.GetAge())),
 	})
 }
--- a/standin/hosting/promotion.go
+++ b/standin/hosting/promotion.go
@@ -16,6 +16,8 @@
 	// LoseAnswers executes this many of the next requests after Delay, without an answer.
 	LoseAnswers int
 	Delay       time.Duration
+	// OnRequest, if set, is called when a request arrives.
+	OnRequest func()
 }
 
 // PromotionRequest is a handled promotion request: its lease holder, fencing token, group, endpoint id and the HTTP
@@ -92,6 +94,9 @@
 		p.faults.LoseAnswers--
 	}
 	p.mu.Unlock()
+	if f.OnRequest != nil {
+		f.OnRequest()
+	}
 	switch {
 	case f.Down:
 		http.Error(w, "down", http.StatusServiceUnavailable)
--- a/succession/announce.go
+++ b/succession/announce.go
@@ -1,28 +1,52 @@
 package succession
 
-import "siskincove/group"
+import (
+	"context"
+	"time"
 
-// announceRequest tells the other instances that a promotion is requested, so that none sends writes to the old primary until the
-// promotion has ended.
+	"siskincove/group"
+)
+
+// announceWait bounds how long a promotion request waits for the other instances to answer its announcement.
+const announceWait = 60 * time.Millisecond
+
+// announceRequest tells the other instances that a promotion is about to be requested, so that none sends writes to the old primary
+// until it has ended. They are told before the request, since this process may end at any time after it.
 func (r *runner) announceRequest() {
-	r.database.RecordPromotion(r.promotion())
-	r.running.Go(func() { r.coordinator.options.Announce(r.database.Name()) })
+	r.announced = make(chan struct{})
+	r.database.RecordPromotion(r.promotion(r.succession.longest().replica.Name))
+	done := r.announced
+	r.running.Go(func() {
+		defer close(done)
+		r.coordinator.options.Announce(r.database.Name())
+	})
+}
+
+// awaitAnnouncement waits until the other instances have answered the announcement, for up to announceWait.
+func (r *runner) awaitAnnouncement(ctx context.Context, announced <-chan struct{}) {
+	select {
+	case <-announced:
+	case <-ctx.Done():
+	case <-r.coordinator.options.Clock.After(announceWait):
+	}
 }
 
-// recordEnd records that the promotion, if one was requested, has taken effect or can't do so any more.
-func (r *runner) recordEnd() {
-	if r.promoteUntil.IsZero() || r.succession.guards() {
-		return
+// recordEnd records that the promotion, if one was announced, has taken effect or can't do so any more, and reports whether that is news
+// for the other instances.
+func (r *runner) recordEnd() bool {
+	if r.announced == nil || r.succession.guards() {
+		return false
 	}
-	p := r.promotion()
-	p.Ended = true
+	p := r.promotion(r.succession.Target())
+	p.Ended, p.Settled = true, r.succession.Phase() == Done
 	r.database.RecordPromotion(p)
+	return true
 }
 
-// promotion returns the promotion that the succession requests, as of now.
-func (r *runner) promotion() group.Promotion {
+// promotion returns the promotion of a target that the succession requests, as of now.
+func (r *runner) promotion(target string) group.Promotion {
 	return group.Promotion{
-		Fence: r.plan.Fence, Term: r.plan.Term, Newest: r.plan.Floor.Term, Replaced: r.plan.OldPrimary, Target: r.succession.Target(),
+		Fence: r.plan.Fence, Term: r.plan.Term, Newest: r.plan.Floor.Term, Replaced: r.plan.OldPrimary, Target: target,
 		At: r.coordinator.options.Clock.Now(),
 	}
 }
--- a/succession/assist.go
+++ b/succession/assist.go
@@ -17,8 +17,8 @@
 
 // assists reports whether another coordinator's promotion may be outstanding, which this one guards as well.
 func (c *Coordinator) assists(db *database.Database) bool {
-	p := db.View().Promotion()
-	return p.Outstanding(c.options.Clock.Now()) && (c.watches == nil || c.watches.guard.plan.Fence < p.Fence)
+	p, outstanding := db.View().OutstandingPromotion(c.options.Clock.Now())
+	return outstanding && (c.watches == nil || c.watches.guard.plan.Fence < p.Fence)
 }
 
 // assist guards the outstanding promotion of another coordinator, which may be unable to: it demotes a former primary that leads, and
@@ -27,7 +27,7 @@
 	if !c.assists(db) {
 		return
 	}
-	p := db.View().Promotion()
+	p, _ := db.View().OutstandingPromotion(c.options.Clock.Now())
 	if c.assistance.fence != p.Fence {
 		c.assistance = assistance{fence: p.Fence, heldOver: make(map[string]uint64)}
 	}
@@ -38,6 +38,11 @@
 		}
 	}
 	w := &watches{coordinator: c, database: db, guard: guard{plan: plan, target: p.Target}, since: p.At}
+	if w.settled() {
+		p.Ended, p.Settled, p.At = true, true, c.options.Clock.Now()
+		db.RecordPromotion(p)
+		return
+	}
 	for _, r := range results {
 		at := indexOf(members, r.Endpoint)
 		if at < 0 || r.Status == nil || r.Endpoint == p.Target {
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -31,7 +31,7 @@
 	}
 	c.watches.end()
 	if db, ok := c.options.Databases.Get(c.name); ok {
-		db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, At: c.options.Clock.Now()})
+		db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, Settled: true, At: c.options.Clock.Now()})
 		c.options.Announce(c.name)
 	}
 	return true
--- a/succession/run.go
+++ b/succession/run.go
@@ -50,7 +50,9 @@
 	// promotion.
 	confirmingSince time.Time
 	promoteUntil    time.Time
-	running         sync.WaitGroup
+	// announced is closed when the announcement of the promotion has been answered, nil before the announcement.
+	announced chan struct{}
+	running   sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -81,6 +83,9 @@
 			r.releaseHolds(parent, actions)
 			break
 		}
+		if before == Holding && r.succession.Phase() == Confirming {
+			r.announceRequest()
+		}
 		if phase := r.succession.Phase(); phase != before && phase >= Promoting {
 			timeout = o.Clock.After(r.beginPhase(ctx, parent, phase, events))
 		}
@@ -102,7 +107,6 @@
 		target := r.succession.Target()
 		r.running.Go(func() { r.pollTarget(ctx, target, events) })
 		r.startWatches(parent)
-		r.announceRequest()
 	}
 	return r.promoteUntil.Sub(now)
 }
@@ -136,7 +140,7 @@
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
 		"took": took.String(), "watched": r.watched(),
 	}
-	r.recordEnd()
+	ended := r.recordEnd()
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
 		o.Announce(r.database.Name())
@@ -144,7 +148,7 @@
 	}
 	fields["why"] = r.succession.StopReason()
 	o.Logger.Log(event.SuccessionStopped, fields)
-	if !r.promoteUntil.IsZero() && !r.succession.guards() {
+	if ended {
 		o.Announce(r.database.Name())
 	}
 }
@@ -172,8 +176,11 @@
 		case Demote:
 			r.running.Go(func() { r.demote(ctx, e, events) })
 		case Promote:
-			logs := r.succession.guard().logs()
-			r.running.Go(func() { r.promote(ctx, e, logs, events) })
+			logs, announced := r.succession.guard().logs(), r.announced
+			r.running.Go(func() {
+				r.awaitAnnouncement(ctx, announced)
+				r.promote(ctx, e, logs, events)
+			})
 		}
 	}
 }
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -207,9 +207,7 @@
 // choose requests the promotion of the replica with the longest log. Among equal logs, replicas that are not leaving come
 // first.
 func (s Succession) choose() (Succession, []Action) {
-	best := slices.MinFunc(s.held, func(a, b heldReplica) int {
-		return cmp.Or(b.log.Compare(a.log), leavingOrder(a)-leavingOrder(b), cmp.Compare(a.replica.Name, b.replica.Name))
-	})
+	best := s.longest()
 	if !s.plan.Floor.reachedBy(best.log) {
 		return s.stop("log of " + best.replica.Name + " may lack acknowledged commits")
 	}
@@ -217,6 +215,13 @@
 	return s.promote()
 }
 
+// longest returns the held replica to be promoted.
+func (s Succession) longest() heldReplica {
+	return slices.MinFunc(s.held, func(a, b heldReplica) int {
+		return cmp.Or(b.log.Compare(a.log), leavingOrder(a)-leavingOrder(b), cmp.Compare(a.replica.Name, b.replica.Name))
+	})
+}
+
 // promote requests the promotion of the chosen replica.
 func (s Succession) promote() (Succession, []Action) {
 	s.phase = Promoting
