database: find the promotions to tell without going through all databases

Each heartbeat went through all databases for those with a promotion, sorted, thousands where there are many. A registry now keeps an index of those that were told of one, which drops them once there is nothing more to tell.

--- a/database/database.go
+++ b/database/database.go
@@ -38,11 +38,13 @@
 	// of the lead; they are zero if none has.
 	usedAt      time.Time
 	neededSince time.Time
+	// promoting is shared by the databases of a registry.
+	promoting *promotionIndex
 }
 
 func newDatabase(name string, o Options) *Database {
 	return &Database{
-		name: name, options: o, pools: make(map[string]*connection.Pool), held: make(map[string]*connection.Pool),
+		name: name, options: o, promoting: newPromotionIndex(), pools: make(map[string]*connection.Pool), held: make(map[string]*connection.Pool),
 		leavingSince: make(map[string]time.Time),
 		changed:      make(chan struct{}),
 	}
@@ -171,18 +173,6 @@
 	d.update("peer", func(v group.View, _ time.Time) group.View { return v.WithLead(name, c.Position, c.At) })
 }
 
-// RecordPromotion records that a promotion was requested or has ended.
-func (d *Database) RecordPromotion(p group.Promotion) {
-	d.update("", func(v group.View, _ time.Time) group.View { return v.WithPromotion(p) })
-}
-
-// IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead.
-func (d *Database) IsBeingReplaced(endpoint string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.view.IsBeingReplaced(endpoint, d.options.Clock.Now())
-}
-
 // RecordLeadHint records a peer's report that an endpoint led at an approximate time. Unknown endpoints are ignored.
 func (d *Database) RecordLeadHint(name string, at time.Time) {
 	if _, known := d.Pool(name); !known {
--- a/database/registry.go
+++ b/database/registry.go
@@ -82,7 +82,8 @@
 
 // Registry holds the databases of the configuration in force.
 type Registry struct {
-	options Options
+	options   Options
+	promoting *promotionIndex
 
 	mu        sync.Mutex
 	databases map[string]*Database
@@ -90,7 +91,7 @@
 
 // NewRegistry returns a registry without databases.
 func NewRegistry(o Options) *Registry {
-	return &Registry{options: o, databases: make(map[string]*Database)}
+	return &Registry{options: o, databases: make(map[string]*Database), promoting: newPromotionIndex()}
 }
 
 // Get returns a database by name.
@@ -125,7 +126,9 @@
 	}
 	for _, declared := range catalog.Set.Databases {
 		if _, ok := r.databases[declared.Name]; !ok {
-			r.databases[declared.Name] = newDatabase(declared.Name, r.options)
+			d := newDatabase(declared.Name, r.options)
+			d.promoting = r.promoting
+			r.databases[declared.Name] = d
 		}
 	}
 	r.mu.Unlock()
--- a/hosted/promotions.go
+++ b/hosted/promotions.go
@@ -18,7 +18,7 @@
 func (i *Instance) promotions() []*wire.Promotion {
 	var out []*wire.Promotion
 	now := i.options.Clock.Now()
-	for _, d := range rotated(i.databases.All(), rand.IntN) {
+	for _, d := range rotated(i.databases.WithPromotions(), rand.IntN) {
 		for _, p := range d.View().Promotions() {
 			if p.WorthTelling(now) && len(out) < maxPromotions {
 				out = append(out, promotionMessage(d.Name(), p, now))
