--- a/database/database.go
+++ b/database/database.go
@@ -40,11 +40,13 @@
 	// of the lead; they are zero if none has.
 	usedAt      time.Time
 	neededSince time.Time
+	// promoting is shared by the databases of a registry.
+	promoting *promotionIndex
 }
 
 func newDatabase(name string, o Options) *Database {
 	return &Database{
-		name: name, options: o, pools: make(map[string]*connection.Pool), held: make(map[string]*connection.Pool),
+		name: name, options: o, promoting: newPromotionIndex(), pools: make(map[string]*connection.Pool), held: make(map[string]*connection.Pool),
 		leavingSince: make(map[string]time.Time),
 		changed:      make(chan struct{}),
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -105,14 +105,14 @@
 	FollowerRedirected = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed no primary was told to follow the current one.")
 )
 
-// Succession events, 520 to 549.
+// Succession events, 520 to 559.
 var (
 	PrimarySuspected   = define(520, log.WarnLevel, "succession", "primary suspected", "The coordinator queries every endpoint of the group; why gives the evidence.")
 	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged. counted gives the endpoints whose logs count and where they end, omitted those without an answer, departed those no longer registered; endpointsage is the age of the last read of the endpoints, and unread why the latest one failed.")
 	PromotionRequested = define(522, log.WarnLevel, "succession", "promotion requested", "The platform is asked to promote the endpoint whose log holds every acknowledged commit.")
 	PromotionRefused   = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the request, which has no effect; another attempt starts with a higher fencing token.")
 	PromotionUnknown   = define(524, log.WarnLevel, "succession", "promotion result unknown", "The request may still take effect; it is repeated unchanged until the endpoint leads or the platform refuses it.")
-	SuccessionDone     = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took gives the time since the succession started.")
+	SuccessionDone     = define(525, log.InfoLevel, "succession", "succession done", "The promoted endpoint leads; took gives the time since the succession started, watched what each other endpoint answered last and how often its hold had ended or it led.")
 	SuccessionStopped  = define(526, log.WarnLevel, "succession", "succession stopped", "The succession ended without a promotion and its holds are released; why gives the reason.")
 	HoldReleased       = define(527, log.InfoLevel, "succession", "hold released", "A replica that was held unnecessarily resumes receiving.")
 	FenceReserved      = define(528, log.InfoLevel, "succession", "fencing token reserved", "A unique fencing token was reserved in the store ahead of need.")
@@ -122,6 +122,8 @@
 	MembersStored      = define(540, log.InfoLevel, "succession", "members stored", "The list of the endpoints that may hold acknowledged commits was written to the store, where coordinators find it after a restart.")
 	MembersFailed      = define(541, log.WarnLevel, "succession", "members not stored", "The list of the endpoints that may hold acknowledged commits could not be read, written or decoded; it is tried again.")
 	MembersDeparted    = define(542, log.WarnLevel, "succession", "listed endpoints departed", "Endpoints that may hold acknowledged commits are listed in the store but not registered; they count as departed.")
+	HoldEnded          = define(550, log.WarnLevel, "succession", "hold ended during a promotion", "A replica that was held for an outstanding promotion is no longer held; logs gives the ends of the held logs at the request, log its own end now, since the time since the request, age that of the answer, and found what was seen.")
+	OldPrimaryLeads    = define(551, log.WarnLevel, "succession", "former primary leads during a promotion", "The primary to be replaced answers as primary while the promotion of another endpoint is outstanding; fields as for 550.")
 )
 
 // Membership events, 600 to 699.
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -76,7 +76,7 @@
 	Refresh func(ctx context.Context, timeout time.Duration) directory.Reading
 	// Era returns the latest era of the store that is known.
 	Era func() uint64
-	// Announce is called with the name of a database whose primary was replaced.
+	// Announce is called with the name of a database whose primary was replaced, or for which a promotion was requested or has ended.
 	Announce func(database string)
 }
 
@@ -106,6 +106,10 @@
 	// fencingToken is the token reserved in advance, 0 for none.
 	fencingToken    uint64
 	lastReservation time.Time
+	// watches are those of the last promotion that this coordinator requested, nil before the first.
+	watches *watches
+	// assistance concerns the promotion of another coordinator.
+	assistance assistance
 }
 
 // Start starts a coordinator for a database. It runs until ctx ends or Close is called.
@@ -142,6 +146,7 @@
 	defer close(c.done)
 	defer func() { <-c.keeper.done }()
 	defer c.prober.close()
+	defer func() { c.watches.end() }()
 	for ctx.Err() == nil {
 		pause := roundInterval
 		rank, ok := c.options.Ranking.Rank(c.name)
@@ -150,7 +155,7 @@
 			c.round(ctx, db, rank)
 		}
 		switch {
-		case c.suspected:
+		case c.suspected || ok && known && c.assists(db):
 			pause = suspectInterval
 		case c.detector.needsFrequentProbes():
 			pause = roundInterval
@@ -175,7 +180,7 @@
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofMaxAge+c.options.Timing.Unresponsive
 	}
 	departures := c.keepMembers(db, acknowledge, rank)
-	if fresh && !c.suspected && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
+	if fresh && !c.suspected && !c.assists(db) && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
 		return
 	}
 	c.lastSurvey = now
@@ -199,6 +204,7 @@
 	c.prober.retain(targets.all())
 	probedAt := c.options.Clock.Now()
 	results := c.probeAll(ctx, targets)
+	c.assist(ctx, db, targets.all(), results, probedAt)
 	lead, _ := db.View().Lead()
 	_, acknowledge := c.group()
 	survey := Survey{Primary: lead.Endpoint, Results: results, Acknowledge: acknowledge}
@@ -303,7 +309,7 @@
 	c.setBlocked("", assessment, plan.OldPrimary)
 	c.addEvidence(fields, targets, results, plan, reading)
 	c.options.Logger.Log(event.SuccessionStarted, fields)
-	r := &runner{coordinator: c, database: db, members: counted, succession: New(plan)}
+	r := &runner{coordinator: c, database: db, members: counted, plan: plan, succession: New(plan)}
 	r.run(ctx)
 	c.detector, c.suspected, c.deferral = c.detector.afterAttempt(plan.Term), true, deferral{}
 	c.lastSurvey = time.Time{}
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -9,6 +9,7 @@
 	"siskincove/config"
 	"siskincove/endpoint"
 	"siskincove/event"
+	"siskincove/group"
 	"siskincove/statement"
 )
 
@@ -28,6 +29,11 @@
 		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": primary, "fence": token, "error": err.Error()})
 		return false
 	}
+	c.watches.end()
+	if db, ok := c.options.Databases.Get(c.name); ok {
+		db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, Settled: true, At: c.options.Clock.Now()})
+		c.options.Announce(c.name)
+	}
 	return true
 }
 
--- /dev/null
+++ b/succession/guard.go
@@ -0,0 +1,76 @@
+package succession
+
+import (
+	"slices"
+
+	"siskincove/endpoint"
+)
+
+// guard tells which endpoints may acknowledge commits that the log chosen for an outstanding promotion lacks; it is an immutable
+// value.
+type guard struct {
+	plan   Plan
+	target string
+	held   []heldReplica
+}
+
+// guard returns the guard of the promotion that the succession has requested.
+func (s Succession) guard() guard {
+	return guard{plan: s.plan, target: s.target, held: s.held}
+}
+
+// guards reports whether a promotion that the succession has requested may be outstanding.
+func (s Succession) guards() bool {
+	switch s.phase {
+	case Promoting, Reconfirming:
+		return true
+	case Stopped:
+		return s.target != "" && (s.unknown || s.accepted)
+	default:
+		return false
+	}
+}
+
+// finding is what an endpoint's status tells about an outstanding promotion of another.
+type finding string
+
+const (
+	silent    finding = "no answer"
+	harmless  finding = "replica"
+	held      finding = "held"
+	holdEnded finding = "hold ended"
+	leads     finding = "leads"
+)
+
+// inspect returns what an endpoint's status tells.
+func (g guard) inspect(name string, status endpoint.PlatformStatus) finding {
+	switch {
+	case status.Role == endpoint.Primary && status.Term <= g.plan.Floor.Term:
+		return leads
+	case status.Role == endpoint.Primary || !g.counts(name):
+		return harmless
+	case status.Held >= g.plan.Term:
+		return held
+	default:
+		return holdEnded
+	}
+}
+
+// command returns the command that an endpoint gets for a finding, and false if it gets none. A former primary becomes a replica, as
+// it could acknowledge commits together with a replica that has returned. A hold that a restart has ended is taken again; one
+// that has ended otherwise was released by another coordinator, which has invalidated the promotion.
+func (g guard) command(f finding, reconnected bool) (Command, bool) {
+	switch {
+	case f == leads:
+		return Demote, true
+	case f == holdEnded && reconnected:
+		return Hold, true
+	default:
+		return 0, false
+	}
+}
+
+// counts reports whether an endpoint is one of the plan's replicas. Those that did not answer before are held too.
+func (g guard) counts(name string) bool {
+	return slices.ContainsFunc(g.plan.Replicas, func(r Replica) bool { return r.Name == name })
+}
--- a/succession/run.go
+++ b/succession/run.go
@@ -44,11 +44,15 @@
 	database    *database.Database
 	members     []config.Endpoint
 	succession  Succession
+	// plan is the plan of the succession; the goroutines of commands read it.
+	plan Plan
 	// confirmingSince is when the phases began that end with all holds confirmed, and promoteUntil the end of the wait for the
 	// promotion.
 	confirmingSince time.Time
 	promoteUntil    time.Time
-	running         sync.WaitGroup
+	// announced is closed when the announcement of the promotion has been answered, nil before the announcement.
+	announced chan struct{}
+	running   sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -75,11 +79,15 @@
 		}
 		actions := r.handle(e)
 		if r.succession.Phase() >= Done {
+			r.settleWatches()
 			r.releaseHolds(parent, actions)
 			break
 		}
+		if before == Holding && r.succession.Phase() == Confirming {
+			r.announceRequest()
+		}
 		if phase := r.succession.Phase(); phase != before && phase >= Promoting {
-			timeout = o.Clock.After(r.beginPhase(ctx, phase, events))
+			timeout = o.Clock.After(r.beginPhase(ctx, parent, phase, events))
 		}
 		r.execute(ctx, actions, events)
 	}
@@ -88,7 +96,7 @@
 
 // beginPhase records the beginning of a phase from Promoting on and returns its time limit. The target is probed from the first
 // promotion request on.
-func (r *runner) beginPhase(ctx context.Context, phase Phase, events chan<- Event) time.Duration {
+func (r *runner) beginPhase(ctx, parent context.Context, phase Phase, events chan<- Event) time.Duration {
 	now := r.coordinator.options.Clock.Now()
 	if phase == Reconfirming {
 		r.confirmingSince = now
@@ -98,6 +106,7 @@
 		r.promoteUntil = now.Add(promoteTimeout)
 		target := r.succession.Target()
 		r.running.Go(func() { r.pollTarget(ctx, target, events) })
+		r.startWatches(parent)
 	}
 	return r.promoteUntil.Sub(now)
 }
@@ -115,14 +124,23 @@
 	return actions
 }
 
+// watched returns what the watches of the promotion have found, empty if none was requested.
+func (r *runner) watched() string {
+	if r.promoteUntil.IsZero() {
+		return ""
+	}
+	return r.coordinator.watches.findings()
+}
+
 // finish logs the outcome and announces a replaced primary.
 func (r *runner) finish(took time.Duration) {
 	o := r.coordinator.options
-	plan := r.succession.Plan()
+	plan := r.plan
 	fields := log.Fields{
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
-		"took": took.String(),
+		"took": took.String(), "watched": r.watched(),
 	}
+	ended := r.recordEnd()
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
 		o.Announce(r.database.Name())
@@ -130,6 +148,9 @@
 	}
 	fields["why"] = r.succession.StopReason()
 	o.Logger.Log(event.SuccessionStopped, fields)
+	if ended {
+		o.Announce(r.database.Name())
+	}
 }
 
 func (r *runner) member(name string) (config.Endpoint, bool) {
@@ -155,7 +176,11 @@
 		case Demote:
 			r.running.Go(func() { r.demote(ctx, e, events) })
 		case Promote:
-			r.running.Go(func() { r.promote(ctx, e, events) })
+			logs, announced := r.succession.guard().logs(), r.announced
+			r.running.Go(func() {
+				r.awaitAnnouncement(ctx, announced)
+				r.promote(ctx, e, logs, events)
+			})
 		}
 	}
 }
@@ -164,7 +189,7 @@
 // the plan is contested, that is, the other succession counts as abandoned.
 func (r *runner) hold(ctx context.Context, e config.Endpoint, events chan<- Event) {
 	c := r.coordinator
-	plan := r.succession.Plan()
+	plan := r.plan
 	step := statement.ProxyStep(statement.Hold)
 	step.Term = plan.Term
 	for ctx.Err() == nil {
@@ -199,7 +224,7 @@
 func (r *runner) demote(ctx context.Context, e config.Endpoint, events chan<- Event) {
 	c := r.coordinator
 	step := statement.ProxyStep(statement.Demote)
-	step.Term = r.succession.Plan().Term
+	step.Term = r.plan.Term
 	for ctx.Err() == nil {
 		result := c.prober.query(ctx, e, step, probeTimeout)
 		if result.Status != nil {
@@ -219,12 +244,12 @@
 	}
 }
 
-// promote sends the promotion request once and reports the platform's answer.
-func (r *runner) promote(ctx context.Context, e config.Endpoint, events chan<- Event) {
+// promote sends the promotion request once and reports the platform's answer. logs are the ends of the held logs, as text.
+func (r *runner) promote(ctx context.Context, e config.Endpoint, logs string, events chan<- Event) {
 	o := r.coordinator.options
-	plan := r.succession.Plan()
+	plan := r.plan
 	fields := func() log.Fields {
-		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term)}
+		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term), "logs": logs}
 	}
 	o.Logger.Log(event.PromotionRequested, fields())
 	call, cancel := context.WithTimeout(ctx, promoteCallTimeout)
@@ -287,10 +312,11 @@
 
 func (r *runner) releaseHold(ctx context.Context, e config.Endpoint) {
 	c := r.coordinator
+	c.watches.stop(e.Name)
 	for range releaseAttempts {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
 		switch {
-		case result.Status != nil && result.Status.Held != r.succession.Plan().Term:
+		case result.Status != nil && result.Status.Held != r.plan.Term:
 			return
 		case result.Status != nil && c.releaseHold(ctx, e):
 			return
--- /dev/null
+++ b/succession/watch.go
@@ -0,0 +1,218 @@
+package succession
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"siskincove/clock"
+	"siskincove/config"
+	"siskincove/database"
+	"siskincove/endpoint"
+	"siskincove/event"
+	"siskincove/statement"
+)
+
+// watches guard an outstanding promotion: they observe the endpoints other than the target from the first request until the
+// target leads, and act on what they find. They outlast a succession that stops while its promotion may still take effect.
+type watches struct {
+	coordinator *Coordinator
+	database    *database.Database
+	guard       guard
+	since       time.Time
+	all         []*watch
+	// cancel ends all watches without waiting for them.
+	cancel context.CancelFunc
+}
+
+// watch observes an endpoint. It is the business of one goroutine.
+type watch struct {
+	endpoint config.Endpoint
+	// cancel ends the goroutine, and done is closed when it has ended.
+	cancel context.CancelFunc
+	done   chan struct{}
+	// last is what the endpoint's last answer told, and ended counts how often its hold had ended or it led.
+	last  atomic.Value
+	ended atomic.Int64
+}
+
+// stop ends the watch and waits for its last command.
+func (w *watch) stop() {
+	w.cancel()
+	<-w.done
+}
+
+// startWatches starts the watches of the succession's promotion; those of an earlier one end. Their commands end with ctx.
+func (r *runner) startWatches(ctx context.Context) {
+	c := r.coordinator
+	c.watches.end()
+	watching, cancel := context.WithTimeout(ctx, promoteTimeout)
+	c.watches = &watches{coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), cancel: cancel}
+	for _, e := range r.watchedMembers(c.watches.guard) {
+		one, cancel := context.WithCancel(watching)
+		w := &watch{endpoint: e, cancel: cancel, done: make(chan struct{})}
+		c.watches.all = append(c.watches.all, w)
+		go c.watches.observe(one, ctx, w)
+	}
+}
+
+// settleWatches ends the watches unless the promotion may still take effect.
+func (r *runner) settleWatches() {
+	if !r.succession.guards() {
+		r.coordinator.watches.cancelAll()
+	}
+}
+
+// cancelAll ends the watches without waiting for them.
+func (w *watches) cancelAll() {
+	if w != nil {
+		w.cancel()
+	}
+}
+
+// end ends the watches and waits for their last commands.
+func (w *watches) end() {
+	if w == nil {
+		return
+	}
+	w.cancel()
+	for _, one := range w.all {
+		<-one.done
+	}
+}
+
+// stop ends the watch of an endpoint, if it has one, and waits for its last command.
+func (w *watches) stop(name string) {
+	if w == nil {
+		return
+	}
+	for _, one := range w.all {
+		if one.endpoint.Name == name {
+			one.stop()
+		}
+	}
+}
+
+// watchedMembers returns the endpoints that the promotion concerns, except the target. The old primary may have departed.
+func (r *runner) watchedMembers(g guard) []config.Endpoint {
+	var out []config.Endpoint
+	for _, e := range r.members {
+		if e.Name != g.target {
+			out = append(out, e)
+		}
+	}
+	if _, registered := r.member(g.plan.OldPrimary); registered {
+		return out
+	}
+	for _, d := range r.database.Departures() {
+		if d.Endpoint.Name == g.plan.OldPrimary {
+			return append(out, d.Endpoint)
+		}
+	}
+	return out
+}
+
+// observe probes an endpoint until ctx ends. It demotes a former primary that leads and takes holds that have ended again. Its
+// commands end with parent, so that none is carried out after the release of a hold. All watches end once another endpoint is known to lead
+// or another coordinator has released a hold, since the promotion has been invalidated then.
+func (w *watches) observe(ctx, parent context.Context, one *watch) {
+	defer close(one.done)
+	o := w.coordinator.options
+	before := silent
+	// heldOver is the connection over which the endpoint was last seen to be held, 0 before.
+	heldOver := uint64(0)
+	for ctx.Err() == nil {
+		probedAt := o.Clock.Now()
+		result := w.coordinator.prober.query(parent, one.endpoint, statement.ProxyStep(statement.Status), probeTimeout)
+		found := silent
+		if result.Status != nil {
+			found = w.guard.inspect(one.endpoint.Name, *result.Status)
+		}
+		one.last.Store(found)
+		after := found
+		command, ok := w.guard.command(found, heldOver == 0 || result.Connection != heldOver)
+		switch {
+		case w.settled():
+			w.cancel()
+			return
+		case ok && ctx.Err() == nil:
+			after = w.send(parent, one.endpoint, command)
+		case found == holdEnded:
+			w.cancel()
+		}
+		if found != before && (found == holdEnded || found == leads) {
+			one.ended.Add(1)
+			w.log(one.endpoint, found, after, *result.Status, probedAt)
+		}
+		if found == held {
+			heldOver = result.Connection
+		}
+		pause := targetPollInterval
+		if after == silent || after == leads || after == holdEnded {
+			pause = commandRetryInterval
+		}
+		before = after
+		_ = clock.Wait(ctx, o.Clock, pause)
+	}
+}
+
+// settled reports whether an endpoint other than the old primary has been proved to lead since the request.
+func (w *watches) settled() bool {
+	lead, known := w.database.View().Lead()
+	return known && !lead.Claimed && lead.Endpoint != w.guard.plan.OldPrimary && lead.At.After(w.since)
+}
+
+// send sends a command to an endpoint and returns what its answer tells.
+func (w *watches) send(ctx context.Context, e config.Endpoint, command Command) finding {
+	step := statement.ProxyStep(statement.Hold)
+	if command == Demote {
+		step = statement.ProxyStep(statement.Demote)
+	}
+	step.Term = w.guard.plan.Term
+	result := w.coordinator.prober.query(ctx, e, step, probeTimeout)
+	if result.Status == nil {
+		return silent
+	}
+	return w.guard.inspect(e.Name, *result.Status)
+}
+
+func (w *watches) log(e config.Endpoint, found, after finding, status endpoint.PlatformStatus, probedAt time.Time) {
+	o := w.coordinator.options
+	now := o.Clock.Now()
+	what := event.HoldEnded
+	if found == leads {
+		what = event.OldPrimaryLeads
+	}
+	o.Logger.Log(what, log.Fields{
+		"database": w.database.Name(), "endpoint": e.Name, "target": w.guard.target, "term": uint64(w.guard.plan.Term), "fence": w.guard.plan.Fence,
+		"held": uint64(status.Held), "log": status.Log.String(), "logs": w.guard.logs(), "since": now.Sub(w.since).String(),
+		"age": now.Sub(probedAt).String(), "found": string(found), "outcome": string(after),
+	})
+}
+
+// findings returns what the last answers of the endpoints told, and how often a hold had ended or one led, as text.
+func (w *watches) findings() string {
+	if w == nil {
+		return ""
+	}
+	out := make([]string, 0, len(w.all))
+	for _, one := range w.all {
+		last, _ := one.last.Load().(finding)
+		out = append(out, fmt.Sprintf("%s=%s/%d", one.endpoint.Name, cmp.Or(last, silent), one.ended.Load()))
+	}
+	return strings.Join(out, ",")
+}
+
+// logs returns the ends of the held logs, as text.
+func (g guard) logs() string {
+	out := make([]string, 0, len(g.held))
+	for _, h := range g.held {
+		out = append(out, h.replica.Name+"="+h.log.String())
+	}
+	return strings.Join(out, ",")
+}
