dispatch: play grey endpoints over borrowed connections too

TestGreyEndpoint draws whether the callers' instance borrows its connections, so that the holder's part of the setup is checked by the same reference.

--- a/dispatch/grey_test.go
+++ b/dispatch/grey_test.go
@@ -17,6 +17,10 @@
 	"siskincove/connection"
 	"siskincove/database"
 	"siskincove/event"
+	"siskincove/loan"
+	"siskincove/member"
+	"siskincove/peer"
+	"siskincove/peer/wire"
 	"siskincove/statement"
 	"siskincove/verdict"
 )
@@ -216,10 +220,52 @@
 	transactions int
 }
 
-func newGreyWorld(callers int, only statement.Kind, reactions ...reaction) *greyWorld {
+// greyHolder lends connections to grey endpoints.
+type greyHolder struct {
+	ctx    context.Context
+	lender *loan.Lender
+}
+
+func newGreyHolder(ctx context.Context, e *greyEndpoints) greyHolder {
+	pools := make(map[string]*connection.Pool)
+	for _, name := range []string{"p", "r"} {
+		pools[name] = connection.New(connection.Options{Dialer: e, Clock: clock.System{}, Logger: event.Discard(), Limit: 2, Context: ctx})
+	}
+	return greyHolder{ctx: ctx, lender: loan.NewLender(loan.Options{
+		Clock: clock.System{}, Logger: event.Discard(), IdleTimeout: func() time.Duration { return time.Minute },
+		Pool: func(l *wire.Loan) (*connection.Pool, bool) { return pools[l.GetEndpoint()], true },
+	})}
+}
+
+// Open connects a borrower to the holder.
+func (h greyHolder) Open(ctx context.Context, _ string) (peer.Stream, error) {
+	borrowerEnd, holderEnd := peer.Pipe(ctx)
+	go func() {
+		if frame, err := holderEnd.Receive(); err == nil {
+			h.lender.Serve(h.ctx, frame.GetLoan(), holderEnd)
+		}
+		_ = holderEnd.Close()
+	}()
+	return borrowerEnd, nil
+}
+
+// dialer returns a dialer that borrows the holder's connections.
+func (h greyHolder) dialer() connection.Dialer {
+	return loan.Dialer{
+		Context: h.ctx, Clock: clock.System{}, Logger: event.Discard(), Peers: h, OnUnreachable: func(string) {}, OnSilence: func() {},
+		Health: loan.NewHealth(clock.System{}), Spread: loan.NewSpread(clock.System{}),
+		Holders: func(connection.Target) []member.Instance { return []member.Instance{{ID: "holder", Address: "holder"}} },
+	}
+}
+
+func newGreyWorld(callers int, borrows bool, only statement.Kind, reactions ...reaction) *greyWorld {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &greyEndpoints{reactions: reactions, only: only, expected: map[string]expectation{}, homes: map[int]*greyConn{}}
-	registry := database.NewRegistry(database.Options{Dialer: e, Clock: clock.System{}, Logger: event.Discard(), DrainTime: func() time.Duration { return time.Minute }})
+	dialer := connection.Dialer(e)
+	if borrows {
+		dialer = newGreyHolder(ctx, e).dialer()
+	}
+	registry := database.NewRegistry(database.Options{Dialer: dialer, Clock: clock.System{}, Logger: event.Discard(), DrainTime: func() time.Duration { return time.Minute }})
 	c := catalog()
 	registry.Configure(c, map[string]string{"db": "p"}, 1)
 	w := &greyWorld{endpoints: e, cancel: cancel}
@@ -361,7 +407,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := newGreyWorld(3, test.only, test.reactions...)
+				w := newGreyWorld(3, false, test.only, test.reactions...)
 				defer w.end()
 				var last statement.Answer
 				for _, r := range test.requests {
@@ -405,9 +451,10 @@
 		sequence := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) request {
 			return request{rapid.IntRange(0, callers-1).Draw(rt, "caller"), requests.Draw(rt, "request")}
 		}), 1, 40).Draw(rt, "requests")
+		borrows := rapid.Bool().Draw(rt, "borrows")
 		var violations []string
 		synctest.Test(t, func(*testing.T) {
-			w := newGreyWorld(callers, 0, reactions...)
+			w := newGreyWorld(callers, borrows, 0, reactions...)
 			defer w.end()
 			for _, r := range sequence {
 				_, known := w.callers[r.caller].shapes[r.request.Name]
