succession: end a promotion for the instances when its watches end

The watches end early when another endpoint leads or another coordinator has released a hold, but the instances went on to send the old primary no writes for up to 15 s if that coordinator is of a build that does not announce. The watches now record the end, which heartbeats pass on.

go test ./succession -run 'TestGuard|TestSuccession|TestHold', go test -race ./hosted -run 'TestReturns|TestFailover': ok.

--- a/succession/watch.go
+++ b/succession/watch.go
@@ -15,6 +15,7 @@
 	"siskincove/database"
 	"siskincove/endpoint"
 	"siskincove/event"
+	"siskincove/group"
 	"siskincove/statement"
 )
 
@@ -138,12 +139,12 @@
 		command, ok := w.guard.command(found, heldOver == 0 || result.Connection != heldOver)
 		switch {
 		case w.settled():
-			w.cancel()
+			w.close(true)
 			return
 		case ok && ctx.Err() == nil:
 			after = w.send(parent, one.endpoint, command)
 		case found == holdEnded:
-			w.cancel()
+			w.close(false)
 		}
 		if found != before && (found == holdEnded || found == leads) {
 			one.ended.Add(1)
@@ -161,6 +162,16 @@
 	}
 }
 
+// close ends the watches, and records that the promotion can't take effect any more and whether it did. Heartbeats tell the others.
+func (w *watches) close(settled bool) {
+	w.cancel()
+	plan := w.guard.plan
+	w.database.RecordPromotion(group.Promotion{
+		Fence: plan.Fence, Term: plan.Term, Newest: plan.Floor.Term, Replaced: plan.OldPrimary, Target: w.guard.target,
+		Ended: true, Settled: settled, At: w.coordinator.options.Clock.Now(),
+	})
+}
+
 // settled reports whether an endpoint other than the old primary has been proved to lead since the request.
 func (w *watches) settled() bool {
 	lead, known := w.database.View().Lead()
