--- a/directory/directory.go
+++ b/directory/directory.go
@@ -41,6 +41,8 @@
 	// OnConfirmed, if set, is called when the store has answered that no configuration was newer than one of the operator's
 	// versions, with that version, the time at which the question was sent, and the era of the store.
 	OnConfirmed func(version uint64, sent time.Time, era uint64)
+	// Confirms, if set, reports whether the deployment calls Confirm so often that it notices changes although polls are lost.
+	Confirms func() bool
 	// ShouldPoll reports whether this instance polls the endpoint table on behalf of its failure domain.
 	ShouldPoll func() bool
 	// Apply is called with each new catalog and with the name of the endpoint that is registered as primary of each
@@ -79,15 +81,20 @@
 	snapshot          Snapshot
 	endpointsLoaded   bool
 	endpointsLoadedAt time.Time
+	// endpointsReadAt is when the latest read of the endpoints that the store answered was sent, zero if there was none.
+	endpointsReadAt time.Time
 	// primaries maps each database of the current catalog to the endpoint that is registered as its primary.
 	primaries map[string]string
-	// unavailableSince is since when the store does not answer, by kind of read.
+	// unavailableSince is since when the store does not answer, and contacts when it last did, by kind of read.
 	unavailableSince map[string]time.Time
+	contacts         map[string]contact
+	// refusals bounds the lines about entries that can't be used.
+	refusals refusals
 }
 
 // New starts a directory, which stops when ctx ends.
 func New(ctx context.Context, o Options) *Directory {
-	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time)}
+	d := &Directory{options: o, done: make(chan struct{}), unavailableSince: make(map[string]time.Time), contacts: make(map[string]contact)}
 	d.goroutines.Go(func() {
 		if o.Bootstrap != nil {
 			o.Bootstrap(ctx)
@@ -119,16 +126,18 @@
 	return d.configuration.Version
 }
 
-// Refresh reads the endpoints again, with a short timeout. It reports whether endpoints have been known for at least
-// missingGrace; before that, one may be absent only because its entry has lapsed briefly.
-func (d *Directory) Refresh(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+// Refresh reads the endpoints again, for at most a timeout, and returns how current they are.
+func (d *Directory) Refresh(ctx context.Context, timeout time.Duration) Reading {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := d.readEndpoints(ctx)
 	d.logAvailability(endpointReads, err)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.endpointsLoaded && d.options.Clock.Now().Sub(d.endpointsLoadedAt) >= missingGrace
+	now := d.options.Clock.Now()
+	return Reading{
+		Settled: d.endpointsLoaded && now.Sub(d.endpointsLoadedAt) >= missingGrace, Err: err, ReadAt: d.endpointsReadAt,
+	}
 }
 
 // updateConfiguration applies the configuration row unless the current configuration has the same or a later version. The
@@ -171,10 +180,10 @@
 	if version <= d.snapshot.Version() && d.endpointsLoaded {
 		return
 	}
-	unreadable := func(name string, err error) {
-		d.options.Logger.Log(event.EntryUnreadable, log.Fields{"endpoint": name, "error": err.Error()})
-	}
-	next, diff := d.snapshot.With(rows, version, d.options.Decoder, d.options.Clock.Now(), unreadable)
+	now := d.options.Clock.Now()
+	unreadable := func(name string, err error) { d.refusals.log(d.options.Logger, name, err, now) }
+	next, diff := d.snapshot.With(rows, version, d.options.Decoder, now, unreadable)
+	refusedEntries.Set(float64(next.Refused()))
 	if source == sourcePeer {
 		// Take over the peer's version even if the endpoints are the same, so that they are not fetched again.
 		next.version = version
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -14,11 +14,15 @@
 )
 
 const (
-	// followWait is how long the store may hold a long poll for changes. If the poll's connection dies meanwhile, changes
-	// arrive from peers.
-	followWait = 10 * time.Second
-	// followGrace is added to followWait for the answer to arrive.
-	followGrace = 2 * time.Second
+	// followWait is how long the store may hold a long poll for changes at most. All instances that follow may lose theirs at once,
+	// so with followGrace and a repeated call it must stay below the time in which a change has to be in force.
+	followWait = 3 * time.Second
+	// confirmedWait is the same where Options.Confirms holds.
+	confirmedWait = 10 * time.Second
+	// followGrace is how long an answer of the store may make no progress once it is due, and failingGrace the same after a call
+	// that failed, so that a slow store is still followed.
+	followGrace  = 1500 * time.Millisecond
+	failingGrace = 3 * time.Second
 	// readTimeout bounds how long a read that the store normally answers at once makes no progress; the store may be some tens
 	// of times slower.
 	readTimeout = 1500 * time.Millisecond
@@ -28,10 +32,11 @@
 	// pollInterval is the least time between two answers with changes of the endpoints, or two reads of all endpoints, to the
 	// instance that polls for its failure domain.
 	pollInterval = 1200 * time.Millisecond
-	// refreshTimeout bounds the read of Refresh, for which urgent operations wait.
-	refreshTimeout = 150 * time.Millisecond
 	// standbyInterval is how often the other instances check whether they should poll or follow.
-	standbyInterval = time.Second
+	standbyInterval = 300 * time.Millisecond
+	// settleTime is how long after its first read an instance waits before it follows. After a start the other instances are found
+	// meanwhile, so that not all of them follow.
+	settleTime = time.Second
 	// retryMin and retryMax bound the backoff while the store does not answer.
 	retryMin = 200 * time.Millisecond
 	retryMax = 2 * time.Second
@@ -53,31 +58,40 @@
 	backoff := retryMin
 	for ctx.Err() == nil {
 		var err error
-		followed := loaded
+		followed, sent := loaded, call{kind: configurationReads, sent: d.options.Clock.Now()}
 		switch {
 		case d.Versions().Configuration > 0 && !d.options.ShouldFollow():
+			d.forgetCalls(configurationReads)
 			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
 			continue
 		case loaded:
-			position, err = d.followChanges(ctx, table, key, position, followWait)
+			sent.wait = d.holdTime(configurationReads, d.followWait())
+			position, err = d.followChanges(ctx, table, key, position, sent.wait)
 			loaded = !errors.Is(err, store.ErrCompacted)
 		default:
 			position, err = d.readConfiguration(ctx, table, key)
 			loaded = err == nil
 		}
-		d.logAvailability(configurationReads, err)
+		d.recordCall(sent, err)
 		if err != nil {
-			_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
+			d.waitForRetry(ctx, sent, backoff)
 			backoff = min(2*backoff, retryMax)
 			continue
 		}
 		if backoff = retryMin; !followed {
-			// After a start the other instances are found meanwhile, so that not all of them follow.
-			_ = clock.Wait(ctx, d.options.Clock, withJitter(standbyInterval))
+			_ = clock.Wait(ctx, d.options.Clock, withJitter(settleTime))
 		}
 	}
 }
 
+// followWait returns how long the store may hold a long poll for changes of the configuration at most.
+func (d *Directory) followWait() time.Duration {
+	if d.options.Confirms != nil && d.options.Confirms() {
+		return confirmedWait
+	}
+	return followWait
+}
+
 // feed is a position in the changes of the configuration's table.
 type feed struct {
 	// after is the version of the store up to which all changes have been seen.
@@ -108,7 +122,7 @@
 // followChanges waits for at most wait for changes after a position and applies those of the configuration row. It returns the
 // position up to which it has seen all changes.
 func (d *Directory) followChanges(ctx context.Context, table, key string, from feed, wait time.Duration) (feed, error) {
-	callCtx, cancel := store.WithProgress(ctx, wait+followGrace)
+	callCtx, cancel := store.WithProgress(ctx, wait+d.grace(configurationReads))
 	defer cancel()
 	sent := d.options.Clock.Now()
 	changes, err := d.options.Rows.Follow(callCtx, table, from.after, wait)
@@ -118,7 +132,8 @@
 	position := feed{after: changes.Version, version: from.version}
 	for _, c := range changes.Changes {
 		switch {
-		case c.Row.Key.Key != key:
+		case c.Row.Key.Part != "" || c.Row.Key.Key != key:
+			// Another row of the table, which other writers may have put there.
 		case c.Deleted:
 			position.version = 0
 		default:
@@ -172,16 +187,17 @@
 	for ctx.Err() == nil {
 		if d.options.ShouldPoll() || !d.haveEndpoints() {
 			var err error
+			sent := call{kind: endpointReads, sent: d.options.Clock.Now()}
 			feed, quiet, err = d.pollOnce(ctx, feed)
-			d.logAvailability(endpointReads, err)
 			if err != nil {
-				_ = clock.Wait(ctx, d.options.Clock, withJitter(backoff))
+				d.waitForRetry(ctx, sent, backoff)
 				backoff = min(2*backoff, retryMax)
 				continue
 			}
 			backoff = retryMin
 		} else {
 			feed, quiet = endpointFeed{}, false
+			d.forgetCalls(endpointReads)
 		}
 		d.expireMissing()
 		if !quiet && !d.waitForPoll(ctx) {
@@ -214,11 +230,12 @@
 func (d *Directory) readEndpoints(ctx context.Context) (store.Page, error) {
 	ctx, cancel := store.WithProgress(ctx, readTimeout)
 	defer cancel()
-	table := d.options.Decoder.EndpointTable()
+	table, sent := d.options.Decoder.EndpointTable(), d.options.Clock.Now()
 	page, err := store.Scan(ctx, d.options.Rows, table, "", "")
 	if err != nil {
 		return page, err
 	}
+	d.recordRead(sent)
 	d.updateEndpoints(page.Rows, page.Version, sourceStore)
 	return page, nil
 }
--- a/directory/poll_test.go
+++ b/directory/poll_test.go
@@ -54,6 +54,9 @@
 }
 
 func (s *scriptedRows) Follow(_ context.Context, _ string, _ store.Version, wait time.Duration) (store.Changes, error) {
+	if shortest := time.Duration((1 - jitter) * float64(endpointWait)); wait >= shortest && wait <= endpointWait {
+		wait = endpointWait
+	}
 	s.waits = append(s.waits, wait)
 	a := s.next("follow")
 	return a.changes, a.err
@@ -106,8 +109,9 @@
 				read(1, a),
 				{call: "follow", err: store.ErrRejected},
 				{call: "follow", changes: store.Changes{Changes: []store.Change{listed("b")}, Version: 3}},
+				{call: "follow", changes: store.Changes{Version: 3}, takes: endpointWait},
 			},
-			want: []string{"a", "b"}, waits: []time.Duration{endpointWait, endpointWait},
+			want: []string{"a", "b"}, waits: []time.Duration{endpointWait, 0, endpointWait}, quiet: true,
 		},
 		"the store has dropped its history, and may do so again": {
 			answers: []answer{
@@ -131,7 +135,7 @@
 			d := &Directory{options: Options{
 				Rows: s, Decoder: wordDecoder{}, Clock: clk, Logger: event.Discard(), Apply: func(*config.Catalog, map[string]string) {},
 				Regions: func() map[string]string { return nil },
-			}}
+			}, unavailableSince: make(map[string]time.Time), contacts: make(map[string]contact)}
 			feed, quiet := endpointFeed{}, false
 			for len(s.answers) > 0 {
 				feed, quiet, _ = d.pollOnce(context.Background(), feed)
--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -38,11 +38,13 @@
 	}
 	for {
 		sent := s.dispatcher.now()
-		answers, err := s.tx.conn.Exchange(ctx, w.deadline, statement.Step{Request: r})
-		if len(answers) == 0 {
+		setup := s.tx.conn.Setup(s.settings)
+		answers, err := s.tx.conn.ExchangeAfter(ctx, w.deadline, setup, statement.Step{Request: r})
+		answer := job{request: r}.answer(answers, len(setup))
+		if answer == nil || err != nil && len(answers) <= len(setup) {
 			return s.handleCommitNoAnswer(w, r, err)
 		}
-		a := answers[0]
+		a := *answer
 		if a.Failure == nil && s.tx.wrote && w.database.IsBeingReplaced(s.tx.choice.Endpoint.Name) {
 			s.tx.release(true)
 			return w.finish(r, w.doubtful(r, a))
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,7 +51,7 @@
 var (
 	PrimaryChanged       = define(310, log.InfoLevel, "database", "primary changed", "This instance now treats another endpoint, or none, as the primary; why is proof, peer (a peer's proof), hint (a peer's report without an exact time), claim or denial.")
 	EndpointsChanged     = define(311, log.InfoLevel, "directory", "endpoints changed", "The registered endpoints of this version are in use; from tells whether the store or a peer supplied them.")
-	EntryUnreadable      = define(312, log.WarnLevel, "directory", "entry not readable", "A registered entry has missing or unknown fields and is ignored; the other entries stay in use.")
+	EntryUnreadable      = define(312, log.WarnLevel, "directory", "entry not readable", "Another writer left an entry among those of the endpoints, or an endpoint overwrote its own, with fields missing, of another type or out of range; error names the field. The entry is not used: it is no endpoint, and an endpoint that was registered under its name counts as no longer listed. The other entries stay in use. Each value is logged once, at most 20 in a minute; dropped counts the lines left out since the last one, and siskincove_entries_refused_total all.")
 	ConfigurationApplied = define(313, log.InfoLevel, "directory", "configuration applied", "The operator's configuration of this version is in use; from tells whether the store or a peer supplied it.")
 	EndpointMissing      = define(314, log.InfoLevel, "directory", "endpoint missing", "A registered endpoint is no longer listed; while it answers, it stays in use for a few seconds.")
 	EndpointRemoved      = define(315, log.InfoLevel, "directory", "endpoint removed", "An endpoint left, or stayed missing, and is no longer used.")
@@ -63,6 +63,14 @@
 	WorkspaceRefused     = define(321, log.ErrorLevel, "directory", "workspace refused", "A workspace of the operator's configuration is malformed and was left out, or a key is listed by two workspaces and belongs to neither; cause tells which. The rest of the configuration is in use. Correct the configuration.")
 )
 
+// Events of reading the store, 330 to 339.
+var (
+	StoreCallFailed  = define(330, log.WarnLevel, "directory", "call to the store failed", "A read of the store that name tells failed or was given up after the time took; held is how long the store was allowed to wait for changes, silence the time since it last answered such a read, 0s if it has not.")
+	ReadingBegun     = define(331, log.InfoLevel, "directory", "reading of the store begun", "This instance reads what name tells from the store for its failure domain from now on; why is rank or request (of an instance that the store does not answer).")
+	ReadingRequested = define(333, log.WarnLevel, "directory", "other instance asked to read the store", "The store does not answer this instance's reads of what name tells, so the instance in the field instance is asked to make them for the failure domain; without one, none of those asked is answered either.")
+	ReadingEnded     = define(332, log.InfoLevel, "directory", "reading of the store ended", "Another instance of the failure domain reads what name tells from the store from now on; took is how long this one did.")
+)
+
 // Endpoint events, 400 to 499.
 var (
 	EndpointOwned        = define(400, log.InfoLevel, "pool", "endpoint owned", "This instance now opens the connections to the endpoint.")
@@ -79,6 +87,7 @@
 	LoanRefused          = define(413, log.InfoLevel, "connection", "loan refused", "This holder had no free connection for a borrower's statement in time, or has none at all; the borrower informs its caller.")
 	EndpointFull         = define(414, log.InfoLevel, "connection", "endpoint at capacity", "The endpoint refused a statement or did not start it in time; window is the number of statements that this instance may have in flight there now.")
 	ConnectionEvicted    = define(418, log.InfoLevel, "connection", "connection evicted", "The pool was at its limit of connections to the endpoint and closed an idle one of a workspace, unused for the time idle, to open one for another; evictions counts those since the last such line of this pool. Lines with a short idle mean that workspaces compete for too few connections.")
+	ProxyStatementFailed = define(420, log.WarnLevel, "connection", "proxy statement failed", "The endpoint failed a statement that this instance sent for itself, such as SET, RESET, PREPARE or ROLLBACK, or did not know a prepared statement (kind execute). request is the caller's statement beside it; unsent is the number of statements after it that were therefore not sent.")
 	PoolNotStarted       = define(415, log.ErrorLevel, "pool", "pool not started", "This instance owns the endpoint but can't connect to it, for example because TLS is required and no authority is set; error gives the cause.")
 	DetourTaken          = define(410, log.InfoLevel, "connection", "endpoint reached through a peer", "The endpoint can't be reached directly; a connection to it was made through another instance.")
 	OwnerRefused         = define(409, log.InfoLevel, "pool", "request refused by the owner", "The owner refused a request before it ran; reason gives the cause.")
@@ -96,10 +105,10 @@
 	FollowerRedirected = define(507, log.InfoLevel, "failover", "endpoint told to follow", "An endpoint that followed no primary was told to follow the current one.")
 )
 
-// Succession events, 520 to 539 and 550 to 559.
+// Succession events, 520 to 559.
 var (
 	PrimarySuspected   = define(520, log.WarnLevel, "succession", "primary suspected", "The coordinator queries every endpoint of the group; why gives the evidence.")
-	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged.")
+	SuccessionStarted  = define(521, log.WarnLevel, "succession", "succession started", "The primary is considered lost and the replicas stop receiving from it, so that no further commit can be acknowledged. counted gives the endpoints whose logs count and where they end, omitted those without an answer, departed those no longer registered; endpointsage is the age of the last read of the endpoints, and unread why the latest one failed.")
 	PromotionRequested = define(522, log.WarnLevel, "succession", "promotion requested", "The platform is asked to promote the endpoint whose log holds every acknowledged commit.")
 	PromotionRefused   = define(523, log.WarnLevel, "succession", "promotion refused", "The platform refused the request, which has no effect; another attempt starts with a higher fencing token.")
 	PromotionUnknown   = define(524, log.WarnLevel, "succession", "promotion result unknown", "The request may still take effect; it is repeated unchanged until the endpoint leads or the platform refuses it.")
@@ -110,6 +119,9 @@
 	DepartureSettled   = define(530, log.InfoLevel, "succession", "departure settled", "Every commit on the endpoints that left is also on a registered replica.")
 	SuccessionBlocked  = define(531, log.WarnLevel, "succession", "succession blocked", "The primary should be replaced but can't be; why gives the obstacle, evidence what speaks against the primary and since for how long.")
 	FenceMissing       = define(529, log.WarnLevel, "succession", "no fencing token", "No fencing token is reserved and the store supplies none; another coordinator has to act.")
+	MembersStored      = define(540, log.InfoLevel, "succession", "members stored", "The list of the endpoints that may hold acknowledged commits was written to the store, where coordinators find it after a restart.")
+	MembersFailed      = define(541, log.WarnLevel, "succession", "members not stored", "The list of the endpoints that may hold acknowledged commits could not be read, written or decoded; it is tried again.")
+	MembersDeparted    = define(542, log.WarnLevel, "succession", "listed endpoints departed", "Endpoints that may hold acknowledged commits are listed in the store but not registered; they count as departed.")
 	HoldEnded          = define(550, log.WarnLevel, "succession", "hold ended during a promotion", "A replica that was held for an outstanding promotion is no longer held; logs gives the ends of the held logs at the request, log its own end now, since the time since the request, age that of the answer, and found what was seen.")
 	OldPrimaryLeads    = define(551, log.WarnLevel, "succession", "former primary leads during a promotion", "The primary to be replaced answers as primary while the promotion of another endpoint is outstanding; fields as for 550.")
 )
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -24,14 +24,6 @@
 )
 
 const (
-	// pollersPerDomain is how many instances of a failure domain read the endpoints from the store; the others learn of
-	// changes from them.
-	pollersPerDomain = 1
-	// followersPerDomain is how many instances of a failure domain follow the changes of the configuration. One may be cut
-	// off from the store.
-	followersPerDomain = 2
-	// followerTask is the prefix under which instances are ranked for following the configuration.
-	followerTask = "follower/"
 	// heartbeatPeriod is the time between two rounds of heartbeats, which also carry the directory's versions and proofs of
 	// which endpoints lead.
 	heartbeatPeriod = 700 * time.Millisecond
@@ -54,14 +46,18 @@
 	initialized chan struct{}
 	trimDone    chan struct{}
 	trafficDone chan struct{}
-	node        *peer.Node
-	members     *member.Driver
-	roster      *member.Roster
-	directory   *directory.Directory
-	freshness   *freshness.Keeper
-	databases   *database.Registry
-	dispatcher  *dispatch.Dispatcher
-	lender      *loan.Lender
+	// handoverDone is closed once handOverReads has returned.
+	handoverDone chan struct{}
+	node         *peer.Node
+	members      *member.Driver
+	roster       *member.Roster
+	polling      *reading
+	following    *reading
+	directory    *directory.Directory
+	freshness    *freshness.Keeper
+	databases    *database.Registry
+	dispatcher   *dispatch.Dispatcher
+	lender       *loan.Lender
 	// holderHealth tracks which holders of borrowed connections answer.
 	holderHealth *loan.Health
 	// spread tells which workspaces use several holders.
@@ -90,12 +86,15 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{})}
+	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{}), handoverDone: make(chan struct{})}
 	i.fetcher, i.tables.logger = newFetcher(i), o.Logger
+	i.polling = &reading{instance: i, kind: directory.EndpointReads, bit: endpointsBit, task: pollerTask, count: pollersPerDomain}
+	i.following = &reading{instance: i, kind: directory.ConfigurationReads, bit: configurationBit, task: followerTask, count: followersPerDomain}
 	i.settings.Store(&o.Settings)
 	i.start(l)
 	close(i.initialized)
 	go i.trimConnections()
+	go i.handOverReads()
 	go i.logTraffic()
 	i.directory.Reapply()
 	s := o.Settings
@@ -122,8 +121,9 @@
 	i.startMembers()
 	i.freshness = i.newFreshness()
 	i.directory = directory.New(i.ctx, directory.Options{
-		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.isPoller, Apply: i.applyCatalog,
-		ShouldFollow: i.isFollower, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
+		Rows: o.Rows, Decoder: o.Decoder, Clock: o.Clock, Logger: o.Logger, Regions: i.regions, ShouldPoll: i.polling.active, Apply: i.applyCatalog,
+		ShouldFollow: i.following.active, Bootstrap: i.bootstrap, OnChange: i.announceChange, OnConfirmed: i.recordConfirmation,
+		Confirms: i.needsProofs,
 	})
 	go i.fetcher.run(i.ctx)
 	i.startAllotments()
@@ -152,7 +152,7 @@
 	i.roster = member.NewRoster(o.Rows, self, o.Logger)
 	i.members = member.New(i.ctx, member.Options{
 		Self: self, Clock: o.Clock, Logger: o.Logger, Dialer: i.node, Roster: i.roster, Revisions: noRevisions{},
-		RosterInterval: rosterInterval, PresumeUnproven: true, ShouldReadRoster: i.isPoller, Period: heartbeatPeriod, Seeds: i.seeds,
+		RosterInterval: rosterInterval, PresumeUnproven: true, ShouldReadRoster: i.polling.active, Period: heartbeatPeriod, Seeds: i.seeds,
 		ExtendHeartbeat: i.extendHeartbeat, OnHeartbeat: i.handleHeartbeat, OnChange: i.redistributor.request, OnDeath: i.node.Drop,
 		OnMissed: i.holderHealth.RecordSilence,
 	})
@@ -166,7 +166,7 @@
 			return succession.Start(ctx, succession.Options{
 				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter,
 				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.directory.Refresh,
-				Announce: i.announce,
+				Era: func() uint64 { return i.directory.Versions().Endpoints.Era() }, Announce: i.announce,
 			}, d, endpoints)
 		},
 	})
@@ -194,27 +194,6 @@
 // RecordPeerRevision ignores revisions.
 func (noRevisions) RecordPeerRevision(uint64, string) {}
 
-// isPoller reports whether this instance reads the endpoints and the list of instances from the store for its failure
-// domain.
-func (i *Instance) isPoller() bool { return i.actsForDomain("poller/", pollersPerDomain) }
-
-// isFollower reports whether this instance follows the changes of the configuration for its failure domain.
-func (i *Instance) isFollower() bool { return i.actsForDomain(followerTask, followersPerDomain) }
-
-// actsForDomain reports whether this instance is one of count instances that have a task for its failure domain. The ranking
-// depends only on the prefix, the domain and the known instances, so that instances with the same view of the others agree without
-// messages.
-func (i *Instance) actsForDomain(taskPrefix string, count int) bool {
-	<-i.initialized
-	own := i.options.Settings.Instance
-	for _, ranked := range i.members.HighestRanked(taskPrefix+own.Domain, own.Domain, count) {
-		if ranked.ID == own.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // announceChange tells the partners at once that this instance has a newer directory, and ends the sessions whose keys are no
 // longer valid.
 func (i *Instance) announceChange() {
@@ -298,6 +277,7 @@
 	<-i.health.done
 	<-i.trimDone
 	<-i.trafficDone
+	<-i.handoverDone
 	<-i.fetcher.done
 }
 
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -1,6 +1,7 @@
 package hosting
 
 import (
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -28,16 +29,21 @@
 	leaving        bool
 	// answersToLose is how many of the next answers are dropped after their statements ran.
 	answersToLose int
-	busySlots     int
-	conns         map[net.Conn]bool
+	// failingShare is the share of the requests that fail without an effect.
+	failingShare float64
+	busySlots    int
+	conns        map[net.Conn]bool
 	// accepted counts the connections, also those from before a restart.
 	accepted atomic.Int64
 	// born is the start time in Unix milliseconds.
 	born int64
 }
 
+// firstTerm is the term of a group's first primary.
+const firstTerm = 1
+
 func newEndpoint(g *Group, id, zone string) (*Endpoint, error) {
-	e := &Endpoint{group: g, id: id, zone: zone, term: 1}
+	e := &Endpoint{group: g, id: id, zone: zone, term: firstTerm}
 	return e, e.listen("127.0.0.1:0")
 }
 
@@ -55,10 +61,18 @@
 // ID returns the endpoint's id, which is its key in the servers table.
 func (e *Endpoint) ID() string { return e.id }
 
+// Zone returns the endpoint's failure domain.
+func (e *Endpoint) Zone() string { return e.zone }
+
 // Crash closes the listener and all connections, like the end of the process; the log is kept.
 func (e *Endpoint) Crash() {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
+	e.stop()
+}
+
+// stop closes the listener and all connections; the group's lock must be held.
+func (e *Endpoint) stop() {
 	if !e.alive {
 		return
 	}
@@ -108,6 +122,17 @@
 // LoseAnswers makes the endpoint run the next n statements and close the connection instead of answering.
 func (e *Endpoint) LoseAnswers(n int) { e.update(func() { e.answersToLose = n }) }
 
+// SetFailing makes the endpoint fail a share of all requests but those that end a transaction, its own orders and its health check;
+// 0 for none. They have no effect but that an open transaction fails.
+func (e *Endpoint) SetFailing(share float64) { e.update(func() { e.failingShare = share }) }
+
+// fails draws whether the next request fails.
+func (e *Endpoint) fails() bool {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return e.failingShare > 0 && rand.Float64() < e.failingShare
+}
+
 // update applies a change under the group's lock and replicates with the new state.
 func (e *Endpoint) update(change func()) {
 	e.group.mu.Lock()
@@ -195,10 +220,7 @@
 
 // logEnd returns the position of the last record received.
 func (e *Endpoint) logEnd() Position {
-	if len(e.log) == 0 {
-		return Position{Term: e.term}
-	}
-	return e.log[len(e.log)-1].Position
+	return lastPosition(e.log)
 }
 
 // isPrimary reports whether the endpoint is the primary of the newest term.
@@ -218,14 +240,14 @@
 
 // applied returns the position of the last readable record.
 func (e *Endpoint) applied() Position {
-	return e.lastPosition(e.visible())
+	return lastPosition(e.visible())
 }
 
-// lastPosition returns the position of the last of the given records, and position 0 of the endpoint's term if there
-// are none.
-func (e *Endpoint) lastPosition(records []Record) Position {
+// lastPosition returns the position of the last of the given records, and the start of the log if there are none, as on an endpoint
+// that has just joined.
+func lastPosition(records []Record) Position {
 	if len(records) == 0 {
-		return Position{Term: e.term}
+		return Position{Term: firstTerm}
 	}
 	return records[len(records)-1].Position
 }
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -141,6 +141,16 @@
 		return answer{code: "BAD"}
 	}
 	switch command {
+	case "COMMIT", "ROLLBACK", "STATUS", "HOLD", "RESUME", "DEMOTE":
+	default:
+		if s.endpoint.fails() {
+			if s.state == "T" {
+				s.state = "E"
+			}
+			return answer{code: "FAILED"}
+		}
+	}
+	switch command {
 	case "BEGIN":
 		return s.begin(rest, after)
 	case "ROLLBACK":
@@ -228,7 +238,7 @@
 	visible := e.visible()
 	g.runs = append(g.runs, Run{
 		Request: id, Endpoint: e.id, Conn: s.number, User: s.user, InTransaction: s.state == "T", Settings: fmt.Sprint(sortedPairs(s.settings)), Text: text,
-		Log: e.lastPosition(visible), Started: time.Now(),
+		Log: lastPosition(visible), Started: time.Now(),
 	})
 	a := s.apply(id, command, rest, writes, visible)
 	if e.answersToLose > 0 {
