succession: release abandoned holds also while they isolate the primary

Cause: a coordinator was killed while it held both replicas. The primary came back and led, but no replica received from it. That counted as evidence against the primary, and abandoned holds were released only without any. A succession that would have taken them over was blocked by a former incarnation of a replica, which only a replica that receives can settle. Change: abandoned holds are released, behind a request that invalidates old promotions, whenever a primary leads that is not replaced now. Result: the new case of TestDetector failed before.

--- a/succession/detector.go
+++ b/succession/detector.go
@@ -156,7 +156,7 @@
 		a.BlockedBy = d.blockedBy(s, a, t, rank, now)
 		a.Replace = a.BlockedBy == ""
 	}
-	if reason == NoReason && primary != nil {
+	if primary != nil && !a.Replace {
 		a.Release = d.abandonedHolds(t, now)
 	}
 	return d, a
--- a/succession/detector_test.go
+++ b/succession/detector_test.go
@@ -143,6 +143,18 @@
 			surveys: []surveyAt{{results: with(primaryResult("p", 5), withHold(replicaResult("a", 5), 1026))}, {after: 2500 * time.Millisecond, results: with(primaryResult("p", 5), withHold(replicaResult("a", 5), 1026))}},
 			want:    Assessment{Primary: "p", Position: position(5), OldPrimary: "p", Term: 1026, Contested: true, Release: []string{"a"}},
 		},
+		// Soak seed 401, 4 instances: writes did not resume, since nobody released the holds of a coordinator that was gone. No replica
+		// received from the returned primary, and a former incarnation kept it from being replaced.
+		"abandoned holds isolate a primary that must not be replaced": {
+			surveys: []surveyAt{
+				{results: with(primaryResult("p", 8), withHold(replicaResult("a", 5), 1026), withHold(replicaResult("b", 5), 1026), ProbeResult{Endpoint: "a/1", Departed: true})},
+				{after: 2500 * time.Millisecond, results: with(primaryResult("p", 8), withHold(replicaResult("a", 5), 1026), withHold(replicaResult("b", 5), 1026), ProbeResult{Endpoint: "a/1", Departed: true})},
+			},
+			want: Assessment{
+				Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(2500 * time.Millisecond), OldPrimary: "p", Term: 1026, Contested: true,
+				BlockedBy: "no answer from replicas that may hold acknowledged commits: a/1", Release: []string{"a", "b"},
+			},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
