succession: settle former incarnations of the endpoint that leads

Cause: its former incarnation counted as a departed endpoint, beside itself as the old primary, so that no succession could start; it settles once a replica has the primary's log, which abandoned holds prevented. Change: a former incarnation of the endpoint that leads is settled, as an endpoint that leads after a restart has its log. Result: the new case of TestDepartureSettles failed before.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -245,7 +245,7 @@
 		wait.Go(func() {
 			if targets.restarted(i) {
 				// A newer incarnation is registered under this name, so the departed one has stopped.
-				results[i] = ProbeResult{Endpoint: targets.label(e), Departed: true}
+				results[i] = ProbeResult{Endpoint: targets.label(e), Departed: true, Successor: e.Name}
 				return
 			}
 			results[i] = c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
--- a/succession/departure.go
+++ b/succession/departure.go
@@ -24,6 +24,9 @@
 		}
 		a, known := d.absenceOf(result.Endpoint)
 		switch {
+		case primary != nil && result.Successor == primary.Endpoint:
+			// An endpoint that leads after a restart has its log.
+			a = absence{endpoint: result.Endpoint, settled: true}
 		case !known:
 			a = absence{endpoint: result.Endpoint}
 		case primary != nil && !a.logKnown:
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -249,6 +249,7 @@
 	departing := replicaResult("c", 9)
 	departing.Departed, departing.Leaving = true, true
 	crashed := ProbeResult{Endpoint: "p", Refused: true}
+	former := ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}
 	replicaAt := func(log uint64) ProbeResult { return replicaResult("a", log) }
 	tests := map[string]struct {
 		surveys [][]ProbeResult
@@ -284,6 +285,14 @@
 			surveys: [][]ProbeResult{{primaryResult("p", 7), replicaAt(7), departed}, {crashed, replicaAt(7), departed}, {crashed, replicaAt(7), departed}},
 			want:    true, unreplicated: true,
 		},
+		// Abandoned holds keep the replicas from receiving, so that no replica reaches the primary's log.
+		"primary has restarted with its log, replicas are held": {
+			surveys: [][]ProbeResult{{primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}, {primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}, {primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}},
+			want:    true, settled: 3,
+		},
+		"replica has restarted": {
+			surveys: [][]ProbeResult{{primaryResult("p", 9), replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}, {crashed, replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}, {crashed, replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}},
+		},
 		"departed replica still answers": {
 			surveys: [][]ProbeResult{{primaryResult("p", 9), replicaAt(5), departing}, {crashed, replicaAt(5), departing}, {crashed, replicaAt(5), departing}},
 			want:    true,
--- a/succession/detector.go
+++ b/succession/detector.go
@@ -17,8 +17,10 @@
 	// Status is the status that the endpoint returned, nil if it returned none.
 	Status  *endpoint.PlatformStatus
 	Leaving bool
-	// Departed is set if the endpoint is no longer registered.
-	Departed bool
+	// Departed is set if the endpoint is no longer registered. Successor is then the registered endpoint of which it is a former
+	// incarnation, empty for none.
+	Departed  bool
+	Successor string
 }
 
 // Survey is what is known of a group after a probe of all its endpoints.
