succession: count former incarnations of one endpoint once

Cause: a succession may leave out as many endpoints as acknowledge a commit. Each former incarnation of an endpoint that had restarted twice counted by itself, though only one of them can have acknowledged a commit. Instances used to forget them when they restarted; the list of members keeps them. Change: endpoints that are left out are counted by their names. Result: the new case of TestDetector failed before; former incarnations of two endpoints still block. TestDepartures passes.

--- a/succession/blocked.go
+++ b/succession/blocked.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -13,10 +14,15 @@
 
 // blockedBy returns why a succession must not start now, empty if it may. An acknowledged commit is in the logs of the primary
 // that wrote it and of Survey.Acknowledge replicas. If no more endpoints than those replicas are left out, with the old primary,
-// one of the counted logs has the commit.
+// one of the counted logs has the commit. Incarnations of one endpoint follow each other, so that only one of
+// them has acknowledged a commit.
 func (d Detector) blockedBy(s Survey, a Assessment, t Timing, rank int, now time.Time) string {
 	reached := false
 	var missing, departed []string
+	leftOut := make(map[string]bool)
+	if a.OldPrimary != "" {
+		leftOut[a.OldPrimary] = true
+	}
 	for _, result := range s.Results {
 		switch {
 		case result.Endpoint == a.OldPrimary || slices.Contains(a.Settled, result.Endpoint):
@@ -26,17 +32,15 @@
 			reached = reached || a.Floor.reachedBy(result.Status.Log)
 		case result.Departed:
 			departed = append(departed, result.Endpoint)
+			leftOut[cmp.Or(result.Successor, result.Endpoint)] = true
 		default:
 			missing = append(missing, result.Endpoint)
+			leftOut[result.Endpoint] = true
 		}
 	}
-	leftOut := len(missing) + len(departed)
-	if a.OldPrimary != "" {
-		leftOut++
-	}
 	required := max(s.Acknowledge, 1)
 	switch {
-	case len(missing) >= required || leftOut > required:
+	case len(missing) >= required || len(leftOut) > required:
 		return "no answer from replicas that may hold acknowledged commits: " + strings.Join(append(missing, departed...), ", ")
 	case !reached:
 		return "no replica has reached the start of the primary's term"
--- a/succession/detector_test.go
+++ b/succession/detector_test.go
@@ -143,6 +143,25 @@
 			surveys: []surveyAt{{results: with(primaryResult("p", 5), withHold(replicaResult("a", 5), 1026))}, {after: 2500 * time.Millisecond, results: with(primaryResult("p", 5), withHold(replicaResult("a", 5), 1026))}},
 			want:    Assessment{Primary: "p", Position: position(5), OldPrimary: "p", Term: 1026, Contested: true, Release: []string{"a"}},
 		},
+		// Soak seeds 603 and 608: nobody led for good, since each former incarnation of a demoted primary counted as a replica that may
+		// hold commits.
+		"former incarnations of one endpoint": {
+			surveys: []surveyAt{
+				{results: append(both, replicaResult("p", 5), ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}, ProbeResult{Endpoint: "p/2", Departed: true, Successor: "p"})},
+				{after: timing.Refusing, results: append(both, replicaResult("p", 5), ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}, ProbeResult{Endpoint: "p/2", Departed: true, Successor: "p"})},
+			},
+			want: Assessment{Reason: Leaderless, Since: epoch, Replace: true, Term: 1},
+		},
+		"former incarnations of two endpoints": {
+			surveys: []surveyAt{
+				{results: append(both, replicaResult("p", 5), ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}, ProbeResult{Endpoint: "a/1", Departed: true, Successor: "a"})},
+				{after: timing.Refusing, results: append(both, replicaResult("p", 5), ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}, ProbeResult{Endpoint: "a/1", Departed: true, Successor: "a"})},
+			},
+			want: Assessment{
+				Reason: Leaderless, Since: epoch, Term: 1,
+				BlockedBy: "no answer from replicas that may hold acknowledged commits: p/1, a/1",
+			},
+		},
 		// Soak seed 401, 4 instances: writes did not resume, since nobody released the holds of a coordinator that was gone. No replica
 		// received from the returned primary, and a former incarnation kept it from being replaced.
 		"abandoned holds isolate a primary that must not be replaced": {
