--- a/succession/review_test.go
+++ b/succession/review_test.go
@@ -158,3 +158,27 @@
 		})
 	}
 }
+
+// TestAssistAfterLostDemote guards against the loss of acknowledged commits: no primary was known at the request, and the first DEMOTE of the
+// former primary got no answer; the round goes on to record its lead, as Coordinator.assess does, and must not take that for the end.
+func TestAssistAfterLostDemote(t *testing.T) {
+	const oldTerm = 3
+	db, members := newGuardedDatabase(t)
+	remote := &leadingEndpoint{term: oldTerm}
+	ctx, cancel := context.WithCancel(context.Background())
+	o := Options{Clock: clock.System{}, Logger: event.Discard(), Dialer: remote, Databases: nil}
+	c := &Coordinator{options: o, name: "db", prober: newProber(ctx, remote, o.Clock)}
+	defer c.prober.close()
+	defer cancel()
+	db.RecordPromotion(group.Promotion{Fence: 5, Term: planTerm, Newest: oldTerm, Target: "b", At: time.Now()})
+	status := endpoint.PlatformStatus{Role: endpoint.Primary, Term: oldTerm, Log: position(9)}
+	for range 2 {
+		probedAt := time.Now()
+		c.assist(ctx, db, members, []ProbeResult{{Endpoint: "p", Answered: true, Status: &status, Connection: 1}}, probedAt)
+		db.RecordLead("p", status.Log, probedAt)
+		time.Sleep(time.Millisecond)
+	}
+	if !db.IsBeingReplaced("p") {
+		t.Error("the promotion counts as ended though the former primary was not demoted")
+	}
+}
