protocol: give back what a session's last line took

What callers would see: long messages refused for good, since lines that were not answered (a refused START, BYE, QUERY without an id) stayed in the budget for unended messages after their session.

--- a/caller/codec.go
+++ b/caller/codec.go
@@ -20,6 +20,8 @@
 	Next() (statement.Request, error)
 	// Answer sends the complete answer to a request. done is false for an answer that holds only the transaction state.
 	Answer(a statement.Answer, done bool) error
+	// Free gives back the memory that the last request took. Answer implies it.
+	Free()
 	// Refuse tells the caller why its session is not opened, or why it ends while no request is in flight.
 	Refuse(e *verdict.Error) error
 	// SetReadDeadline sets the deadline of Open and Next; the zero time means none.
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -44,6 +44,8 @@
 }
 
 func (c *callerConn) serve() {
+	// Also if a request is not answered, since running it panics.
+	defer c.codec.Free()
 	if !c.open() {
 		return
 	}
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -77,6 +77,8 @@
 	return w.writeLine(text)
 }
 
+func (w *wordCodec) Free() {}
+
 func (w *wordCodec) Refuse(e *verdict.Error) error      { return w.writeLine("refused " + string(e.Reason)) }
 func (w *wordCodec) SetReadDeadline(at time.Time) error { return w.conn.SetReadDeadline(at) }
 func (w *wordCodec) writeLine(text string) error {
