succession: end a promotion's guard only when the promotion has ended

What callers would see: lost commits, if no primary was known at a promotion's request and the former primary returned, as its lead, or a lost answer to DEMOTE, counted as the end; or if a succession stopped while its request was in flight. And no primary for seconds, as a healthy one was demoted after another coordinator had invalidated the promotion. Change: without a known old primary only the target's lead ends a promotion, or a newer term that a coordinator sees; watches end once their promotion is known to have ended; a request in flight counts as one that may take effect.

--- a/group/promotion.go
+++ b/group/promotion.go
@@ -90,6 +90,11 @@
 	return Promotion{}, false
 }
 
+// IsOutstanding reports whether the promotion with a fencing token may still take effect.
+func (v View) IsOutstanding(fence uint64, now time.Time) bool {
+	return slices.ContainsFunc(v.promotions, func(p Promotion) bool { return p.Fence == fence && p.Outstanding(now) })
+}
+
 // IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead. A commit that
 // the endpoint acknowledges then may not be in the promoted log. If no primary was known at the request, any other endpoint may
 // be the one that is replaced, such as a demoted primary after a restart.
--- a/succession/assist.go
+++ b/succession/assist.go
@@ -38,7 +38,7 @@
 		}
 	}
 	w := &watches{coordinator: c, database: db, guard: guard{plan: plan, target: p.Target}, since: p.At}
-	if w.settled() {
+	if w.settled() || w.guard.succeeded(results) {
 		p.Ended, p.Settled, p.At = true, true, c.options.Clock.Now()
 		db.RecordPromotion(p)
 		return
--- a/succession/guard.go
+++ b/succession/guard.go
@@ -25,7 +25,7 @@
 	case Promoting, Reconfirming:
 		return true
 	case Stopped:
-		return s.target != "" && (s.unknown || s.accepted)
+		return s.target != "" && s.mayTakeEffect()
 	default:
 		return false
 	}
@@ -70,6 +70,18 @@
 	}
 }
 
+// succeededBy reports whether the lead of an endpoint shows that the old primary has been replaced. If no primary was known at the
+// request, any endpoint but the target may be the old one.
+func (g guard) succeededBy(name string) bool {
+	return name == g.target || g.plan.OldPrimary != "" && name != g.plan.OldPrimary
+}
+
+// succeeded reports whether an endpoint leads under a newer term than was known at the request.
+func (g guard) succeeded(results []ProbeResult) bool {
+	primary := newestPrimary(results)
+	return primary != nil && primary.Status.Term > g.plan.Floor.Term
+}
+
 // counts reports whether an endpoint is one of the plan's replicas. Those that did not answer before are held too.
 func (g guard) counts(name string) bool {
 	return slices.ContainsFunc(g.plan.Replicas, func(r Replica) bool { return r.Name == name })
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -117,6 +117,7 @@
 		text(c.succession.target)
 		flag(c.succession.accepted)
 		flag(c.succession.unknown)
+		flag(c.succession.inFlight)
 		// The order in which replicas were held and confirmed makes no difference.
 		var held []string
 		for _, h := range c.succession.held {
--- a/succession/run.go
+++ b/succession/run.go
@@ -118,7 +118,7 @@
 	before := r.succession.Phase()
 	next, actions := r.succession.Handle(e)
 	if before != Promoting && next.Phase() == Promoting && r.coordinator.options.Clock.Now().Sub(r.confirmingSince) > maxHoldAge {
-		next, actions = next.Handle(Timeout{})
+		next, actions = r.succession.Handle(Timeout{})
 	}
 	r.succession = next
 	return actions
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -49,9 +49,11 @@
 	// confirmed are the held replicas that were probed after all holds had been taken and were still held.
 	confirmed []string
 	target    string
-	// accepted is set once the platform has accepted the promotion, and unknown while a request has had no answer.
+	// accepted is set once the platform has accepted the promotion, unknown while a request has had no answer, and inFlight while one
+	// may still be answered.
 	accepted bool
 	unknown  bool
+	inFlight bool
 }
 
 // heldReplica is a replica that has stopped receiving, and the end of its log.
@@ -224,7 +226,7 @@
 
 // promote requests the promotion of the chosen replica.
 func (s Succession) promote() (Succession, []Action) {
-	s.phase = Promoting
+	s.phase, s.inFlight = Promoting, true
 	return s, []Action{{Command: Promote, Endpoint: s.target}}
 }
 
@@ -240,6 +242,7 @@
 	if s.phase != Promoting {
 		return s, nil
 	}
+	s.inFlight = false
 	switch result.Outcome {
 	case Accepted:
 		s.accepted, s.unknown = true, false
@@ -265,7 +268,7 @@
 	if s.phase < Promoting {
 		return s.stop("too few replicas answered")
 	}
-	if s.unknown || s.accepted {
+	if s.mayTakeEffect() {
 		return s.stopKeepingHolds("endpoint does not lead in time")
 	}
 	if s.phase == Reconfirming {
@@ -274,6 +277,9 @@
 	return s.stop("platform accepted no promotion request")
 }
 
+// mayTakeEffect reports whether a request may be carried out, now or later.
+func (s Succession) mayTakeEffect() bool { return s.inFlight || s.unknown || s.accepted }
+
 // stop ends the succession without a promotion and releases the holds, unless a promotion of another succession may rely
 // on them.
 func (s Succession) stop(why string) (Succession, []Action) {
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -138,6 +138,10 @@
 		after := found
 		command, ok := w.guard.command(found, heldOver == 0 || result.Connection != heldOver)
 		switch {
+		case !w.outstanding():
+			// Another coordinator has told of the end.
+			w.cancel()
+			return
 		case w.settled():
 			w.close(true)
 			return
@@ -172,10 +176,15 @@
 	})
 }
 
-// settled reports whether an endpoint other than the old primary has been proved to lead since the request.
+// outstanding reports whether the promotion may still take effect, as far as this instance has been told.
+func (w *watches) outstanding() bool {
+	return w.database.View().IsOutstanding(w.guard.plan.Fence, w.coordinator.options.Clock.Now())
+}
+
+// settled reports whether an endpoint that the promotion does not replace has been proved to lead since the request.
 func (w *watches) settled() bool {
 	lead, known := w.database.View().Lead()
-	return known && !lead.Claimed && lead.Endpoint != w.guard.plan.OldPrimary && lead.At.After(w.since)
+	return known && !lead.Claimed && lead.At.After(w.since) && w.guard.succeededBy(lead.Endpoint)
 }
 
 // send sends a command to an endpoint and returns what its answer tells.
