--- a/hosted/hosted_test.go
+++ b/hosted/hosted_test.go
@@ -71,7 +71,7 @@
 }
 
 func (d *deployment) startWriter(n int) *writer {
-	out := &writer{results: make(map[string]string), stop: make(chan struct{})}
+	out, address := &writer{results: make(map[string]string), stop: make(chan struct{})}, d.addresses[n]
 	out.done.Go(func() {
 		var c *hosting.Caller
 		for i := 0; ; i++ {
@@ -81,7 +81,7 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 			if c == nil {
-				c, _ = hosting.Dial(d.addresses[n], "main")
+				c, _ = hosting.Dial(address, "main")
 				if c == nil {
 					continue
 				}
