--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -32,7 +32,7 @@
 		"dispatch/single.go", "if j.request.Writes || !c.Lead {", "if true {", "./dispatch", "TestSession",
 	},
 	"failed begin of a transaction ignored": {
-		"connection/pooledconn.go", "if err != nil || answers[guard-1].Failure != nil {", "if err != nil {", "./dispatch", "TestSession",
+		"connection/pooledconn.go", "if NotSent(answers, guard) != nil {", "if false {", "./dispatch", "TestSession",
 	},
 	"unanswered commit reported as not run": {
 		"dispatch/commit.go", "verdict.New(verdict.MayHaveRun, verdict.Broken, \"endpoint did not answer the commit\")", "verdict.New(verdict.NotRun, verdict.Broken, \"endpoint did not answer the commit\")", "./dispatch", "TestSession",
@@ -41,16 +41,16 @@
 		"platform/protocol/code.go", "	default:\n		return codeUnsure", "	default:\n		return codeBusy", "./platform/protocol", ".",
 	},
 	"connections not reset after uncertain settings": {
-		"connection/pooledconn.go", "if h.uncertain || len(h.prepared)", "if len(h.prepared)", "./dispatch", "TestChangedSettings",
+		"connection/sessionstate.go", "if s.uncertain || len(s.prepared)", "if len(s.prepared)", "./dispatch", "TestChangedSettings",
 	},
 	"session settings not applied to a connection": {
-		"connection/pooledconn.go", "	if maps.Equal(h.settings, settings) {\n		return steps\n	}\n", "	if true {\n		return steps\n	}\n", "./dispatch", "TestSession",
+		"connection/sessionstate.go", "!ok || known != value {", "false && (!ok || known != value) {", "./dispatch", "TestSession",
 	},
 	"connection returned with its transaction open": {
 		"dispatch/transaction.go", "clean := err == nil && answers[0].Failure == nil && answers[0].State == statement.Idle", "clean := true\n		_, _ = answers, err", "./dispatch", ".",
 	},
 	"connection not released after a panic": {
-		"dispatch/single.go", "defer func() { pool.Release(conn, reuse, w.session.dispatcher.now().Sub(sent)) }()", "_, _ = sent, reuse", "./dispatch", "TestPanic",
+		"dispatch/single.go", "		pool.Release(conn, reuse, d.now().Sub(sent))\n	}()", "		if recovered := recover(); recovered != nil {\n			panic(recovered)\n		}\n		pool.Release(conn, reuse, d.now().Sub(sent))\n	}()", "./dispatch", "TestPanic",
 	},
 	"succession with one replica too few held": {
 		"succession/succession.go", "if missing >= max(s.plan.Acknowledge, 1) {", "if missing > max(s.plan.Acknowledge, 1) {", "./succession", "Model",
@@ -62,7 +62,7 @@
 		"succession/succession.go", "	case !s.plan.OldPrimaryAnswers:\n		return s.choose()\n", "	case true:\n		return s.choose()\n", "./succession", "Model",
 	},
 	"holds released although a promotion may take effect": {
-		"succession/succession.go", "	if s.unknown || s.accepted {\n		return s.stopKeepingHolds(\"endpoint does not lead in time\")\n	}\n", "", "./succession", "Model",
+		"succession/succession.go", "	if s.mayTakeEffect() {\n		return s.stopKeepingHolds(\"endpoint does not lead in time\")\n	}\n", "", "./succession", "Model",
 	},
 	"promotion repeated without a check of the holds": {
 		"succession/succession.go", "	return s.confirm(Reconfirming)\n}", "	return s.promote()\n}", "./succession", "Model",
@@ -77,7 +77,25 @@
 		"succession/departure.go", "		if a.settled && result.Departed {", "		if result.Departed {", "./succession", "Departure",
 	},
 	"departed endpoints not counted among those left out of a succession": {
-		"succession/blocked.go", "len(missing) >= required || leftOut > required", "len(missing) >= required", "./succession", "TestDepartures",
+		"succession/blocked.go", "len(missing) >= required || len(leftOut) > required", "len(missing) >= required", "./succession", "TestDepartures",
+	},
+	"each former incarnation of an endpoint counted by itself": {
+		"succession/blocked.go", "cmp.Or(result.Successor, result.Endpoint)", "cmp.Or(result.Endpoint, result.Successor)", "./succession", "TestDetector",
+	},
+	"abandoned holds kept while they isolate the primary": {
+		"succession/detector.go", "if primary != nil && !a.Replace {", "if primary != nil && reason == NoReason {", "./succession", "TestDetector",
+	},
+	"promotion without a known primary ended by any lead": {
+		"succession/guard.go", "return name == g.target || g.plan.OldPrimary != \"\" && name != g.plan.OldPrimary", "return name != g.plan.OldPrimary", "./succession", "TestAssist",
+	},
+	"former primary not demoted while a promotion is outstanding": {
+		"succession/guard.go", "	case f == leads:\n		return Demote, true\n", "", "./succession", "TestGuard",
+	},
+	"failed setup of a connection taken for a success": {
+		"connection/sessionstate.go", "	if a.Failure != nil {\n		return s.withFailure(step, a.Failure)\n	}\n", "", "./dispatch", "TestFailedSetup",
+	},
+	"poll that the store has lost awaited for long": {
+		"directory/follow.go", "followWait = 3 * time.Second", "followWait = 10 * time.Second", "./directory", "TestLostCall",
 	},
 	"former primary taken for a replica that has its own commits": {
 		"succession/departure.go", "if r.Endpoint != other && !r.Departed &&", "_ = other\n		if !r.Departed &&", "./succession", "TestDepartureOrders|TestDepartures|TestPrimaryDemoted",
@@ -86,7 +104,7 @@
 		"database/departure.go", "	d.departures = append(", "	if lead, _ := d.view.Lead(); lead.Endpoint == e.Name {\n		return\n	}\n	d.departures = append(", "./database", "TestPrimaryDeparts",
 	},
 	"fencing tokens reserved without a version check": {
-		"succession/reservation.go", "[]store.Expectation{{Key: key, Version: version}},", "[]store.Expectation{{Key: key, Version: version}}[:0],", "./succession", "Reserve",
+		"succession/reservation.go", "[]store.Expectation{{Key: key, Version: row.Version}},", "[]store.Expectation{{Key: key, Version: row.Version}}[:0],", "./succession", "Reserve",
 	},
 	"older configuration accepted": {
 		"directory/directory.go", "	if configuration.Version <= d.configuration.Version {\n		return configuration.Version\n	}\n", "", "./directory", ".",
@@ -119,7 +137,7 @@
 		"database/registry.go", "own >= minOwnConnections && !crowded ||", "own >= minOwnConnections && (!crowded || true) ||", "./database", "TestDivide",
 	},
 	"borrowed connection returned in a transaction": {
-		"loan/loan.go", "if answers[len(answers)-1].State == statement.Idle {", "if true {", "./loan", "TestTransaction",
+		"loan/loan.go", "case answers[len(answers)-1].State == statement.Idle:", "case true:", "./loan", "TestTransaction",
 	},
 	"no connections reserved for coordinators": {
 		"database/registry.go", "max(min(int(connectionShare*float64(connections)), connections-minConnectionReserve), 1)", "max(connections*2, 1)", "./database", "TestDivide",
