--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -13,8 +13,8 @@
 	"siskincove/store"
 )
 
-// extendHeartbeat adds to a heartbeat the versions of the directory and the promotions that may be outstanding. A request also gets the databases in which this instance
-// is interested, and a reply the leads of those in which the sender of the request is.
+// extendHeartbeat adds to a heartbeat the versions of the directory and the promotions that may be outstanding. A request also gets
+// the databases in which this instance is interested, and a reply the leads of those in which the sender of the request is.
 func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
 	if request != nil {
