loan: say what a round-trip time of 0 means

Cause: the comment read like a note on how the value was chosen. Change: it says what the value means to the caller.

--- a/loan/conn.go
+++ b/loan/conn.go
@@ -84,7 +84,7 @@
 // KeepsSession marks the connection as a connection.SessionKeeper: the holder records the settings and prepared statements.
 func (c *Conn) KeepsSession() {}
 
-// RoundTrip returns 0: the round-trip time of a borrowed connection is not measured.
+// RoundTrip returns 0, which means unknown.
 func (c *Conn) RoundTrip() time.Duration { return 0 }
 
 // Broken returns a channel that is closed once the connection is no longer usable.
