standin: lose the answers of a silent store for good

A silent store kept the calls that arrived and answered them once it was no longer silent, and calls that waited for changes were answered meanwhile.

Answers that are due while the store is silent are lost now, also those of calls from before, and their connections stay open without a word. A fault resets connections, and instances can reach the store at addresses of their own, to which faults are restricted.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -47,6 +47,8 @@
 	Configuration map[string]any
 	// Links, if set, connects the instances through a proxy whose links can be cut.
 	Links bool
+	// OwnStores, if set, lets each instance reach the store at an address of its own, to which faults can be restricted.
+	OwnStores bool
 	// Bandwidth is how many bytes a second all links carry together, in equal shares for each failure domain; 0 for no limit.
 	Bandwidth int
 }
@@ -62,6 +64,8 @@
 	Links *link.Proxy
 	// Domains are the failure domains of the instances, each once.
 	Domains []string
+	// Stores are the addresses at which the instances reach the store; empty if all use the same.
+	Stores []string
 
 	listener net.Listener
 	// builds are the directories of the programs, of one or two builds; the instances start with those of the first.
@@ -103,6 +107,12 @@
 	hosted := cluster.HostedOptions{
 		Binaries: d.builds[0], Directory: o.Directory, Store: d.Store.Address(), Promotion: d.Promotion.Address(), Zones: o.Zones,
 	}
+	if o.OwnStores {
+		if err = d.listenStores(len(o.Zones)); err != nil {
+			return d, err
+		}
+		hosted.Stores = d.Stores
+	}
 	if o.Links {
 		if hosted.Proxy, err = d.startLinks(ctx, o.Bandwidth); err != nil {
 			return d, err
@@ -119,6 +129,18 @@
 	return d, d.awaitReady()
 }
 
+// listenStores serves the store at an address for each instance.
+func (d *Deployment) listenStores(instances int) error {
+	for range instances {
+		address, err := d.Store.Listen()
+		if err != nil {
+			return errors.Wrap(err, "listening for the store")
+		}
+		d.Stores = append(d.Stores, address)
+	}
+	return nil
+}
+
 // startLinks serves the proxy between instances and returns its address.
 func (d *Deployment) startLinks(ctx context.Context, bandwidth int) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -187,7 +209,8 @@
 	d.running.Wait()
 }
 
-func (d *Deployment) stopped() bool {
+// Stopped reports whether the sessions are to end.
+func (d *Deployment) Stopped() bool {
 	select {
 	case <-d.stop:
 		return true
--- a/soak/session.go
+++ b/soak/session.go
@@ -36,7 +36,7 @@
 // RunSessions runs one session with the key after the other at an instance, each until it fails or has run its number of statements.
 // A session keeps its connection until the instance closes it or is gone.
 func (d *Deployment) RunSessions(instance int, route history.Route, key string, random *rand.Rand) {
-	for !d.stopped() {
+	for !d.Stopped() {
 		c, err := hosting.DialWithKey(d.Instances[instance].Callers, route.Name, key)
 		if err != nil {
 			time.Sleep(reconnectPause)
@@ -70,7 +70,7 @@
 		return
 	}
 	for range sessionStatements {
-		if s.deployment.stopped() {
+		if s.deployment.Stopped() {
 			return
 		}
 		time.Sleep(time.Duration(s.random.IntN(15)) * time.Millisecond)
--- a/standin/cluster/hosted.go
+++ b/standin/cluster/hosted.go
@@ -18,6 +18,8 @@
 	// Store and Promotion are the IP:port of the platform's store and promotion service.
 	Store     string
 	Promotion string
+	// Stores, if set, are the addresses of the store for each instance, in place of Store.
+	Stores []string
 	// Zones are the failure domains of the instances, one instance for each, all in one region.
 	Zones []string
 	// Proxy, if set, is the address of a proxy through which the instances dial each other.
@@ -72,6 +74,9 @@
 		if err != nil {
 			return out, err
 		}
+		if len(o.Stores) > 0 {
+			o.Store = o.Stores[n]
+		}
 		h := &HostedInstance{options: o, id: fmt.Sprintf("n%d", n), Callers: addresses[0], Peers: addresses[2], healthAddress: addresses[1]}
 		text := fmt.Sprintf(hostedSettingsTemplate, h.id, zone, addresses[0], addresses[1], addresses[2], addresses[3], proxyLine(o.Proxy), o.Store, o.Promotion, strings.Join(regions, "\n"))
 		if err := os.WriteFile(h.file(".toml"), []byte(text), 0o600); err != nil {
--- a/standin/hosting/serve.go
+++ b/standin/hosting/serve.go
@@ -14,10 +14,7 @@
 // withFaults wraps a handler with the store's faults.
 func (s *Store) withFaults(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f, ok := s.awaitNotSilent(r)
-		if !ok {
-			return
-		}
+		f := s.loseAnswer(r)
 		host, _, _ := net.SplitHostPort(r.RemoteAddr)
 		tableFails := f.FailTable != "" && r.URL.Query().Get("table") == f.FailTable
 		if f.Down || tableFails || slices.Contains(f.Refuse, host) {
@@ -35,47 +32,60 @@
 			s.calls[r.URL.Path+"?table="+table]++
 		}
 		s.mu.Unlock()
-		next(eraWriter{ResponseWriter: w, store: s}, r)
+		next(&answerWriter{ResponseWriter: w, store: s, request: r}, r)
+	}
+}
+
+// faultsFor returns the faults that apply to a request.
+func (s *Store) faultsFor(r *http.Request) StoreFaults {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if address, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok && len(f.At) > 0 && !slices.Contains(f.At, address.String()) {
+		return StoreFaults{}
 	}
+	return f
 }
 
-// eraWriter adds the store's era, as of the moment of the answer, to a response.
-type eraWriter struct {
+// loseAnswer returns the faults that apply to a request. If its answer is to be lost, it does not return: it ends the handler once the
+// client has closed the connection, or at once if that is to be reset.
+func (s *Store) loseAnswer(r *http.Request) StoreFaults {
+	f := s.faultsFor(r)
+	if f.Silent && !f.Reset {
+		// The end of the connection is noticed only once the body has been read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}
+	if f.Silent || f.Reset {
+		panic(http.ErrAbortHandler)
+	}
+	return f
+}
+
+// answerWriter adds the store's era, as of the moment of the answer, to a response, or loses it.
+type answerWriter struct {
 	http.ResponseWriter
-	store *Store
+	store   *Store
+	request *http.Request
+	started bool
 }
 
-// WriteHeader writes the era with the other headers.
-func (w eraWriter) WriteHeader(status int) {
+// WriteHeader writes the era with the other headers, unless the answer is lost.
+func (w *answerWriter) WriteHeader(status int) {
+	w.store.loseAnswer(w.request)
+	w.started = true
 	w.Header().Set("Store-Era", strconv.FormatUint(w.store.era.Load(), 10))
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write writes the headers first if they have not been written.
-func (w eraWriter) Write(data []byte) (int, error) {
-	if w.Header().Get("Store-Era") == "" {
+func (w *answerWriter) Write(data []byte) (int, error) {
+	if !w.started {
 		w.WriteHeader(http.StatusOK)
 	}
 	return w.ResponseWriter.Write(data)
 }
 
-// awaitNotSilent returns the faults once the store is not silent, and false if the client disconnects first.
-func (s *Store) awaitNotSilent(r *http.Request) (StoreFaults, bool) {
-	for {
-		s.mu.Lock()
-		f, changed := s.faults, s.changed
-		s.mu.Unlock()
-		if !f.Silent {
-			return f, true
-		}
-		select {
-		case <-changed:
-		case <-r.Context().Done():
-			return f, false
-		}
-	}
-}
-
 // transaction is the body of /rows-tx.
 type transaction struct {
 	Expected []Row `json:"expected"`
@@ -155,6 +165,9 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		rows, version, gone, changed := s.changesSince(q.Get("table"), after)
+		if s.faultsFor(r).Reset {
+			panic(http.ErrAbortHandler)
+		}
 		if gone {
 			http.Error(w, "gone", http.StatusGone)
 			return
@@ -196,13 +209,20 @@
 	if err != nil {
 		return
 	}
+	if !s.storeObject(r.PathValue("id"), data, r.Header.Get("If-None-Match") == "*") {
+		http.Error(w, "object already exists", http.StatusPreconditionFailed)
+	}
+}
+
+// storeObject stores an object. It returns false, and does nothing, if one exists at the key that must not be replaced.
+func (s *Store) storeObject(key string, data []byte, absent bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, exists := s.objects[r.PathValue("id")]; exists && r.Header.Get("If-None-Match") == "*" {
-		http.Error(w, "object already exists", http.StatusPreconditionFailed)
-		return
+	if _, exists := s.objects[key]; exists && absent {
+		return false
 	}
-	s.objects[r.PathValue("id")] = data
+	s.objects[key] = data
+	return true
 }
 
 func (s *Store) getObject(w http.ResponseWriter, r *http.Request) {
--- a/standin/hosting/store.go
+++ b/standin/hosting/store.go
@@ -32,12 +32,17 @@
 	Slow time.Duration
 	// FailTable answers requests for this table with 503.
 	FailTable string
-	// Silent leaves every request unanswered until it is cleared.
+	// Silent loses every answer that is due until it is cleared, also those of requests that arrived before. Requests that arrive
+	// have no effect. A connection on which an answer was lost stays open and delivers nothing further.
 	Silent bool
+	// Reset closes the connections of all requests, also of those that wait for changes.
+	Reset bool
 	// LoseCommits commits this many of the next transactions without an answer.
 	LoseCommits int
 	// Refuse answers requests from these client IP addresses with 503.
 	Refuse []string
+	// At restricts the faults to requests to these addresses of the store; all if it is empty.
+	At []string
 }
 
 // headerTimeout bounds the time to read the headers of a request.
@@ -47,6 +52,8 @@
 type Store struct {
 	listener net.Listener
 	server   *http.Server
+	// serving counts the goroutines that serve a listener.
+	serving sync.WaitGroup
 
 	// era counts the restores, from 1.
 	era atomic.Uint64
@@ -87,15 +94,32 @@
 	mux.HandleFunc("PUT /blob-put/{id...}", s.withFaults(s.putObject))
 	mux.HandleFunc("GET /blob-get/{id...}", s.withFaults(s.getObject))
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = s.server.Serve(listener) }()
+	s.serve(listener)
 	return s, nil
 }
 
+func (s *Store) serve(listener net.Listener) {
+	s.serving.Go(func() { _ = s.server.Serve(listener) })
+}
+
+// Listen serves the store at a further loopback port and returns its IP:port, to which faults can be restricted.
+func (s *Store) Listen() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s.serve(listener)
+	return listener.Addr().String(), nil
+}
+
 // Address returns the store's IP:port.
 func (s *Store) Address() string { return s.listener.Addr().String() }
 
 // Close stops the store.
-func (s *Store) Close() { _ = s.server.Close() }
+func (s *Store) Close() {
+	_ = s.server.Close()
+	s.serving.Wait()
+}
 
 // SetFaults replaces the store's faults.
 func (s *Store) SetFaults(f StoreFaults) {
