succession: count a demoted primary that restarted with its log

Cause: an endpoint that restarts under its id counts as one that departed, since it may have lost its log. PROTOCOL.md says that a primary comes back with its log, but which endpoint had led was known in memory only, and counted only while it led again. With a lost replica two endpoints were left out, which may hold a commit that no other has.

The list of members in the store names the last primary, its incarnation and term. A former incarnation of it is settled once its successor reports a log that ends in that term, as long as no newer term is seen: only that endpoint wrote records of the term, so that one which lost its log can't report them. Builds before this one ignore the field and leave it out when they write the row.

Tests: TestDepartureSettles, "demoted primary has restarted, a replica is lost" and others (fail without the rule, mutation "restarted primary taken for one that has lost its log"); TestDepartures, "restarts": 200,000 sequences with restarts of endpoints and coordinators and a stale row, no commit lost.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -251,7 +251,7 @@
 		wait.Go(func() {
 			if targets.restarted(i) {
 				// A newer incarnation is registered under this name, so the departed one has stopped.
-				results[i] = ProbeResult{Endpoint: targets.label(e), Departed: true, Successor: e.Name}
+				results[i] = ProbeResult{Endpoint: targets.label(e), Departed: true, Successor: e.Name, Incarnation: e.Incarnation}
 				return
 			}
 			results[i] = c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
--- a/succession/departure.go
+++ b/succession/departure.go
@@ -1,6 +1,10 @@
 package succession
 
-import "siskincove/endpoint"
+import (
+	"slices"
+
+	"siskincove/endpoint"
+)
 
 // absence is an endpoint that does not answer. It may hold acknowledged commits that no endpoint but the primary has,
 // until another replica reaches the position that the primary's log had after the endpoint stopped answering. If it
@@ -24,8 +28,8 @@
 		}
 		a, known := d.absenceOf(result.Endpoint)
 		switch {
-		case primary != nil && result.Successor == primary.Endpoint:
-			// An endpoint that leads after a restart has its log.
+		case primary != nil && result.Successor == primary.Endpoint, d.keptLog(result, s.Results):
+			// An endpoint that leads after a restart has its log, and so has one that led before it.
 			a = absence{endpoint: result.Endpoint, settled: true}
 		case !known:
 			a = absence{endpoint: result.Endpoint}
@@ -79,6 +83,33 @@
 	term        endpoint.FencedTerm
 }
 
+// replaces reports whether p is a later primary than another one, or a later incarnation of it.
+func (p lastPrimary) replaces(other lastPrimary) bool {
+	return p.endpoint != "" && (p.term > other.term || p.term == other.term && p.incarnation > other.incarnation)
+}
+
+// withListedPrimary takes over the last primary that the store lists.
+func (d Detector) withListedPrimary(p lastPrimary) Detector {
+	if p.replaces(d.listedPrimary) {
+		d.listedPrimary = p
+	}
+	return d
+}
+
+// keptLog reports whether a former incarnation led under the newest term, or followed one that did, and its successor has its log. Records of
+// that term were written by that endpoint only, so a log that ends with one is not that of an endpoint which has lost its own.
+func (d Detector) keptLog(former ProbeResult, results []ProbeResult) bool {
+	led := func(p lastPrimary) bool {
+		return p.endpoint != "" && p.endpoint == former.Successor && p.incarnation <= former.Incarnation && p.term == d.floor.Term
+	}
+	if !led(d.lastPrimary) && !led(d.listedPrimary) {
+		return false
+	}
+	return slices.ContainsFunc(results, func(r ProbeResult) bool {
+		return r.Endpoint == former.Successor && r.Status != nil && uint64(r.Status.Log.Term) == uint64(d.floor.Term)
+	})
+}
+
 // withDemoted records whether the last primary has been demoted. The record is valid until a newer term is observed.
 func (d Detector) withDemoted(primary *ProbeResult, results []ProbeResult) Detector {
 	if primary != nil {
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -23,6 +23,8 @@
 	connected  bool
 	registered bool
 	alive      bool
+	// incarnation counts the restarts, and ledTerm is the newest term under which the endpoint has led.
+	incarnation, ledTerm uint64
 }
 
 func (e *simulatedEndpoint) end() endpoint.Position {
@@ -43,16 +45,30 @@
 	departed []string
 	detector Detector
 	now      time.Time
+	// restarts is set if endpoints and coordinators restart. formers are the former incarnations whose commits are not yet known to be
+	// in another replica, and listed the last primary in the store.
+	restarts bool
+	formers  []simulatedFormer
+	listed   lastPrimary
 	// departuresIgnored is a mutation: departed endpoints that do not answer are left out of the surveys.
 	departuresIgnored bool
 }
 
+// simulatedFormer is a former incarnation of an endpoint.
+type simulatedFormer struct {
+	name        string
+	incarnation uint64
+}
+
+func (f simulatedFormer) label() string { return fmt.Sprintf("%s/%d", f.name, f.incarnation) }
+
 func newSimulatedGroup() *simulatedGroup {
 	g := &simulatedGroup{now: epoch, term: 1, known: "p"}
 	for _, name := range []string{"p", "a", "b"} {
 		g.members = append(g.members, &simulatedEndpoint{name: name, term: 1, logTerm: 1, connected: true, registered: true, alive: true})
 	}
 	g.leader = g.members[0]
+	g.leader.ledTerm = 1
 	return g
 }
 
@@ -86,7 +102,7 @@
 		return
 	}
 	g.term++
-	g.leader, target.term = target, g.term
+	g.leader, target.term, target.ledTerm = target, g.term, g.term
 }
 
 // survey probes the group as a coordinator does. It returns the assessment and the replicas that would be held.
@@ -108,15 +124,19 @@
 			result = ProbeResult{Endpoint: m.name, Answered: true, Status: &status}
 			counted = append(counted, m)
 		}
-		result.Departed, result.Leaving = departed, departed
+		result.Departed, result.Leaving, result.Incarnation = departed, departed, m.incarnation
 		s.Results = append(s.Results, result)
 	}
+	for _, f := range g.formers {
+		s.Results = append(s.Results, ProbeResult{Endpoint: f.label(), Departed: true, Successor: f.name, Incarnation: f.incarnation})
+	}
 	var assessment Assessment
 	g.detector, assessment = g.detector.Observe(s, 0, timing, g.now)
 	if assessment.Primary != "" && !slices.Contains(g.departed, assessment.Primary) {
 		g.known = assessment.Primary
 	}
 	g.departed = slices.DeleteFunc(g.departed, func(name string) bool { return slices.Contains(assessment.Settled, name) })
+	g.formers = slices.DeleteFunc(g.formers, func(f simulatedFormer) bool { return slices.Contains(assessment.Settled, f.label()) })
 	return assessment, slices.DeleteFunc(counted, func(m *simulatedEndpoint) bool { return m.name == assessment.OldPrimary })
 }
 
@@ -126,9 +146,11 @@
 func TestDepartures(t *testing.T) {
 	tests := map[string]struct {
 		departuresIgnored bool
+		restarts          bool
 		loses             bool
 	}{
 		"departures are counted":  {},
+		"restarts":                {restarts: true},
 		"departures are left out": {departuresIgnored: true, loses: true},
 	}
 	for name, test := range tests {
@@ -139,7 +161,7 @@
 			lost := ""
 			for done := 0; done < sequences && lost == ""; done++ {
 				g := newSimulatedGroup()
-				g.departuresIgnored = test.departuresIgnored
+				g.departuresIgnored, g.restarts = test.departuresIgnored, test.restarts
 				var trace []string
 				replaced := false
 				for range steps {
@@ -192,6 +214,47 @@
 
 // events returns what may happen to an endpoint, by name.
 func (g *simulatedGroup) events(m *simulatedEndpoint) map[string]func() {
+	out := g.commonEvents(m)
+	if g.restarts {
+		maps.Copy(out, g.restartEvents(m))
+	}
+	return out
+}
+
+// restartEvents returns which restarts may happen.
+func (g *simulatedGroup) restartEvents(m *simulatedEndpoint) map[string]func() {
+	return map[string]func(){
+		"restart":             func() { g.restart(m, true) },
+		"restart without log": func() { g.restart(m, false) },
+		"list": func() {
+			if g.detector.lastPrimary.replaces(g.listed) {
+				g.listed = g.detector.lastPrimary
+			}
+		},
+		"restart the coordinator": func() { g.detector, g.known = Detector{}.withListedPrimary(g.listed), "" },
+	}
+}
+
+// restart starts an endpoint again under its name. It has its log if it led under the newest term. Others may have lost theirs, unless it
+// was the last one with an acknowledged commit.
+func (g *simulatedGroup) restart(m *simulatedEndpoint, keeps bool) {
+	if !m.registered {
+		return
+	}
+	g.formers = append(g.formers, simulatedFormer{name: m.name, incarnation: m.incarnation})
+	m.incarnation++
+	m.alive, m.connected = true, true
+	others := slices.DeleteFunc(slices.Clone(g.members), func(o *simulatedEndpoint) bool { return o == m || !o.alive && !o.registered })
+	if !keeps && m.ledTerm != g.term && g.acknowledged.Compare(longestLog(others)) <= 0 {
+		m.log, m.logTerm, m.term, m.ledTerm = 0, 0, 0, 0
+	}
+	if m != g.leader && g.leader != nil && g.leader.alive {
+		g.receive(m)
+	}
+}
+
+// commonEvents returns what may happen to an endpoint but restarts, by name.
+func (g *simulatedGroup) commonEvents(m *simulatedEndpoint) map[string]func() {
 	return map[string]func(){
 		"commit": g.commit,
 		"cut":    func() { m.connected = false },
@@ -251,7 +314,30 @@
 	crashed := ProbeResult{Endpoint: "p", Refused: true}
 	former := ProbeResult{Endpoint: "p/1", Departed: true, Successor: "p"}
 	replicaAt := func(log uint64) ProbeResult { return replicaResult("a", log) }
+	formerOf := func(name string, incarnation uint64) ProbeResult {
+		return ProbeResult{Endpoint: fmt.Sprintf("%s/%d", name, incarnation), Departed: true, Successor: name, Incarnation: incarnation}
+	}
+	ledBy := func(name string, incarnation uint64) ProbeResult {
+		result := primaryResult(name, 9)
+		result.Incarnation = incarnation
+		return result
+	}
+	inTerm := func(result ProbeResult, term endpoint.FencedTerm) ProbeResult {
+		result.Status.Term = term
+		return result
+	}
+	logInTerm := func(result ProbeResult, term endpoint.FencedTerm) ProbeResult {
+		result.Status.Term, result.Status.Log.Term = term, endpoint.LogTerm(term)
+		return result
+	}
+	emptyResult := func(name string) ProbeResult {
+		result := replicaResult(name, 0)
+		result.Status.Term, result.Status.Log = 0, endpoint.Position{}
+		return result
+	}
 	tests := map[string]struct {
+		// listed is the last primary that the store lists.
+		listed  lastPrimary
 		surveys [][]ProbeResult
 		want    bool
 		// unreplicated is set if commits are acknowledged without a replica.
@@ -290,6 +376,42 @@
 			surveys: [][]ProbeResult{{primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}, {primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}, {primaryResult("p", 9), replicaAt(7), replicaResult("b", 7), former}},
 			want:    true, settled: 3,
 		},
+		"demoted primary has restarted with its log": {
+			surveys: [][]ProbeResult{{ledBy("p", 1), replicaAt(5)}, {replicaResult("p", 9), replicaAt(5), formerOf("p", 1)}, {replicaResult("p", 9), replicaAt(5)}},
+			want:    true, settled: 2,
+		},
+		// Soak seeds 611, 647 and 9206: nobody led, since the former incarnation of a demoted primary and a lost replica were left out.
+		"demoted primary has restarted, a replica is lost": {
+			surveys: [][]ProbeResult{{ledBy("p", 1), replicaAt(5), replicaResult("c", 9)}, {replicaResult("p", 9), replicaAt(5), formerOf("p", 1), departed}, {replicaResult("p", 9), replicaAt(5), departed}},
+			want:    true, settled: 2,
+		},
+		"demoted primary has restarted, all coordinators too": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(5), formerOf("p", 1), departed}, {replicaResult("p", 9), replicaAt(5), departed}},
+			want:    true, settled: 1,
+		},
+		"demoted primary has restarted twice": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(5), formerOf("p", 1), formerOf("p", 2), departed}, {replicaResult("p", 9), replicaAt(5), departed}},
+			want:    true, settled: 1,
+		},
+		"former primary has restarted, another one has led": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), inTerm(replicaAt(5), 2), formerOf("p", 1), departed}, {replicaResult("p", 9), inTerm(replicaAt(5), 2), formerOf("p", 1), departed}},
+		},
+		// The log is that of the next primary, perhaps only a part of it.
+		"former primary has restarted and received from another one": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
+			surveys: [][]ProbeResult{{logInTerm(replicaResult("p", 9), 2), replicaAt(5), formerOf("p", 1), departed}, {logInTerm(replicaResult("p", 9), 2), replicaAt(5), formerOf("p", 1), departed}},
+		},
+		"demoted primary has lost its log": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
+			surveys: [][]ProbeResult{{emptyResult("p"), replicaAt(5), formerOf("p", 1), departed}, {emptyResult("p"), replicaAt(5), formerOf("p", 1), departed}},
+		},
+		"incarnation before the one that led": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 2, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(5), formerOf("p", 1), departed}, {replicaResult("p", 9), replicaAt(5), formerOf("p", 1), departed}},
+		},
 		"replica has restarted": {
 			surveys: [][]ProbeResult{{primaryResult("p", 9), replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}, {crashed, replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}, {crashed, replicaAt(7), {Endpoint: "a/1", Departed: true, Successor: "a"}}},
 		},
@@ -300,7 +422,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var d Detector
+			d := Detector{}.withListedPrimary(test.listed)
 			var got Assessment
 			settled := 0
 			for n, results := range test.surveys {
--- a/succession/detector.go
+++ b/succession/detector.go
@@ -99,6 +99,8 @@
 	// lastPrimary is the endpoint that was last seen to lead, and demoted the same after it became a replica.
 	lastPrimary lastPrimary
 	demoted     demotedPrimary
+	// listedPrimary is the last primary that the store lists, which may be older than lastPrimary.
+	listedPrimary lastPrimary
 	// endedTerm is the term of this coordinator's last succession, 0 for none.
 	endedTerm endpoint.FencedTerm
 	// absences are the endpoints that do not answer.
@@ -293,5 +295,5 @@
 // afterAttempt returns the detector after a succession under a term. It keeps what it knows of the group, but evidence against
 // the primary has to build up again.
 func (d Detector) afterAttempt(ended endpoint.FencedTerm) Detector {
-	return Detector{floor: d.floor, holds: d.holds, endedTerm: ended, lastPrimary: d.lastPrimary, demoted: d.demoted, term: d.term, termChanged: d.termChanged, absences: d.absences}
+	return Detector{floor: d.floor, holds: d.holds, endedTerm: ended, lastPrimary: d.lastPrimary, demoted: d.demoted, listedPrimary: d.listedPrimary, term: d.term, termChanged: d.termChanged, absences: d.absences}
 }
--- a/succession/memberkeeper.go
+++ b/succession/memberkeeper.go
@@ -51,22 +51,22 @@
 	return k
 }
 
-// takeRead returns the endpoints in the row if it was read since the last call.
-func (k *memberKeeper) takeRead() ([]config.Endpoint, bool) {
+// takeRead returns the endpoints and the last primary in the row if it was read since the last call.
+func (k *memberKeeper) takeRead() ([]config.Endpoint, lastPrimary, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.unseen {
-		return nil, false
+		return nil, lastPrimary{}, false
 	}
 	k.taken = true
-	return k.row.list.endpoints, true
+	return k.row.list.endpoints, k.row.lead, true
 }
 
 // setDemand replaces what the row is to list.
-func (k *memberKeeper) setDemand(registered, all memberList, rank int, era uint64) {
+func (k *memberKeeper) setDemand(registered, all memberList, lead lastPrimary, rank int, era uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	d := memberDemand{registered: registered, all: all, rank: rank, era: era, since: k.demand.since, createDelay: k.demand.createDelay}
+	d := memberDemand{registered: registered, all: all, lead: lead, rank: rank, era: era, since: k.demand.since, createDelay: k.demand.createDelay}
 	if !k.demanded || !d.all.equal(k.demand.all) || !d.registered.equal(k.demand.registered) {
 		d.since = k.options.Clock.Now()
 	}
@@ -105,7 +105,7 @@
 		case readTask:
 			err = k.read(ctx, demand)
 		case writeTask:
-			err = k.write(ctx, list)
+			err = k.write(ctx, list, demand.lead)
 		case noTask:
 			select {
 			case <-ctx.Done():
@@ -135,7 +135,7 @@
 	}
 	row := memberRow{version: stored.Version, known: true, readAt: sent, era: demand.era}
 	if err == nil {
-		if row.list, err = decodeMemberList(k.database, stored.Value); err != nil {
+		if row.list, row.lead, err = decodeMemberList(k.database, stored.Value); err != nil {
 			// The row is replaced by one that can be read.
 			k.options.Logger.Log(event.MembersFailed, log.Fields{"database": k.database, "error": err.Error()})
 		}
@@ -146,17 +146,21 @@
 	return nil
 }
 
-// write stores a list unless the row has changed since it was read. It is read again unless the outcome is known.
-func (k *memberKeeper) write(ctx context.Context, list memberList) error {
-	value, err := list.encode()
+// write stores a list, and the last known primary if it is later than the stored one, unless the row has changed since it was read. It is
+// read again unless the outcome is known.
+func (k *memberKeeper) write(ctx context.Context, list memberList, lead lastPrimary) error {
+	k.mu.Lock()
+	row := k.row
+	k.mu.Unlock()
+	if lead.replaces(row.lead) {
+		row.lead = lead
+	}
+	value, err := list.encode(row.lead)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
-	k.mu.Lock()
-	row := k.row
-	k.mu.Unlock()
 	row.readAt = k.options.Clock.Now()
 	version, err := k.options.Rows.Commit(ctx, store.Transaction{
 		Expect: []store.Expectation{{Key: k.key(), Version: row.version}}, Puts: []store.Row{{Key: k.key(), Value: value}},
@@ -167,7 +171,7 @@
 	switch {
 	case err == nil:
 		k.row = row
-		k.options.Logger.Log(event.MembersStored, log.Fields{"database": k.database, "endpoints": len(list.endpoints), "row": version})
+		k.options.Logger.Log(event.MembersStored, log.Fields{"database": k.database, "endpoints": len(list.endpoints), "lead": row.lead.endpoint, "row": version})
 		return nil
 	case errors.Is(err, store.ErrRejected):
 	default:
--- a/succession/memberkeeper_test.go
+++ b/succession/memberkeeper_test.go
@@ -51,21 +51,22 @@
 			}()
 			found := make(map[string]bool)
 			era := uint64(1)
+			lead := lastPrimary{endpoint: "a", incarnation: 5, term: 2}
 			awaitList := func(want memberList) {
 				t.Helper()
 				for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-					listed, _ := k.takeRead()
+					listed, _, _ := k.takeRead()
 					for _, e := range listed {
 						found[e.Name] = true
 					}
 					all := want.with(listed)
-					k.setDemand(want, all, 0, era)
-					got, err := decodeMemberList("db", s.Rows(memberTable)["db"])
-					if err == nil && got.contains(want) {
+					k.setDemand(want, all, lead, 0, era)
+					got, stored, err := decodeMemberList("db", s.Rows(memberTable)["db"])
+					if err == nil && got.contains(want) && stored == lead {
 						return
 					}
 					if time.Now().After(end) {
-						t.Fatalf("the store lists %v, %v", got, err)
+						t.Fatalf("the store lists %v, %v, %v", got, stored, err)
 					}
 				}
 			}
@@ -74,6 +75,7 @@
 				test.change(s, started)
 			}
 			era = max(test.era, 1)
+			lead.term++
 			awaitList(listOf("a", "b"))
 			if diff := cmp.Diff(test.found, found["z"]); diff != "" {
 				t.Errorf("whether the coordinator was told of another endpoint: %s", diff)
--- a/succession/memberlist.go
+++ b/succession/memberlist.go
@@ -9,6 +9,7 @@
 
 	"siskincove/config"
 	"siskincove/database"
+	"siskincove/endpoint"
 )
 
 // memberTable holds, for each database, the endpoints that may hold acknowledged commits.
@@ -59,6 +60,15 @@
 // memberDocument is the value of a row of memberTable.
 type memberDocument struct {
 	Members []memberRecord `json:"members"`
+	// Lead is the last known primary, nil for none.
+	Lead *leadRecord `json:"lead,omitempty"`
+}
+
+// leadRecord is a primary and its term. Builds that don't know it leave it out when they write the row.
+type leadRecord struct {
+	ID          string `json:"id"`
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	Term        uint64 `json:"term"`
 }
 
 type memberRecord struct {
@@ -68,9 +78,12 @@
 	Incarnation uint64 `json:"incarnation,omitempty"`
 }
 
-// encode returns the list as the value of a row.
-func (l memberList) encode() ([]byte, error) {
+// encode returns the list and the last known primary as the value of a row.
+func (l memberList) encode(lead lastPrimary) ([]byte, error) {
 	document := memberDocument{Members: []memberRecord{}}
+	if lead.endpoint != "" {
+		document.Lead = &leadRecord{ID: lead.endpoint, Incarnation: lead.incarnation, Term: uint64(lead.term)}
+	}
 	for _, e := range l.endpoints {
 		document.Members = append(document.Members, memberRecord{ID: e.Name, Address: e.Address, Domain: e.Domain, Incarnation: e.Incarnation})
 	}
@@ -78,15 +91,19 @@
 	return value, errors.Wrap(err, "encoding the members")
 }
 
-// decodeMemberList returns the list in the value of a database's row.
-func decodeMemberList(name string, value []byte) (memberList, error) {
+// decodeMemberList returns the list and the last known primary in the value of a database's row.
+func decodeMemberList(name string, value []byte) (memberList, lastPrimary, error) {
 	var document memberDocument
 	if err := json.Unmarshal(value, &document); err != nil {
-		return memberList{}, errors.Wrap(err, "decoding the members")
+		return memberList{}, lastPrimary{}, errors.Wrap(err, "decoding the members")
+	}
+	var lead lastPrimary
+	if l := document.Lead; l != nil {
+		lead = lastPrimary{endpoint: l.ID, incarnation: l.Incarnation, term: endpoint.FencedTerm(l.Term)}
 	}
 	var endpoints []config.Endpoint
 	for _, m := range document.Members {
 		endpoints = append(endpoints, config.Endpoint{Name: m.ID, Database: name, Address: m.Address, Domain: m.Domain, Incarnation: m.Incarnation})
 	}
-	return memberList{}.with(endpoints), nil
+	return memberList{}.with(endpoints), lead, nil
 }
--- a/succession/memberrow.go
+++ b/succession/memberrow.go
@@ -12,9 +12,11 @@
 
 // memberRow is what a coordinator knows of its database's row in memberTable; it is an immutable value.
 type memberRow struct {
-	list    memberList
+	list memberList
+	// lead is the last known primary.
+	lead    lastPrimary
 	version store.Version
-	// known is set if list and version are those of the row, unless another coordinator has written it since. readAt is when it
+	// known is set if list, lead and version are those of the row, unless another coordinator has written it since. readAt is when it
 	// was last read or written, in an era of the store.
 	known  bool
 	readAt time.Time
@@ -27,6 +29,8 @@
 	// changed.
 	registered, all memberList
 	since           time.Time
+	// lead is the last known primary, without an endpoint if none is known.
+	lead lastPrimary
 	// rank is the index of this coordinator, and era the present era of the store.
 	rank int
 	era  uint64
@@ -50,7 +54,7 @@
 	switch {
 	case !r.known || d.era > r.era:
 		return readTask, memberList{}
-	case d.rank == 0 && r.list.equal(d.all):
+	case d.rank == 0 && r.list.equal(d.all) && !d.lead.replaces(r.lead):
 		return noTask, memberList{}
 	case d.rank == 0 && r.version == 0 && now.Sub(d.since) < d.createDelay:
 		return noTask, memberList{}
--- a/succession/memberrow_test.go
+++ b/succession/memberrow_test.go
@@ -9,6 +9,7 @@
 
 	"siskincove/config"
 	"siskincove/database"
+	"siskincove/endpoint"
 )
 
 func listOf(names ...string) memberList {
@@ -31,6 +32,13 @@
 	}
 	later := demand(0)
 	later.era = 2
+	withLead := func(r memberRow, term endpoint.FencedTerm, incarnation uint64) memberRow {
+		r.lead = lastPrimary{endpoint: "a", incarnation: incarnation, term: term}
+		return r
+	}
+	led, ledStandby := demand(0), demand(1)
+	led.lead = lastPrimary{endpoint: "b", incarnation: 4, term: 3}
+	ledStandby.lead = led.lead
 	tests := map[string]struct {
 		row    memberRow
 		demand memberDemand
@@ -50,6 +58,12 @@
 		"standby: a registered endpoint is missing":        {row: read(listOf("a", "d"), 0), demand: demand(1), after: standbyWriteDelay - 1},
 		"standby: it is missing for long":                  {row: read(listOf("a", "d"), 0), demand: demand(1), after: standbyWriteDelay, task: readTask},
 		"standby: it is missing for long, says a new read": {row: read(listOf("a", "d"), standbyWriteDelay), demand: demand(1), after: standbyWriteDelay, task: writeTask, list: listOf("a", "b", "d")},
+		"another endpoint leads":                           {row: withLead(read(abc, 0), 2, 9), demand: led, task: writeTask, list: abc},
+		"the primary has restarted":                        {row: withLead(read(abc, 0), 3, 3), demand: led, task: writeTask, list: abc},
+		"the row lists the primary":                        {row: withLead(read(abc, 0), 3, 4), demand: led},
+		"the row lists a later primary":                    {row: withLead(read(abc, 0), 4, 1), demand: led},
+		"no primary is known":                              {row: withLead(read(abc, 0), 4, 1), demand: demand(0)},
+		"standby: another endpoint leads":                  {row: withLead(read(abc, 0), 2, 9), demand: ledStandby, after: time.Hour},
 		"last standby: it is missing for long":             {row: read(listOf("a", "d"), 0), demand: demand(2), after: standbyWriteDelay},
 	}
 	for name, test := range tests {
@@ -78,17 +92,24 @@
 			departures = append(departures, database.Departure{Endpoint: e})
 		}
 		list := newMemberList(registered, departures)
-		value, err := list.encode()
+		lead := lastPrimary{
+			endpoint: rapid.StringMatching(`i-[a-d]`).Draw(t, "lead"), incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			term: endpoint.FencedTerm(rapid.Uint64().Draw(t, "term")),
+		}
+		value, err := list.encode(lead)
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := decodeMemberList("db", value)
+		got, gotLead, err := decodeMemberList("db", value)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if diff := cmp.Diff(list.endpoints, got.endpoints); diff != "" {
 			t.Error(diff)
 		}
+		if gotLead != lead {
+			t.Errorf("primary %v, want %v", gotLead, lead)
+		}
 		if !got.contains(newMemberList(registered, nil)) {
 			t.Error("a registered endpoint is missing")
 		}
--- a/succession/members.go
+++ b/succession/members.go
@@ -18,14 +18,15 @@
 	if acknowledge == 0 {
 		return db.Departures()
 	}
-	if listed, ok := c.keeper.takeRead(); ok {
+	if listed, lead, ok := c.keeper.takeRead(); ok {
 		c.membersRead = true
+		c.detector = c.detector.withListedPrimary(lead)
 		if departed := db.RecordUnregistered(listed); len(departed) > 0 {
 			c.options.Logger.Log(event.MembersDeparted, log.Fields{"database": c.name, "endpoints": joinNames(departed)})
 		}
 	}
 	members, departures := db.MayHoldCommits()
-	c.keeper.setDemand(newMemberList(members, nil), newMemberList(members, departures), rank, c.options.Era())
+	c.keeper.setDemand(newMemberList(members, nil), newMemberList(members, departures), c.detector.lastPrimary, rank, c.options.Era())
 	return departures
 }
 
