hosted: read the endpoints through other instances before a succession

Cause: a coordinator that can't read the endpoints waits until others could have acted, though any other instance could read them for it.

Three instances, the nearest first, are asked by a bit in a heartbeat to read the endpoints now, and the succession relies on what one of them has read after the request (event 334). The reply does not wait for the read, which would count as a missed heartbeat. Instances of builds before this one ignore the bit and never tell of a read, so that the coordinator waits as before.

Test: hosted TestFailoverBesideSilentStore, store refusing or silent to all coordinators: 3.16 and 3.11 s before, below its bound of 2.5 s in 4 of 4 runs after.

--- a/directory/reading.go
+++ b/directory/reading.go
@@ -14,6 +14,13 @@
 	ReadAt time.Time
 }
 
+// ReadAt returns when the latest read of the endpoints that the store answered was sent, zero if there was none.
+func (d *Directory) ReadAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpointsReadAt
+}
+
 // recordRead records that the store has answered a read of the endpoints that was sent at a time.
 func (d *Directory) recordRead(sent time.Time) {
 	d.mu.Lock()
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -68,6 +68,7 @@
 	StoreCallFailed  = define(330, log.WarnLevel, "directory", "call to the store failed", "A read of the store that name tells failed or was given up after the time took; held is how long the store was allowed to wait for changes, silence the time since it last answered such a read, 0s if it has not.")
 	ReadingBegun     = define(331, log.InfoLevel, "directory", "reading of the store begun", "This instance reads what name tells from the store for its failure domain from now on; why is rank or request (of an instance that the store does not answer).")
 	ReadingRequested = define(333, log.WarnLevel, "directory", "other instance asked to read the store", "The store does not answer this instance's reads of what name tells, so the instance in the field instance is asked to make them for the failure domain; without one, none of those asked is answered either.")
+	ReadThroughPeer  = define(334, log.WarnLevel, "directory", "endpoints read through another instance", "The store does not answer this instance, so a due succession relies on the endpoints that the instance in the field instance has read for it; took is how long that took, error why the store could not be read.")
 	ReadingEnded     = define(332, log.InfoLevel, "directory", "reading of the store ended", "Another instance of the failure domain reads what name tells from the store from now on; took is how long this one did.")
 )
 
--- a/hosted/handover.go
+++ b/hosted/handover.go
@@ -34,9 +34,12 @@
 			r.request()
 		}
 	}
+	if wanted&refreshBit != 0 {
+		i.refresher.request()
+	}
 }
 
-// takenReads returns what of that this instance reads.
+// takenReads returns what of that this instance reads, or has just read.
 func (i *Instance) takenReads(wanted uint32) uint32 {
 	taken := uint32(0)
 	for _, r := range i.readings() {
@@ -44,6 +47,9 @@
 			taken |= r.bit
 		}
 	}
+	if wanted&refreshBit != 0 && i.refresher.fresh() {
+		taken |= refreshBit
+	}
 	return taken
 }
 
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -73,6 +73,7 @@
 	// checkedKeys is the catalog against which the keys of open sessions were last checked, nil before the first.
 	checkedKeys atomic.Pointer[config.Catalog]
 	fetcher     *fetcher
+	refresher   *refresher
 	// pieces answers peers that pull the configuration or the endpoints.
 	pieces peer.PieceServer
 	tables tables
@@ -87,7 +88,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	i := &Instance{options: o, ctx: ctx, cancel: cancel, startedAt: o.Clock.Now(), initialized: make(chan struct{}), trimDone: make(chan struct{}), trafficDone: make(chan struct{}), handoverDone: make(chan struct{})}
-	i.fetcher, i.tables.logger = newFetcher(i), o.Logger
+	i.fetcher, i.refresher, i.tables.logger = newFetcher(i), newRefresher(i), o.Logger
 	i.polling = &reading{instance: i, kind: directory.EndpointReads, bit: endpointsBit, task: pollerTask, count: pollersPerDomain}
 	i.following = &reading{instance: i, kind: directory.ConfigurationReads, bit: configurationBit, task: followerTask, count: followersPerDomain}
 	i.settings.Store(&o.Settings)
@@ -126,6 +127,7 @@
 		Confirms: i.needsProofs,
 	})
 	go i.fetcher.run(i.ctx)
+	go i.refresher.run(i.ctx)
 	i.startAllotments()
 	i.dispatcher = dispatch.New(i.ctx, dispatch.Options{
 		Domain: s.Instance.Domain, Catalogs: i.directory, Databases: i.databases, Clock: o.Clock, Logger: o.Logger, Freshness: i.freshness,
@@ -165,7 +167,7 @@
 		Start: func(ctx context.Context, d config.Database, endpoints []config.Endpoint) *succession.Coordinator {
 			return succession.Start(ctx, succession.Options{
 				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter,
-				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.directory.Refresh,
+				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.refreshEndpoints,
 				Era: func() uint64 { return i.directory.Versions().Endpoints.Era() }, Announce: i.announce,
 			}, d, endpoints)
 		},
@@ -279,6 +281,7 @@
 	<-i.trafficDone
 	<-i.handoverDone
 	<-i.fetcher.done
+	<-i.refresher.done
 }
 
 // Close stops the instance immediately, without draining, and waits until it has stopped.
--- a/hosted/reading.go
+++ b/hosted/reading.go
@@ -26,6 +26,8 @@
 const (
 	endpointsBit     = 1
 	configurationBit = 2
+	// refreshBit asks for one read of the endpoints, now.
+	refreshBit = 4
 )
 
 // Reasons why an instance reads the store, as they appear in logs.
