--- a/hosted/promotion_test.go
+++ b/hosted/promotion_test.go
@@ -75,7 +75,7 @@
 	// known is how many instances knew of the promotion when its first request arrived.
 	var first sync.Once
 	var known atomic.Int32
-	d.promotion.SetFaults(hosting.PromotionFaults{LoseAnswers: 100, Delay: 2200 * time.Millisecond, OnRequest: func() {
+	d.promotion.SetFaults(hosting.PromotionFaults{LoseAnswers: 100, Delay: 2200 * time.Millisecond, OnRequest: func(string) {
 		first.Do(func() {
 			for _, i := range d.instances {
 				if _, ok := knows(i); ok {
--- a/proof/history_test.go
+++ b/proof/history_test.go
@@ -84,14 +84,21 @@
 	t.Logf("schedule %v", schedule)
 }
 
+// awaitWrites waits until writes have been acknowledged from now on, and reports whether that was so within recoveryLimit.
+func awaitWrites(d *soak.Deployment) bool {
+	before := d.AcknowledgedWrites()
+	for end := time.Now().Add(recoveryLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if d.AcknowledgedWrites() > before+50 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRecovery checks that writes resume once the faults have been cleared, and the history until then.
 func checkRecovery(t *testing.T, d *soak.Deployment, injector *soak.Injector) {
 	t.Helper()
-	before := d.AcknowledgedWrites()
-	recovered := false
-	for end := time.Now().Add(recoveryLimit); time.Now().Before(end) && !recovered; time.Sleep(20 * time.Millisecond) {
-		recovered = d.AcknowledgedWrites() > before+50
-	}
+	recovered := awaitWrites(d)
 	d.StopSessions()
 	h := d.History()
 	violations := history.Check(h)
--- a/standin/hosting/promotion.go
+++ b/standin/hosting/promotion.go
@@ -16,8 +16,8 @@
 	// LoseAnswers executes this many of the next requests after Delay, without an answer.
 	LoseAnswers int
 	Delay       time.Duration
-	// OnRequest, if set, is called when a request arrives.
-	OnRequest func()
+	// OnRequest, if set, is called with the id of the endpoint to be promoted when a request arrives.
+	OnRequest func(id string)
 }
 
 // PromotionRequest is a handled promotion request: its lease holder, fencing token, group, endpoint id and the HTTP
@@ -95,7 +95,7 @@
 	}
 	p.mu.Unlock()
 	if f.OnRequest != nil {
-		f.OnRequest()
+		f.OnRequest(body.ID)
 	}
 	switch {
 	case f.Down:
