member: announce to instances that are leaving

An instance that was leaving could send writes to a primary that was being replaced for up to 0.7 s, as it heard of the promotion by its next heartbeat only: announcements went to the instances of the placement, which leaving ones are not part of, although they serve for seconds.

--- a/member/announce.go
+++ b/member/announce.go
@@ -13,11 +13,11 @@
 	"siskincove/peer/wire"
 )
 
-// Announce sends a heartbeat to every peer that takes part in the placement and waits for the replies. extend, if not nil,
+// Announce sends a heartbeat to every peer that serves, also to those that are leaving, and waits for the replies. extend, if not nil,
 // adds further data to each heartbeat. The replies have no leads, which would be the same from all peers.
 func (d *Driver) Announce(ctx context.Context, extend func(h *wire.Heartbeat)) {
 	var wait sync.WaitGroup
-	for _, i := range d.PlacedPeers() {
+	for _, i := range d.servingPeers() {
 		wait.Go(func() {
 			d.exchange(ctx, i, func(h *wire.Heartbeat) {
 				withoutInterests(h)
--- a/member/driver.go
+++ b/member/driver.go
@@ -187,6 +187,14 @@
 	return slices.DeleteFunc(d.table.Placed(), func(i Instance) bool { return i.ID == d.options.Self.ID })
 }
 
+// servingPeers returns the other instances that may serve callers: those in the placement, and those that are leaving.
+func (d *Driver) servingPeers() []Instance {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	serves := func(i Instance) bool { return d.table.placed(i) || i.State == Leaving }
+	return slices.DeleteFunc(d.table.selected(serves), func(i Instance) bool { return i.ID == d.options.Self.ID })
+}
+
 // Leave marks this instance as leaving and announces that to every live peer.
 func (d *Driver) Leave(ctx context.Context) {
 	d.mu.Lock()
