succession: read the list of members again before a succession

Cause: a coordinator read the list when it started, when it became the first, and after a write that failed, so that it took its own list for current after a suspension or a cut.

The list is requested again when a succession is due, beside the read of the endpoints, and departures that it names are counted. A store that does not answer within 150 ms is not waited for, since a failover must not depend on it: then the loss is possible as before.

--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -238,7 +238,7 @@
 		db.DropSettledDepartures(func(e config.Endpoint) bool { return slices.Contains(assessment.Settled, targets.label(e)) })
 	}
 	if assessment.Replace {
-		c.replace(ctx, db, targets, results, assessment)
+		c.replace(ctx, db, targets, results, assessment, rank)
 	}
 }
 
@@ -277,17 +277,23 @@
 }
 
 // replace runs a succession over the counted endpoints to its end.
-func (c *Coordinator) replace(ctx context.Context, db *database.Database, targets probeTargets, results []ProbeResult, assessment Assessment) {
+func (c *Coordinator) replace(ctx context.Context, db *database.Database, targets probeTargets, results []ProbeResult, assessment Assessment, rank int) {
 	if c.fencingToken == 0 {
 		c.reserveTokenAhead(ctx)
 	}
 	if c.fencingToken == 0 || !c.mayCountMembers(assessment) {
 		return
 	}
+	relisted := c.relistMembers(ctx)
 	reading, current := c.readEndpoints(ctx, assessment)
 	if !current {
 		return
 	}
+	relisted()
+	if _, acknowledge := c.group(); !slices.Equal(targets.departures, c.keepMembers(db, acknowledge, rank)) {
+		// Another departure is known since the probes; the next round includes it.
+		return
+	}
 	counted := targets.counted(results)
 	known, acknowledge := c.group()
 	registered := slices.DeleteFunc(slices.Clone(counted), func(e config.Endpoint) bool { return !slices.Contains(known, e) })
--- a/succession/memberkeeper.go
+++ b/succession/memberkeeper.go
@@ -42,10 +42,12 @@
 	// between takeRead and the demand that follows it.
 	unseen, taken bool
 	failing       bool
+	// read is closed, and replaced, after each read of the row.
+	read chan struct{}
 }
 
 func startMemberKeeper(ctx context.Context, o Options, database string) *memberKeeper {
-	k := &memberKeeper{options: o, database: database, woken: make(chan struct{}, 1), done: make(chan struct{})}
+	k := &memberKeeper{options: o, database: database, woken: make(chan struct{}, 1), done: make(chan struct{}), read: make(chan struct{})}
 	k.demand.createDelay = rand.N(maxCreateDelay)
 	go k.run(ctx)
 	return k
@@ -62,6 +64,23 @@
 	return k.row.list.endpoints, k.row.lead, true
 }
 
+// requestRead has the row read again and returns a channel that is closed once that is done.
+func (k *memberKeeper) requestRead() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.row.known = false
+	k.wake()
+	return k.read
+}
+
+// wake lets run look for its next task.
+func (k *memberKeeper) wake() {
+	select {
+	case k.woken <- struct{}{}:
+	default:
+	}
+}
+
 // setDemand replaces what the row is to list.
 func (k *memberKeeper) setDemand(registered, all memberList, lead lastPrimary, rank int, era uint64) {
 	k.mu.Lock()
@@ -78,10 +97,7 @@
 	if k.taken {
 		k.unseen, k.taken = false, false
 	}
-	select {
-	case k.woken <- struct{}{}:
-	default:
-	}
+	k.wake()
 }
 
 func (k *memberKeeper) next() (memberTask, memberList, memberDemand) {
@@ -103,7 +119,7 @@
 		var err error
 		switch task {
 		case readTask:
-			err = k.read(ctx, demand)
+			err = k.readRow(ctx, demand)
 		case writeTask:
 			err = k.write(ctx, list, demand.lead)
 		case noTask:
@@ -125,7 +141,7 @@
 
 func (k *memberKeeper) key() store.Key { return store.Key{Table: memberTable, Key: k.database} }
 
-func (k *memberKeeper) read(ctx context.Context, demand memberDemand) error {
+func (k *memberKeeper) readRow(ctx context.Context, demand memberDemand) error {
 	ctx, cancel := context.WithTimeout(ctx, memberCallTimeout)
 	defer cancel()
 	sent := k.options.Clock.Now()
@@ -143,6 +159,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.row, k.unseen, k.taken = row, true, false
+	close(k.read)
+	k.read = make(chan struct{})
 	return nil
 }
 
--- a/succession/members.go
+++ b/succession/members.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"context"
 	"slices"
 	"strings"
 
@@ -30,6 +31,22 @@
 	return departures
 }
 
+// relistMembers has the list of members read again, since another coordinator may have listed a departed endpoint while this one was
+// suspended or cut off. It returns a function that waits for the end of the read. If the store does not answer in time, what is known counts.
+func (c *Coordinator) relistMembers(ctx context.Context) (wait func()) {
+	if _, acknowledge := c.group(); acknowledge == 0 {
+		return func() {}
+	}
+	read, due := c.keeper.requestRead(), c.options.Clock.After(refreshTimeout)
+	return func() {
+		select {
+		case <-read:
+		case <-due:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func joinNames(endpoints []config.Endpoint) string {
 	var names []string
 	for _, e := range endpoints {
