succession: settle former incarnations that the last primary's log covers

Cause: the coordinators before the restart had settled these former incarnations, but could not tell the store. From a row that still lists them they count until a primary answers, and nobody led.

The log of the endpoint that led last under the newest term holds every acknowledged commit. Once it answers as a replica and another replica has all of it, former incarnations are settled if their successors answer: either these show a later term, or what the incarnation held beyond is gone with it. Endpoints that are gone themselves are not settled by this.

--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -80,13 +80,16 @@
 		"succession/blocked.go", "len(missing) >= required || len(leftOut) > required", "len(missing) >= required", "./succession", "TestDepartures",
 	},
 	"log of a restarted primary taken for its own whatever it holds": {
-		"succession/departure.go", "r.Status != nil && uint64(r.Status.Log.Term) == uint64(d.floor.Term)", "r.Status != nil", "./succession", "TestDepartureSettles",
+		"succession/departure.go", "r.Status != nil && uint64(r.Status.Log.Term) == uint64(p.term)", "r.Status != nil", "./succession", "TestDepartureSettles",
 	},
 	"listed primary taken for the last one beside a newer term": {
-		"succession/departure.go", "p.incarnation <= former.Incarnation && p.term == d.floor.Term", "p.incarnation <= former.Incarnation", "./succession", "TestDepartureSettles",
+		"succession/departure.go", "p.endpoint != \"\" && p.term == d.floor.Term", "p.endpoint != \"\"", "./succession", "TestDepartureSettles",
+	},
+	"commits of former incarnations taken to be in no other replica than the one that led": {
+		"succession/departure.go", "complete.Status.Role == endpoint.Replica && replicated(complete.Status.Log, results, complete.Endpoint)", "complete.Status.Role == endpoint.Replica", "./succession", "TestDepartureSettles",
 	},
 	"restarted primary taken for one that has lost its log": {
-		"succession/departure.go", "result.Successor == primary.Endpoint, d.keptLog(result, s.Results):", "result.Successor == primary.Endpoint, false && d.keptLog(result, s.Results):", "./succession", "TestDepartureSettles",
+		"succession/departure.go", "result.Successor == primary.Endpoint, d.isSettledFormer(result, s.Results):", "result.Successor == primary.Endpoint, false && d.isSettledFormer(result, s.Results):", "./succession", "TestDepartureSettles",
 	},
 	"each former incarnation of an endpoint counted by itself": {
 		"succession/blocked.go", "cmp.Or(result.Successor, result.Endpoint)", "cmp.Or(result.Endpoint, result.Successor)", "./succession", "TestDetector",
--- a/succession/departure.go
+++ b/succession/departure.go
@@ -28,8 +28,8 @@
 		}
 		a, known := d.absenceOf(result.Endpoint)
 		switch {
-		case primary != nil && result.Successor == primary.Endpoint, d.keptLog(result, s.Results):
-			// An endpoint that leads after a restart has its log, and so has one that led before it.
+		case primary != nil && result.Successor == primary.Endpoint, d.isSettledFormer(result, s.Results):
+			// An endpoint that leads after a restart has its log.
 			a = absence{endpoint: result.Endpoint, settled: true}
 		case !known:
 			a = absence{endpoint: result.Endpoint}
@@ -96,18 +96,31 @@
 	return d
 }
 
-// keptLog reports whether a former incarnation led under the newest term, or followed one that did, and its successor has its log. Records of
-// that term were written by that endpoint only, so a log that ends with one is not that of an endpoint which has lost its own.
-func (d Detector) keptLog(former ProbeResult, results []ProbeResult) bool {
-	led := func(p lastPrimary) bool {
-		return p.endpoint != "" && p.endpoint == former.Successor && p.incarnation <= former.Incarnation && p.term == d.floor.Term
+// completeLog returns the endpoint that led last, as it is known or listed, and its answer, if that was under the newest term and the log
+// ends with a record of that term. Only that endpoint wrote such records, so it has not lost its log, which holds every acknowledged commit.
+func (d Detector) completeLog(results []ProbeResult) (lastPrimary, *ProbeResult) {
+	for _, p := range []lastPrimary{d.lastPrimary, d.listedPrimary} {
+		for i, r := range results {
+			if p.endpoint != "" && p.term == d.floor.Term && r.Endpoint == p.endpoint && r.Status != nil && uint64(r.Status.Log.Term) == uint64(p.term) {
+				return p, &results[i]
+			}
+		}
 	}
-	if !led(d.lastPrimary) && !led(d.listedPrimary) {
+	return lastPrimary{}, nil
+}
+
+// isSettledFormer reports whether every commit of a former incarnation is elsewhere: it led last and its successor has its log, or its
+// successor answers and a replica has the whole log of the endpoint that led last.
+func (d Detector) isSettledFormer(former ProbeResult, results []ProbeResult) bool {
+	last, complete := d.completeLog(results)
+	if complete == nil || former.Successor == "" {
 		return false
 	}
-	return slices.ContainsFunc(results, func(r ProbeResult) bool {
-		return r.Endpoint == former.Successor && r.Status != nil && uint64(r.Status.Log.Term) == uint64(d.floor.Term)
-	})
+	if former.Successor == last.endpoint && last.incarnation <= former.Incarnation {
+		return true
+	}
+	answers := slices.ContainsFunc(results, func(r ProbeResult) bool { return r.Endpoint == former.Successor && r.Status != nil })
+	return answers && complete.Status.Role == endpoint.Replica && replicated(complete.Status.Log, results, complete.Endpoint)
 }
 
 // withDemoted records whether the last primary has been demoted. The record is valid until a newer term is observed.
--- a/succession/departure_test.go
+++ b/succession/departure_test.go
@@ -399,6 +399,20 @@
 			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
 			surveys: [][]ProbeResult{{replicaResult("p", 9), inTerm(replicaAt(5), 2), formerOf("p", 1), departed}, {replicaResult("p", 9), inTerm(replicaAt(5), 2), formerOf("p", 1), departed}},
 		},
+		// Soak seed 9307: nobody led though all endpoints had the whole log, since the store still listed former incarnations of each.
+		"all have restarted before and after": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 2, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(9), replicaResult("b", 9), formerOf("p", 1), formerOf("p", 2), formerOf("a", 1), formerOf("b", 1)}, {replicaResult("p", 9), replicaAt(9), replicaResult("b", 9), formerOf("p", 1), formerOf("p", 2), formerOf("a", 1), formerOf("b", 1)}},
+			want:    true, settled: 2,
+		},
+		"all have restarted, no replica has the whole log": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 2, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(5), replicaResult("b", 5), formerOf("a", 1), formerOf("b", 1)}, {replicaResult("p", 9), replicaAt(5), replicaResult("b", 5), formerOf("a", 1), formerOf("b", 1)}},
+		},
+		"replicas have restarted, one does not answer": {
+			listed:  lastPrimary{endpoint: "p", incarnation: 2, term: 1},
+			surveys: [][]ProbeResult{{replicaResult("p", 9), replicaAt(9), {Endpoint: "b"}, formerOf("b", 1)}, {replicaResult("p", 9), replicaAt(9), {Endpoint: "b"}, formerOf("b", 1)}},
+		},
 		// The log is that of the next primary, perhaps only a part of it.
 		"former primary has restarted and received from another one": {
 			listed:  lastPrimary{endpoint: "p", incarnation: 1, term: 1},
