--- a/proof/outage_test.go
+++ b/proof/outage_test.go
@@ -20,7 +20,7 @@
 )
 
 // startOutageWatch starts a deployment with two services, publishes a version and begins to ask.
-func startOutageWatch(t *testing.T) *outageWatch {
+func startOutageWatch(t *testing.T, keyed bool) *outageWatch {
 	t.Helper()
 	zones := make([]string, outageInstances)
 	for n := range zones {
@@ -28,13 +28,13 @@
 	}
 	first := change{version: hosting.FirstVersion, service: "h"}
 	d, err := soak.StartDeployment(t.Context(), soak.DeploymentOptions{
-		Binaries: outageBinaries(), Directory: t.TempDir(), Zones: zones, Configuration: outageConfiguration(first), OwnStores: true,
+		Binaries: outageBinaries(), Directory: t.TempDir(), Zones: zones, Configuration: outageConfiguration(first, keyed), OwnStores: true,
 	})
 	t.Cleanup(d.Close)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &outageWatch{deployment: d}
+	w := &outageWatch{deployment: d, keyed: keyed}
 	w.moved, err = hosting.NewGroup(d.Store, hosting.Options{
 		Name: "h", Zones: []string{"a", "b", "c"}, SyncReplicas: 1, Slots: 5, Connections: 60, Work: 2 * time.Millisecond,
 	})
@@ -81,9 +81,11 @@
 	tests := map[string]struct {
 		faults  hosting.StoreFaults
 		part    bool
+		keyed   bool
 		seconds int
 	}{
 		"silent":               {faults: hosting.StoreFaults{Silent: true}, seconds: 11},
+		"silent, with keys":    {faults: hosting.StoreFaults{Silent: true}, keyed: true, seconds: 2},
 		"refuses":              {faults: hosting.StoreFaults{Down: true}, seconds: 2},
 		"slow":                 {faults: hosting.StoreFaults{Slow: time.Second}, seconds: 2},
 		"cut":                  {faults: hosting.StoreFaults{Reset: true}, seconds: 2},
@@ -93,7 +95,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			w := startOutageWatch(t)
+			w := startOutageWatch(t, test.keyed)
 			for second := range envInt("SISKINCOVE_SECONDS", test.seconds) {
 				w.play(time.Duration(second)*time.Second, test.faults, test.part)
 			}
--- a/proof/outagewatch_test.go
+++ b/proof/outagewatch_test.go
@@ -50,6 +50,8 @@
 type outageWatch struct {
 	deployment *soak.Deployment
 	moved      *hosting.Group
+	// keyed is set if callers present keys, whose proofs instances ask the store for.
+	keyed bool
 
 	mu        sync.Mutex
 	changes   []change
@@ -87,12 +89,15 @@
 }
 
 // outageConfiguration returns a version that adds a route named after it, drops that of the version before and moves another route
-// between two services.
-func outageConfiguration(c change) map[string]any {
+// between two services. If keyed is set, callers have to present a key.
+func outageConfiguration(c change, keyed bool) map[string]any {
 	out := hosting.Configuration(c.version, c.route())
 	moving := map[string]any{"name": "moving", "host": "moving", "type": "primary", "service": c.service, "timeout-ms": 2000, "priority": 1}
 	out["routes"] = append(out["routes"].([]map[string]any), moving)
 	out["services"] = append(out["services"].([]map[string]any), map[string]any{"name": "h", "max-connections": 60, "sync-replicas": 1})
+	if keyed {
+		out["tenants"] = []map[string]any{{"name": "blue", "api-keys": []string{soak.AnyKey}, "priority": 1, "rate-per-s": 5000, "burst": 5000}}
+	}
 	return out
 }
 
@@ -102,7 +107,7 @@
 	defer w.mu.Unlock()
 	next := change{version: hosting.FirstVersion + 1 + len(w.changes), service: []string{"g", "h"}[len(w.changes)%2]}
 	next.published = time.Now()
-	w.deployment.Store.Write("op", "config", outageConfiguration(next))
+	w.deployment.Store.Write("op", "config", outageConfiguration(next, w.keyed))
 	next.acknowledged = time.Now()
 	w.changes = append(w.changes, next)
 }
