--- a/hosted/handover_test.go
+++ b/hosted/handover_test.go
@@ -55,6 +55,19 @@
 	return changes, err
 }
 
+// newLossyDeployment starts instances. The store does not answer those whose element of lost is set.
+func newLossyDeployment(t *testing.T, instances int, silent bool) (d *deployment, lost []atomic.Bool) {
+	t.Helper()
+	d, lost = newDeployment(t, 0), make([]atomic.Bool, instances)
+	d.rows = func(n int, rows store.Rows) store.Rows {
+		return lossyRows{Rows: rows, lost: &lost[n], silent: silent}
+	}
+	for n := range instances {
+		d.start(n)
+	}
+	return d, lost
+}
+
 // TestReadersTurnedAway guards against changes that no instance notices since the store does not answer those that read it for the
 // others, and against a store that is asked by all instances when it answers none.
 func TestReadersTurnedAway(t *testing.T) {
@@ -72,14 +85,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t, 0)
-			var lost [instances]atomic.Bool
-			d.rows = func(n int, rows store.Rows) store.Rows {
-				return lossyRows{Rows: rows, lost: &lost[n], silent: test.silent}
-			}
-			for n := range instances {
-				d.start(n)
-			}
+			d, lost := newLossyDeployment(t, instances, test.silent)
 			readers := func() (n int) {
 				for _, i := range d.instances {
 					for _, r := range i.readings() {
--- a/hosted/refresh_test.go
+++ b/hosted/refresh_test.go
@@ -1,11 +1,8 @@
 package hosted
 
 import (
-	"sync/atomic"
 	"testing"
 	"time"
-
-	"siskincove/store"
 )
 
 // TestFailoverBesideSilentStore guards against a failover that waits for a store which does not answer the first coordinators, although
@@ -25,14 +22,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t, 0)
-			var lost [instances]atomic.Bool
-			d.rows = func(n int, rows store.Rows) store.Rows {
-				return lossyRows{Rows: rows, lost: &lost[n], silent: test.silent}
-			}
-			for n := range instances {
-				d.start(n)
-			}
+			d, lost := newLossyDeployment(t, instances, test.silent)
 			w := d.startWriter(0)
 			d.eventually("coordinators have reserved fencing tokens", func() bool {
 				return len(d.store.Rows("fences")) == 1 && len(d.store.Rows("members")) == 1 && w.acknowledged() > 20
