--- a/proof/frozen_test.go
+++ b/proof/frozen_test.go
@@ -11,6 +11,7 @@
 // TestFrozenCoordinator guards against the loss of acknowledged commits when a coordinator is frozen while a replica registers, alone
 // acknowledges commits and departs: back at work, it knew of no departure and promoted a replica that had received nothing.
 func TestFrozenCoordinator(t *testing.T) {
+	t.Parallel()
 	for frozen := range 3 {
 		t.Run(fmt.Sprint(frozen), func(t *testing.T) {
 			t.Parallel()
--- a/proof/returns_test.go
+++ b/proof/returns_test.go
@@ -72,6 +72,7 @@
 // promotion is carried out, at drawn times; a promoted log then lacked what both had acknowledged (review/2). SISKINCOVE_RETURNS sets the number
 // of disruptions.
 func TestReturnsDuringPromotion(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{3, 9} {
 		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
 			t.Parallel()
