dispatch: record the highest acknowledged position

The instances pass on each acknowledgement, but kept no record of it apart from the caller's own session.

group.View keeps the highest position at which an endpoint acknowledged a write in about the last minute: those acknowledgements that no later one with a position as high followed, mostly one and eight at most. Beyond that a higher position takes the time of the one that is dropped, so the highest is never too low. dispatch records single writes and commits of transactions that wrote, before it checks whether the endpoint is being replaced: an instance that answers an announcement tells of the write or reports it as doubtful. Reads and statements inside a transaction are left out, as an endpoint's log may end in records that are not acknowledged.

Nothing uses the position yet. TestRecordsAcknowledged failed before the change of dispatch for each write and commit, and fails for reads, statements inside a transaction and commits of reads if every success is recorded. Four changes of group that make the position wrong fail TestAcknowledged or TestAcknowledgedAnyOrder, and dropping without the later time fails TestAcknowledgementsBounded. The PostgreSQL path (entry) is not concerned: it uses neither package.

--- a/dispatch/commit.go
+++ b/dispatch/commit.go
@@ -45,7 +45,7 @@
 			return s.handleCommitNoAnswer(w, r, err)
 		}
 		a := *answer
-		if a.Failure == nil && s.tx.wrote && w.database.IsBeingReplaced(s.tx.choice.Endpoint.Name) {
+		if a.Failure == nil && s.tx.wrote && w.acknowledgedDoubtfully(s.tx.choice, a) {
 			s.tx.release(true)
 			return w.finish(r, w.doubtful(r, a))
 		}
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -170,7 +170,7 @@
 
 // handleAnswer handles an endpoint's answer and reports whether it is final.
 func (w *workItem) handleAnswer(j job, c group.Choice, a statement.Answer, sent time.Time) (statement.Answer, bool) {
-	if a.Failure == nil && j.request.Writes && w.database.IsBeingReplaced(c.Endpoint.Name) {
+	if a.Failure == nil && j.request.Writes && w.acknowledgedDoubtfully(c, a) {
 		return w.doubtful(j.request, a), true
 	}
 	if a.Failure == nil {
--- a/group/view.go
+++ b/group/view.go
@@ -24,6 +24,8 @@
 	observations []observation
 	history      session.History
 	promotions   []Promotion
+	// acknowledgements are those that no other one with a position as high followed, the highest position first.
+	acknowledgements []Acknowledgement
 }
 
 // minCertificateInterval is the least time between two certificates kept, so that the history, which is bounded in length,
