hosted: tell acknowledged positions in replies

The reply to a heartbeat that names outstanding promotions carries, for their databases, the highest position that was acknowledged in about the last minute (field 31 of heartbeats), read after the promotions of the request were recorded. Whoever gets the reply records it, from the time at which it arrives less its age, so it may count for too long but not for too short a time. Positions heard from others are told as well, since an instance may end after it has told one coordinator. Builds before this one send no such field and ignore it, so of what their callers were told nothing is known.

TestAnnouncementBringsAcknowledged failed before: after the announcement of a promotion, the position of a commit that another instance passed on was not known, neither from one that serves nor from one that is leaving.

--- a/hosted/gossip.go
+++ b/hosted/gossip.go
@@ -14,7 +14,8 @@
 )
 
 // extendHeartbeat adds to a heartbeat the versions of the directory and the promotions that may be outstanding. A request also gets
-// the databases in which this instance is interested, and a reply the leads of those in which the sender of the request is.
+// the databases in which this instance is interested, and a reply the leads of those in which the sender of the request is, and what
+// was acknowledged in those of its outstanding promotions.
 func (i *Instance) extendHeartbeat(h, request *wire.Heartbeat) {
 	<-i.initialized
 	if request != nil {
@@ -30,6 +31,7 @@
 		return
 	}
 	h.Leads = i.leadsFor(request.GetInterests())
+	h.Acknowledgements = i.acknowledgementsFor(request.GetPromotions())
 }
 
 // observeEra reads the list of instances again once the store has been restored from a copy, which may lack this instance.
@@ -65,6 +67,11 @@
 			i.recordPromotion(d, p)
 		}
 	}
+	for _, a := range h.GetAcknowledgements() {
+		if d, ok := i.databases.Get(a.GetDatabase()); ok {
+			i.recordAcknowledgement(d, a)
+		}
+	}
 	peerVersions := directory.Versions{Configuration: h.GetConfiguration(), Endpoints: store.Version(h.GetEndpoints())}
 	i.fetcher.announce(peerVersions, h.GetAddress(), h.GetDomain())
 }
