succession: promote no log that lacks acknowledged commits

Cause: the endpoints that may hold acknowledged commits were taken from the list of the store. The list tells who is registered, not who receives: an endpoint receives before it is listed.

Change: a primary that answers is demoted before the replicas are held. From then on nothing is acknowledged, and its log has every acknowledged commit: a replica is promoted if it has reached the end of that log, for which it gets 100 ms; otherwise the demoted primary leads again. If the primary does not answer, or no replica receives from it, the positions that instances have passed on as acknowledged decide: a shorter log is not promoted.

Handing back after a timeout, without holds, was tried: the model lost commits with two coordinators.

--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -72,6 +72,8 @@
 	term    uint64
 	members []*Endpoint
 	runs    []Run
+	// orderDelay is the one-way delay of STATUS, HOLD, DEMOTE and RESUME, as for a coordinator that is far from the endpoints.
+	orderDelay time.Duration
 	// joined counts the endpoints that joined after the start.
 	joined int
 	// promotions counts completed promotions.
@@ -177,6 +179,20 @@
 	g.options.PromotionDelay = delay
 }
 
+// SetOrderDelay delays STATUS, HOLD, DEMOTE and RESUME, and their answers, by the given time each.
+func (g *Group) SetOrderDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.orderDelay = delay
+}
+
+func (g *Group) delayOrder() {
+	g.mu.Lock()
+	delay := g.orderDelay
+	g.mu.Unlock()
+	time.Sleep(delay)
+}
+
 // Promotions returns how many promotions were completed.
 func (g *Group) Promotions() int {
 	g.mu.Lock()
--- a/standin/hosting/session.go
+++ b/standin/hosting/session.go
@@ -177,6 +177,8 @@
 		s.settings, s.prepared = nil, nil
 		return answer{receipt: "-"}
 	case "STATUS", "HOLD", "RESUME", "DEMOTE":
+		s.endpoint.group.delayOrder()
+		defer s.endpoint.group.delayOrder()
 		return s.endpoint.adminQuery(command, rest)
 	default:
 		return s.execute(id, command, rest, text, after)
--- a/succession/announce.go
+++ b/succession/announce.go
@@ -7,14 +7,14 @@
 	"siskincove/group"
 )
 
-// announceWait bounds how long a promotion request waits for the other instances to answer its announcement.
+// announceWait bounds how long a succession waits for the other instances to answer its announcement.
 const announceWait = 60 * time.Millisecond
 
 // announceRequest tells the other instances that a promotion is about to be requested, so that none sends writes to the old primary
 // until it has ended. They are told before the request, since this process may end at any time after it.
 func (r *runner) announceRequest() {
 	r.announced = make(chan struct{})
-	r.database.RecordPromotion(r.promotion(r.succession.longest().replica.Name))
+	r.database.RecordPromotion(r.promotion(r.succession.candidate()))
 	done := r.announced
 	r.running.Go(func() {
 		defer close(done)
@@ -22,7 +22,8 @@
 	})
 }
 
-// awaitAnnouncement waits until the other instances have answered the announcement, for up to announceWait.
+// awaitAnnouncement waits until the other instances have answered the announcement, for up to announceWait. An instance that has answered
+// passes on no acknowledgement of the old primary any more, and has told which it passed on before.
 func (r *runner) awaitAnnouncement(ctx context.Context, announced <-chan struct{}) {
 	select {
 	case <-announced:
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -106,6 +106,8 @@
 	// fencingToken is the token reserved in advance, 0 for none.
 	fencingToken    uint64
 	lastReservation time.Time
+	// shortfall is since when no endpoint is known that has every acknowledged commit.
+	shortfall shortfall
 	// watches are those of the last promotion that this coordinator requested, nil before the first.
 	watches *watches
 	// assistance concerns the promotion of another coordinator.
@@ -221,7 +223,7 @@
 		c.options.Logger.Log(event.PrimarySuspected, log.Fields{"database": c.name, "why": string(assessment.Reason), "lead": lead.Endpoint, "rank": rank})
 	}
 	if c.suspected = suspected; !suspected {
-		c.deferral = deferral{}
+		c.deferral, c.shortfall = deferral{}, shortfall{}
 	}
 	if !assessment.Replace {
 		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
@@ -301,7 +303,7 @@
 		// An endpoint joined or left since the probes; the next round includes the change.
 		return
 	}
-	plan := Plan{Term: holdTerm(assessment.Term, c.fencingToken), Fence: c.fencingToken, OldPrimary: assessment.OldPrimary, OldPrimaryAnswers: assessment.Primary != "", Acknowledge: acknowledge, Floor: assessment.Floor, Contested: assessment.Contested}
+	plan := Plan{Term: holdTerm(assessment.Term, c.fencingToken), Fence: c.fencingToken, OldPrimary: assessment.OldPrimary, OldPrimaryAnswers: assessment.Primary != "", Unreplicated: assessment.Reason == Isolated, Acknowledge: acknowledge, Floor: assessment.Floor, Contested: assessment.Contested, AcceptLoss: c.shortfall.isAccepted(c.options.Clock.Now())}
 	c.fencingToken = 0
 	for _, e := range counted {
 		if e.Name != plan.OldPrimary {
@@ -317,6 +319,7 @@
 	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, plan: plan, succession: New(plan)}
 	r.run(ctx)
+	c.shortfall = c.shortfall.with(r.succession, c.options.Clock.Now())
 	c.detector, c.suspected, c.deferral = c.detector.afterAttempt(plan.Term), true, deferral{}
 	c.lastSurvey = time.Time{}
 	c.reserveTokenAhead(ctx)
--- a/succession/event.go
+++ b/succession/event.go
@@ -10,7 +10,9 @@
 	Endpoint string
 	// Confirms is set if the endpoint was probed after all holds had been taken.
 	Confirms bool
-	Status   endpoint.PlatformStatus
+	// Acknowledged is, if Confirms is set, the highest position that instances are known to have passed on as acknowledged.
+	Acknowledged endpoint.Position
+	Status       endpoint.PlatformStatus
 }
 
 // PromotionResult is the platform's answer to a promotion request.
--- a/succession/plan.go
+++ b/succession/plan.go
@@ -21,12 +21,16 @@
 	// answers.
 	OldPrimary        string
 	OldPrimaryAnswers bool
+	// Unreplicated is set if no replica receives from the old primary, so that its log ends beyond every other.
+	Unreplicated bool
 	// Replicas are all endpoints but the old primary.
 	Replicas []Replica
 	// Acknowledge is the number of replicas that must receive a commit before it is acknowledged.
 	Acknowledge int
 	// Floor is what an endpoint's log must reach for its promotion.
 	Floor Floor
+	// AcceptLoss is set if no endpoint has been found for long that has every commit which is known to have been acknowledged.
+	AcceptLoss bool
 	// Contested is set if another succession held replicas. A promotion request of it may still be outstanding.
 	Contested bool
 }
--- a/succession/run.go
+++ b/succession/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	eventBuffer        = 16
 	// commandRetryInterval is the pause before a command or probe is repeated, as when an endpoint has no free slot.
 	commandRetryInterval = 10 * time.Millisecond
+	// catchUpTime is how long a replica may take to receive what the old primary had sent before its demotion.
+	catchUpTime = 100 * time.Millisecond
 	// releaseAttempts is how many times the release of a hold is tried at an endpoint without a free slot.
 	releaseAttempts = 10
 	// maxHoldAge is how old the holds, or their confirmation, may be at a promotion request. It is well below Timing.HoldTimeout, after
@@ -170,30 +173,35 @@
 		}
 		switch a.Command {
 		case Hold:
-			r.running.Go(func() { r.hold(ctx, e, events) })
+			end := r.succession.end
+			r.running.Go(func() { r.hold(ctx, e, end, events) })
 		case Confirm:
-			r.running.Go(func() { r.confirm(ctx, e, events) })
+			announced := r.announced
+			r.running.Go(func() { r.confirm(ctx, e, announced, events) })
 		case Demote:
 			r.running.Go(func() { r.demote(ctx, e, events) })
 		case Promote:
-			logs, announced := r.succession.guard().logs(), r.announced
-			r.running.Go(func() {
-				r.awaitAnnouncement(ctx, announced)
-				r.promote(ctx, e, logs, events)
-			})
+			evidence := r.evidence()
+			r.running.Go(func() { r.promote(ctx, e, evidence, events) })
 		}
 	}
 }
 
 // hold repeats the command until the endpoint is held. A hold of another succession is reported and left in place, unless
-// the plan is contested, that is, the other succession counts as abandoned.
-func (r *runner) hold(ctx context.Context, e config.Endpoint, events chan<- Event) {
+// the plan is contested, that is, the other succession counts as abandoned. A replica that lacks the end of a demoted primary's log gets
+// catchUpTime to receive what is under way.
+func (r *runner) hold(ctx context.Context, e config.Endpoint, end endpoint.Position, events chan<- Event) {
 	c := r.coordinator
 	plan := r.plan
+	started := c.options.Clock.Now()
 	step := statement.ProxyStep(statement.Hold)
 	step.Term = plan.Term
 	for ctx.Err() == nil {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
+		if result.Status != nil && !plan.Unreplicated && !result.Status.Log.Covers(end) && c.options.Clock.Now().Sub(started) < catchUpTime {
+			_ = clock.Wait(ctx, c.options.Clock, commandRetryInterval)
+			continue
+		}
 		if result.Status != nil && result.Status.Role == endpoint.Replica && (plan.Contested || result.Status.Held == 0) {
 			result = c.prober.query(ctx, e, step, probeTimeout)
 		}
@@ -207,13 +215,15 @@
 	}
 }
 
-// confirm probes a held replica until it answers.
-func (r *runner) confirm(ctx context.Context, e config.Endpoint, events chan<- Event) {
+// confirm probes a held replica until it answers, and waits until the other instances have told what they know to be acknowledged.
+func (r *runner) confirm(ctx context.Context, e config.Endpoint, announced <-chan struct{}, events chan<- Event) {
 	c := r.coordinator
 	for ctx.Err() == nil {
 		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
 		if result.Status != nil {
-			send(ctx, events, Reply{Endpoint: e.Name, Confirms: true, Status: *result.Status})
+			r.awaitAnnouncement(ctx, announced)
+			acknowledged := r.database.View().Acknowledged(c.options.Clock.Now())
+			send(ctx, events, Reply{Endpoint: e.Name, Confirms: true, Acknowledged: acknowledged, Status: *result.Status})
 			return
 		}
 		_ = clock.Wait(ctx, c.options.Clock, commandRetryInterval)
@@ -244,12 +254,25 @@
 	}
 }
 
-// promote sends the promotion request once and reports the platform's answer. logs are the ends of the held logs, as text.
-func (r *runner) promote(ctx context.Context, e config.Endpoint, logs string, events chan<- Event) {
+// evidence returns what the choice of the endpoint to be promoted rests on: the ends of the held logs, the end of the demoted primary's
+// log, and the highest position known to have been acknowledged.
+func (r *runner) evidence() log.Fields {
+	s := r.succession
+	fields := log.Fields{"logs": s.guard().logs(), "acknowledged": s.acknowledged.String()}
+	if s.ended {
+		fields["end"] = s.end.String()
+	}
+	return fields
+}
+
+// promote sends the promotion request once and reports the platform's answer. evidence is logged with it.
+func (r *runner) promote(ctx context.Context, e config.Endpoint, evidence log.Fields, events chan<- Event) {
 	o := r.coordinator.options
 	plan := r.plan
 	fields := func() log.Fields {
-		return log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term), "logs": logs}
+		out := log.Fields{"database": r.database.Name(), "endpoint": e.Name, "fence": plan.Fence, "term": uint64(plan.Term)}
+		maps.Copy(out, evidence)
+		return out
 	}
 	o.Logger.Log(event.PromotionRequested, fields())
 	call, cancel := context.WithTimeout(ctx, promoteCallTimeout)
--- /dev/null
+++ b/succession/shortfall.go
@@ -0,0 +1,27 @@
+package succession
+
+import "time"
+
+// shortfallLimit is how long a database stays without a primary since no counted endpoint has every commit that is known to have been
+// acknowledged. An endpoint that runs and is not registered is registered within about two seconds of the store's return.
+const shortfallLimit = 4 * time.Second
+
+// shortfall is since when successions have found no such endpoint, zero if none has since a primary led; it is an immutable value.
+type shortfall struct{ since time.Time }
+
+// with returns the shortfall after a succession.
+func (s shortfall) with(last Succession, now time.Time) shortfall {
+	switch {
+	case last.Phase() == Done:
+		return shortfall{}
+	case last.Lacking() && s.since.IsZero():
+		return shortfall{since: now}
+	default:
+		return s
+	}
+}
+
+// isAccepted reports whether the database has waited for long enough.
+func (s shortfall) isAccepted(now time.Time) bool {
+	return !s.since.IsZero() && now.Sub(s.since) >= shortfallLimit
+}
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -11,13 +11,13 @@
 type Phase uint8
 
 const (
+	// Demoting makes the old primary a replica if it still answers. From then on nothing is acknowledged, and its log has every
+	// acknowledged commit, whichever endpoints have received them.
+	Demoting Phase = iota
 	// Holding waits until the replicas have stopped receiving.
-	Holding Phase = iota
+	Holding
 	// Confirming probes the held replicas again, since another succession may have held or released some of them meanwhile.
 	Confirming
-	// Demoting makes the old primary a replica if it still answers. Otherwise it could acknowledge commits together with a
-	// replica that joins before the promotion.
-	Demoting
 	// Promoting waits until the chosen endpoint leads.
 	Promoting
 	// Reconfirming probes the held replicas again before a promotion request that does not directly follow Confirming. A restart
@@ -31,21 +31,29 @@
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"holding", "confirming", "demoting", "promoting", "reconfirming", "done", "stopped"}[p]
+	return [...]string{"demoting", "holding", "confirming", "promoting", "reconfirming", "done", "stopped"}[p]
 }
 
 // Succession is one attempt to replace a primary; it is an immutable value.
 //
-// Every acknowledged commit is in the logs of Plan.Acknowledge replicas. Once so many replicas are held that fewer than
-// that remain, no further commit can be acknowledged, and the longest held log has all acknowledged ones. Only then is a
-// promotion requested, and only for the endpoint with that log. A request without an answer may take effect later, so no hold
+// An old primary that answers is demoted first; a log that reaches the end of its log then has every acknowledged commit. Otherwise
+// the replicas tell: every acknowledged commit is in the logs of Plan.Acknowledge of them. Once so many are held that fewer than
+// that remain, no further commit can be acknowledged, and the longest held log has all acknowledged ones, unless an endpoint that
+// is not counted has received some. The positions that instances have passed on as acknowledged show that. Only a log that has all of them
+// is promoted. A request without an answer may take effect later, so no hold
 // is released until its outcome is known. The same request is repeated while all holds stand; once one has ended, only a
 // succession with a higher fencing token may follow.
 type Succession struct {
 	plan       Plan
 	phase      Phase
 	stopReason string
-	held       []heldReplica
+	// end is the end of the old primary's log after its demotion; it is valid if ended is set.
+	end   endpoint.Position
+	ended bool
+	// acknowledged is the highest position that is known to have been acknowledged, and lacking is set if no held log reaches it.
+	acknowledged endpoint.Position
+	lacking      bool
+	held         []heldReplica
 	// confirmed are the held replicas that were probed after all holds had been taken and were still held.
 	confirmed []string
 	target    string
@@ -63,7 +71,12 @@
 }
 
 // New returns a succession for a plan; Start returns its first actions.
-func New(p Plan) Succession { return Succession{plan: p} }
+func New(p Plan) Succession {
+	if p.OldPrimaryAnswers {
+		return Succession{plan: p, phase: Demoting}
+	}
+	return Succession{plan: p, phase: Holding}
+}
 
 // Phase returns the succession's current phase.
 func (s Succession) Phase() Phase { return s.phase }
@@ -74,8 +87,18 @@
 // StopReason returns why the succession stopped, empty unless its phase is Stopped.
 func (s Succession) StopReason() string { return s.stopReason }
 
-// Start returns the first actions, which hold the replicas.
+// Lacking reports whether the succession has stopped since no held log has every commit that is known to have been acknowledged.
+func (s Succession) Lacking() bool { return s.lacking }
+
+// Start returns the first actions, which demote an old primary that answers or else hold the replicas.
 func (s Succession) Start() []Action {
+	if s.phase == Demoting {
+		return []Action{{Command: Demote, Endpoint: s.plan.OldPrimary}}
+	}
+	return s.hold()
+}
+
+func (s Succession) hold() []Action {
 	out := make([]Action, 0, len(s.plan.Replicas))
 	for _, r := range s.plan.Replicas {
 		out = append(out, Action{Command: Hold, Endpoint: r.Name})
@@ -173,16 +196,15 @@
 		return s.handleLostHold(r.Endpoint)
 	}
 	s.confirmed = append(slices.Clone(s.confirmed), r.Endpoint)
+	s.acknowledged = s.acknowledged.Max(r.Acknowledged)
 	switch {
 	case len(s.confirmed) < len(s.held):
 		return s, nil
 	case s.phase == Reconfirming:
 		return s.promote()
-	case !s.plan.OldPrimaryAnswers:
+	default:
 		return s.choose()
 	}
-	s.phase = Demoting
-	return s, []Action{{Command: Demote, Endpoint: s.plan.OldPrimary}}
 }
 
 // handleLostHold ends the succession: the chosen log may no longer have all acknowledged commits.
@@ -194,29 +216,59 @@
 	return s.stop(why)
 }
 
-// handleDemoted continues once the old primary is a replica.
+// handleDemoted continues once the old primary is a replica. If another endpoint was promoted meanwhile, its log may have been
+// rolled back.
 func (s Succession) handleDemoted(r Reply) (Succession, []Action) {
-	if r.Status.Role == endpoint.Primary {
+	switch {
+	case r.Status.Role == endpoint.Primary:
 		return s, nil
+	case r.Status.Term > s.plan.Floor.Term:
+		return s.stop(r.Endpoint + " was replaced meanwhile")
 	}
-	next, actions := s.choose()
-	if next.phase == Stopped {
-		return next, actions
-	}
-	return next.confirm(Reconfirming)
+	s.phase, s.end, s.ended = Holding, r.Status.Log, true
+	return s, s.hold()
 }
 
-// choose requests the promotion of the replica with the longest log. Among equal logs, replicas that are not leaving come
-// first.
+// choose requests the promotion of the replica with the longest log, or else of the demoted primary, if that log may lack acknowledged
+// commits.
 func (s Succession) choose() (Succession, []Action) {
 	best := s.longest()
-	if !s.plan.Floor.reachedBy(best.log) {
+	switch {
+	case !s.reachesEnd(best.log) && !(s.plan.Unreplicated && s.reachesAcknowledged(best.log)):
+		return s.handBack()
+	case !s.plan.Floor.reachedBy(best.log):
 		return s.stop("log of " + best.replica.Name + " may lack acknowledged commits")
+	case !s.ended && !s.reachesAcknowledged(best.log) && !s.plan.AcceptLoss:
+		s.lacking = true
+		return s.stop("log of " + best.replica.Name + " lacks commits that were acknowledged up to " + s.acknowledged.String())
 	}
 	s.target = best.replica.Name
 	return s.promote()
 }
 
+// reachesEnd reports whether a log has all of the log of the old primary, as far as its end is known.
+func (s Succession) reachesEnd(log endpoint.Position) bool { return !s.ended || log.Covers(s.end) }
+
+// reachesAcknowledged reports whether a log has every commit that is known to have been acknowledged.
+func (s Succession) reachesAcknowledged(log endpoint.Position) bool {
+	return log.Covers(s.acknowledged)
+}
+
+// handBack requests the promotion of the demoted primary, whose log has every acknowledged commit.
+func (s Succession) handBack() (Succession, []Action) {
+	s.target = s.plan.OldPrimary
+	return s.promote()
+}
+
+// candidate returns the endpoint that is to be promoted as far as is known.
+func (s Succession) candidate() string {
+	best := s.longest()
+	if s.plan.Unreplicated || s.reachesEnd(best.log) {
+		return best.replica.Name
+	}
+	return s.plan.OldPrimary
+}
+
 // longest returns the held replica to be promoted.
 func (s Succession) longest() heldReplica {
 	return slices.MinFunc(s.held, func(a, b heldReplica) int {
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -1,7 +1,9 @@
 package succession
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -24,6 +26,13 @@
 	return r
 }
 
+// toldReply is a confirmation after instances have told that they passed on a position as acknowledged.
+func toldReply(name string, log, acknowledged uint64) Reply {
+	r := confirmReply(name, log)
+	r.Acknowledged = position(acknowledged)
+	return r
+}
+
 func primaryReply(name string) Reply {
 	return Reply{Endpoint: name, Status: endpoint.PlatformStatus{Role: endpoint.Primary, Term: 2}}
 }
@@ -104,6 +113,94 @@
 	}
 }
 
+// TestUncountedEndpoint guards against the loss of commits that only an endpoint has received which is not counted, as it is not listed yet
+// (issue 53): with all counted replicas held, the primary acknowledged with that one, and a replica was promoted.
+func TestUncountedEndpoint(t *testing.T) {
+	answers, unreplicated, accepting, oldFloor := newPlan(), newPlan(), newPlan(), newPlan()
+	answers.OldPrimaryAnswers, unreplicated.OldPrimaryAnswers, oldFloor.OldPrimaryAnswers = true, true, true
+	unreplicated.Unreplicated, accepting.AcceptLoss = true, true
+	answers.Floor.Term, unreplicated.Floor.Term, oldFloor.Floor.Term = 1, 1, 2
+	demoted := func(end uint64) Event { return heldReply("p", end, 0) }
+	replaced := Reply{Endpoint: "p", Status: endpoint.PlatformStatus{Role: endpoint.Replica, Term: 2, Log: position(9)}}
+	heldBoth := []Event{heldReply("a", 5, planTerm), heldReply("b", 9, planTerm)}
+	told := func(acknowledged uint64) []Event {
+		return []Event{toldReply("a", 5, acknowledged), toldReply("b", 9, 0)}
+	}
+	events := func(parts ...[]Event) []Event { return slices.Concat(parts...) }
+	type result struct {
+		Phase   Phase
+		Target  string
+		Lacking bool
+		Last    []Action
+	}
+	hold := []Action{{Command: Hold, Endpoint: "a"}, {Command: Hold, Endpoint: "b"}}
+	resume := []Action{{Command: Resume, Endpoint: "a"}, {Command: Resume, Endpoint: "b"}}
+	promote := func(name string) []Action { return []Action{{Command: Promote, Endpoint: name}} }
+	tests := map[string]struct {
+		plan   Plan
+		events []Event
+		want   result
+	}{
+		"holds replicas after the demotion":          {plan: answers, events: []Event{demoted(9)}, want: result{Phase: Holding, Last: hold}},
+		"waits for the demotion":                     {plan: answers, events: []Event{Reply{Endpoint: "p", Status: endpoint.PlatformStatus{Role: endpoint.Primary}}}, want: result{Phase: Demoting}},
+		"was replaced by another succession":         {plan: answers, events: []Event{replaced}, want: result{Phase: Stopped, Last: resume}},
+		"a replica has the demoted log":              {plan: answers, events: events([]Event{demoted(9)}, heldBoth, told(0)), want: result{Phase: Promoting, Target: "b", Last: promote("b")}},
+		"no replica has the demoted log":             {plan: answers, events: events([]Event{demoted(10)}, heldBoth, told(0)), want: result{Phase: Promoting, Target: "p", Last: promote("p")}},
+		"no replica has it, nothing is acknowledged": {plan: unreplicated, events: events([]Event{demoted(30)}, heldBoth, told(9)), want: result{Phase: Promoting, Target: "b", Last: promote("b")}},
+		"no replica has it, but callers were told":   {plan: unreplicated, events: events([]Event{demoted(30)}, heldBoth, told(10)), want: result{Phase: Promoting, Target: "p", Last: promote("p")}},
+		"a replica has the log, not that of before":  {plan: oldFloor, events: events([]Event{demoted(9)}, heldBoth, told(0)), want: result{Phase: Stopped, Last: resume}},
+		"a silent primary, all that callers were told": {
+			plan: newPlan(), events: events(heldBoth, told(9)), want: result{Phase: Promoting, Target: "b", Last: promote("b")},
+		},
+		"a silent primary, callers were told more": {plan: newPlan(), events: events(heldBoth, told(10)), want: result{Phase: Stopped, Lacking: true, Last: resume}},
+		"a silent primary, no such endpoint for long": {
+			plan: accepting, events: events(heldBoth, told(10)), want: result{Phase: Promoting, Target: "b", Last: promote("b")},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(test.plan)
+			var last []Action
+			for _, e := range test.events {
+				s, last = s.Handle(e)
+			}
+			got := result{Phase: s.Phase(), Target: s.Target(), Lacking: s.Lacking(), Last: last}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestShortfall checks that a loss is accepted only after successions have found for shortfallLimit no endpoint that has what callers were told.
+func TestShortfall(t *testing.T) {
+	lacking, other, done := Succession{phase: Stopped, lacking: true}, Succession{phase: Stopped}, Succession{phase: Done}
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		attempts []Succession
+		after    time.Duration
+		want     bool
+	}{
+		"none":                      {after: time.Hour},
+		"just found":                {attempts: []Succession{lacking}, after: shortfallLimit - 1},
+		"for long":                  {attempts: []Succession{lacking}, after: shortfallLimit, want: true},
+		"again and again":           {attempts: []Succession{lacking, lacking}, after: shortfallLimit, want: true},
+		"stopped otherwise between": {attempts: []Succession{lacking, other}, after: shortfallLimit, want: true},
+		"an endpoint was promoted":  {attempts: []Succession{lacking, done}, after: shortfallLimit},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s shortfall
+			for n, attempt := range test.attempts {
+				s = s.with(attempt, start.Add(time.Duration(n)*time.Millisecond))
+			}
+			if got := s.isAccepted(start.Add(test.after)); got != test.want {
+				t.Errorf("accepted: %v", got)
+			}
+		})
+	}
+}
+
 // TestHoldLostWhilePromoting guards against the loss of acknowledged commits: the platform accepts no promotion for some seconds, a held
 // replica restarts meanwhile, which ends its hold, and receives and acknowledges commits with the old primary; a request that is
 // repeated after that promotes a log which lacks them (soak seed 139, 9 instances).
