succession: wait for an unlisted endpoint as long as its registration may be late

The call that registers an endpoint may be carried out seconds later, like a promotion, for which 15 s are allowed; now both wait as long.

--- a/succession/shortfall.go
+++ b/succession/shortfall.go
@@ -1,10 +1,14 @@
 package succession
 
-import "time"
+import (
+	"time"
+
+	"siskincove/group"
+)
 
 // shortfallLimit is how long a database stays without a primary since no counted endpoint has every commit that is known to have been
-// acknowledged. An endpoint that runs and is not registered is registered within about two seconds of the store's return.
-const shortfallLimit = 4 * time.Second
+// acknowledged. As with a promotion, the platform may carry out the call that registers an endpoint seconds later.
+const shortfallLimit = group.MaxPromotionAge
 
 // shortfall is since when successions have found no such endpoint, zero if none has since a primary led; it is an immutable value.
 type shortfall struct{ since time.Time }
