hosted: name the announced database in its announcement

An instance could go on sending writes to a primary that was being replaced, and not tell what it had passed on as acknowledged: heartbeats carry 64 promotions, drawn at random, and the announcement of a database did not add its own. TestAnnouncementNamesItsDatabase failed before.

--- a/hosted/gossip_test.go
+++ b/hosted/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,3 +98,20 @@
 		t.Error(diff)
 	}
 }
+
+// TestAnnouncementNamesItsDatabase guards against writes that instances send to a primary which is being replaced: beside the promotions of
+// many databases, the announcement of one could leave it out.
+func TestAnnouncementNamesItsDatabase(t *testing.T) {
+	const databases = 3 * maxPromotions
+	i := gossipInstance(databases, 0)
+	for n, d := range i.databases.All() {
+		d.RecordPromotion(group.Promotion{Fence: uint64(n + 1), Term: 1033, Replaced: "p", Target: "r", At: i.options.Clock.Now()})
+	}
+	for _, d := range i.databases.All() {
+		h := &wire.Heartbeat{Promotions: i.promotions()}
+		i.addAnnouncement(h, d)
+		if !slices.ContainsFunc(h.GetPromotions(), func(p *wire.Promotion) bool { return p.GetDatabase() == d.Name() }) {
+			t.Fatalf("the announcement of %s does not name it", d.Name())
+		}
+	}
+}
--- a/hosted/leads.go
+++ b/hosted/leads.go
@@ -105,10 +105,14 @@
 	if !ok {
 		return
 	}
-	i.members.Announce(ctx, func(h *wire.Heartbeat) {
-		h.Leads = slices.DeleteFunc(h.Leads, func(l *wire.Lead) bool { return l.GetDatabase() == name })
-		if lead := provenLead(d, i.options.Clock.Now()); lead != nil && !d.IsBeingReplaced(lead.GetEndpoint()) {
-			h.Leads = append(h.Leads, lead)
-		}
-	})
+	i.members.Announce(ctx, func(h *wire.Heartbeat) { i.addAnnouncement(h, d) })
+}
+
+// addAnnouncement adds the lead and all promotions of a database to a heartbeat, which may have left them out.
+func (i *Instance) addAnnouncement(h *wire.Heartbeat, d *database.Database) {
+	h.Leads = slices.DeleteFunc(h.Leads, func(l *wire.Lead) bool { return l.GetDatabase() == d.Name() })
+	h.Promotions = append(slices.DeleteFunc(h.Promotions, func(p *wire.Promotion) bool { return p.GetDatabase() == d.Name() }), i.promotionsOf(d)...)
+	if lead := provenLead(d, i.options.Clock.Now()); lead != nil && !d.IsBeingReplaced(lead.GetEndpoint()) {
+		h.Leads = append(h.Leads, lead)
+	}
 }
--- a/hosted/promotions.go
+++ b/hosted/promotions.go
@@ -17,12 +17,20 @@
 // promotions returns the messages about promotions that other instances may need to know of.
 func (i *Instance) promotions() []*wire.Promotion {
 	var out []*wire.Promotion
-	now := i.options.Clock.Now()
 	for _, d := range rotated(i.databases.WithPromotions(), rand.IntN) {
-		for _, p := range d.View().Promotions() {
-			if p.WorthTelling(now) && len(out) < maxPromotions {
-				out = append(out, promotionMessage(d.Name(), p, now))
-			}
+		of := i.promotionsOf(d)
+		out = append(out, of[:min(len(of), maxPromotions-len(out))]...)
+	}
+	return out
+}
+
+// promotionsOf returns the messages about a database's promotions that other instances may need to know of.
+func (i *Instance) promotionsOf(d *database.Database) []*wire.Promotion {
+	var out []*wire.Promotion
+	now := i.options.Clock.Now()
+	for _, p := range d.View().Promotions() {
+		if p.WorthTelling(now) {
+			out = append(out, promotionMessage(d.Name(), p, now))
 		}
 	}
 	return out
