succession: tell the end of a promotion before its holds are released

Cause: runner.run released the holds first, and recorded and announced the end of the promotion in finish.

Test: TestEndToldBeforeRelease failed before ("a hold was released before the others were told") and passes.

--- a/succession/announce.go
+++ b/succession/announce.go
@@ -13,13 +13,31 @@
 // announceRequest tells the other instances that a promotion is about to be requested, so that none sends writes to the old primary
 // until it has ended. They are told before the request, since this process may end at any time after it.
 func (r *runner) announceRequest() {
-	r.announced = make(chan struct{})
 	r.database.RecordPromotion(r.promotion(r.succession.candidate()))
-	done := r.announced
+	r.announced = r.announce()
+}
+
+// announce tells the other instances what is known of the database's primary and its promotions. The returned channel is closed when
+// they have answered.
+func (r *runner) announce() <-chan struct{} {
+	done := make(chan struct{})
 	r.running.Go(func() {
 		defer close(done)
 		r.coordinator.options.Announce(r.database.Name())
 	})
+	return done
+}
+
+// tellEnd tells the other instances that the promotion has ended, if it has, before the holds are released: they hold replicas again that
+// they find released while it is outstanding. They can see by themselves that the target leads, so that the release does not wait then.
+func (r *runner) tellEnd(ctx context.Context) {
+	if !r.recordEnd() {
+		return
+	}
+	announced := r.announce()
+	if r.succession.Phase() != Done {
+		r.awaitAnnouncement(ctx, announced)
+	}
 }
 
 // awaitAnnouncement waits until the other instances have answered the announcement, for up to announceWait. An instance that has answered
--- a/succession/run.go
+++ b/succession/run.go
@@ -54,7 +54,7 @@
 	confirmingSince time.Time
 	promoteUntil    time.Time
 	// announced is closed when the announcement of the promotion has been answered, nil before the announcement.
-	announced chan struct{}
+	announced <-chan struct{}
 	running   sync.WaitGroup
 }
 
@@ -83,6 +83,7 @@
 		actions := r.handle(e)
 		if r.succession.Phase() >= Done {
 			r.settleWatches()
+			r.tellEnd(ctx)
 			r.releaseHolds(parent, actions)
 			break
 		}
@@ -135,7 +136,7 @@
 	return r.coordinator.watches.findings()
 }
 
-// finish logs the outcome and announces a replaced primary.
+// finish logs the outcome.
 func (r *runner) finish(took time.Duration) {
 	o := r.coordinator.options
 	plan := r.plan
@@ -143,17 +144,12 @@
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
 		"took": took.String(), "watched": r.watched(),
 	}
-	ended := r.recordEnd()
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
-		o.Announce(r.database.Name())
 		return
 	}
 	fields["why"] = r.succession.StopReason()
 	o.Logger.Log(event.SuccessionStopped, fields)
-	if ended {
-		o.Announce(r.database.Name())
-	}
 }
 
 func (r *runner) member(name string) (config.Endpoint, bool) {
