succession: take a hold again whatever has ended it

Cause: the guard took a hold that ends over an unbroken connection for a release by a coordinator that has invalidated the promotion. The watch ended, recorded the promotion as ended, and heartbeats told all instances, which sent writes to the old primary again.

A hold that has ended is taken again, by the watches and, where it was seen before, by the other coordinators. A promotion counts as ended only when that is told, or another lead is proved.

Not covered: a coordinator that invalidates a promotion and can't reach the one that requested it; the latter may then hold replicas again for up to 15 s.

--- a/succession/assist.go
+++ b/succession/assist.go
@@ -11,8 +11,8 @@
 // assistance is what a coordinator remembers of the endpoints that the outstanding promotion of another coordinator concerns.
 type assistance struct {
 	fence uint64
-	// heldOver maps each endpoint to the connection over which it was last seen to be held.
-	heldOver map[string]uint64
+	// held has the endpoints that were seen to be held.
+	held map[string]bool
 }
 
 // assists reports whether another coordinator's promotion may be outstanding, which this one guards as well.
@@ -22,14 +22,14 @@
 }
 
 // assist guards the outstanding promotion of another coordinator, which may be unable to: it demotes a former primary that leads, and
-// holds a replica again that was seen to be held before a restart.
+// holds a replica again that was seen to be held, whatever has ended the hold.
 func (c *Coordinator) assist(ctx context.Context, db *database.Database, members []config.Endpoint, results []ProbeResult, probedAt time.Time) {
 	if !c.assists(db) {
 		return
 	}
 	p, _ := db.View().OutstandingPromotion(c.options.Clock.Now())
 	if c.assistance.fence != p.Fence {
-		c.assistance = assistance{fence: p.Fence, heldOver: make(map[string]uint64)}
+		c.assistance = assistance{fence: p.Fence, held: make(map[string]bool)}
 	}
 	plan := Plan{Term: p.Term, Fence: p.Fence, OldPrimary: p.Replaced, Floor: Floor{Term: p.Newest}}
 	for _, e := range members {
@@ -48,11 +48,11 @@
 		if at < 0 || r.Status == nil || r.Endpoint == p.Target {
 			continue
 		}
-		found, before := w.guard.inspect(r.Endpoint, *r.Status), c.assistance.heldOver[r.Endpoint]
+		found := w.guard.inspect(r.Endpoint, *r.Status)
 		if found == held {
-			c.assistance.heldOver[r.Endpoint] = r.Connection
+			c.assistance.held[r.Endpoint] = true
 		}
-		if command, ok := w.guard.command(found, before != 0 && before != r.Connection); ok {
+		if command, ok := w.guard.command(found); ok && (command == Demote || c.assistance.held[r.Endpoint]) {
 			w.log(members[at], found, w.send(ctx, members[at], command), *r.Status, probedAt)
 		}
 	}
--- a/succession/guard.go
+++ b/succession/guard.go
@@ -57,13 +57,13 @@
 }
 
 // command returns the command that an endpoint gets for a finding, and false if it gets none. A former primary becomes a replica, as
-// it could acknowledge commits together with a replica that has returned. A hold that a restart has ended is taken again; one
-// that has ended otherwise was released by another coordinator, which has invalidated the promotion.
-func (g guard) command(f finding, reconnected bool) (Command, bool) {
+// it could acknowledge commits together with a replica that has returned. A hold that has ended is taken again, whatever ended it: a
+// RESUME names no term, so that one which was meant for an older hold, and sent late, ends this one too.
+func (g guard) command(f finding) (Command, bool) {
 	switch {
 	case f == leads:
 		return Demote, true
-	case f == holdEnded && reconnected:
+	case f == holdEnded:
 		return Hold, true
 	default:
 		return 0, false
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -120,13 +120,11 @@
 
 // observe probes an endpoint until ctx ends. It demotes a former primary that leads and takes holds that have ended again. Its
 // commands end with parent, so that none is carried out after the release of a hold. All watches end once another endpoint is known to lead
-// or another coordinator has released a hold, since the promotion has been invalidated then.
+// or the promotion was told to have ended.
 func (w *watches) observe(ctx, parent context.Context, one *watch) {
 	defer close(one.done)
 	o := w.coordinator.options
 	before := silent
-	// heldOver is the connection over which the endpoint was last seen to be held, 0 before.
-	heldOver := uint64(0)
 	for ctx.Err() == nil {
 		probedAt := o.Clock.Now()
 		result := w.coordinator.prober.query(parent, one.endpoint, statement.ProxyStep(statement.Status), probeTimeout)
@@ -136,27 +134,22 @@
 		}
 		one.last.Store(found)
 		after := found
-		command, ok := w.guard.command(found, heldOver == 0 || result.Connection != heldOver)
+		command, ok := w.guard.command(found)
 		switch {
 		case !w.outstanding():
 			// Another coordinator has told of the end.
 			w.cancel()
 			return
 		case w.settled():
-			w.close(true)
+			w.close()
 			return
 		case ok && ctx.Err() == nil:
 			after = w.send(parent, one.endpoint, command)
-		case found == holdEnded:
-			w.close(false)
 		}
 		if found != before && (found == holdEnded || found == leads) {
 			one.ended.Add(1)
 			w.log(one.endpoint, found, after, *result.Status, probedAt)
 		}
-		if found == held {
-			heldOver = result.Connection
-		}
 		pause := targetPollInterval
 		if after == silent || after == leads || after == holdEnded {
 			pause = commandRetryInterval
@@ -166,13 +159,13 @@
 	}
 }
 
-// close ends the watches, and records that the promotion can't take effect any more and whether it did. Heartbeats tell the others.
-func (w *watches) close(settled bool) {
+// close ends the watches, and records that the promotion can't take effect any more. Heartbeats tell the others.
+func (w *watches) close() {
 	w.cancel()
 	plan := w.guard.plan
 	w.database.RecordPromotion(group.Promotion{
 		Fence: plan.Fence, Term: plan.Term, Newest: plan.Floor.Term, Replaced: plan.OldPrimary, Target: w.guard.target,
-		Ended: true, Settled: settled, At: w.coordinator.options.Clock.Now(),
+		Ended: true, Settled: true, At: w.coordinator.options.Clock.Now(),
 	})
 }
 
