succession: release abandoned holds once an invalidation has settled

Cause: the platform's acceptance of a request for the present primary was taken for proof that no earlier promotion takes effect any more, and the holds were released and the end told at once. It only refuses lower tokens from then on; PROTOCOL.md says that an accepted promotion takes effect some hundred ms later.

The invalidation is now kept over the rounds (invalidation.go, an immutable value). If the endpoint does not lead any more, or a newer term is known, another request follows; none is sent meanwhile.

TestModel checks the token when a request is executed and not again when its promotion takes effect, lets late requests be accepted, and releases holds in two steps. "holds are released while a promotion is carried out" loses none; without settling, a mutation, a commit is lost.

--- a/hosted/resume_test.go
+++ b/hosted/resume_test.go
@@ -7,8 +7,8 @@
 	"siskincove/standin/hosting"
 )
 
-// resume ends the hold of an endpoint over a connection of its own, as a RESUME that was sent late does.
-func (d *deployment) resume(e *hosting.Endpoint) {
+// command sends an endpoint a command over a connection of its own.
+func (d *deployment) command(e *hosting.Endpoint, text string) {
 	d.t.Helper()
 	db, _ := d.instances[0].databases.Get("g")
 	for _, member := range db.Members() {
@@ -18,7 +18,7 @@
 				d.t.Fatal(err)
 			}
 			defer c.Close()
-			d.mustQuery(c, "-", "RESUME")
+			d.mustQuery(c, "-", text)
 			return
 		}
 	}
@@ -43,7 +43,7 @@
 	time.Sleep(200 * time.Millisecond)
 	for _, e := range d.group.Members() {
 		if e != lost && e.ID() != target {
-			d.resume(e)
+			d.command(e, "RESUME")
 		}
 	}
 	time.Sleep(time.Second)
--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -37,7 +37,7 @@
 	"member/table.go", "member/targets.go", "member/placement.go", "failover/ballot.go", "failover/detector.go", "failover/reservation.go", "revision/announcement.go",
 	"freshness/proof.go", "freshness/ledger.go", "freshness/policy.go",
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "directory/endpointfeed.go", "directory/sources.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
-	"succession/memberlist.go", "succession/memberrow.go", "succession/deferral.go",
+	"succession/memberlist.go", "succession/memberrow.go", "succession/deferral.go", "succession/invalidation.go",
 	"allotment/bounds.go", "allotment/share.go", "allotment/bucket.go", "allotment/account.go", "allotment/balance.go", "allotment/standing.go",
 	"allotment/order.go", "allotment/ask.go", "allotment/demand.go", "allotment/pauses.go", "allotment/desk.go",
 	"connection/flight.go", "connection/shortage.go", "connection/usage.go", "connection/victim.go",
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -112,6 +112,8 @@
 	watches *watches
 	// assistance concerns the promotion of another coordinator.
 	assistance assistance
+	// invalidation is the one that has still to settle.
+	invalidation invalidation
 }
 
 // Start starts a coordinator for a database. It runs until ctx ends or Close is called.
@@ -159,7 +161,7 @@
 		switch {
 		case c.suspected || ok && known && c.assists(db):
 			pause = suspectInterval
-		case c.detector.needsFrequentProbes():
+		case c.detector.needsFrequentProbes() || c.invalidation.pending():
 			pause = roundInterval
 		case rank > 0:
 			pause *= standbyFactor
@@ -182,7 +184,7 @@
 		fresh = led && !lead.Claimed && now.Sub(lead.At) < proofMaxAge+c.options.Timing.Unresponsive
 	}
 	departures := c.keepMembers(db, acknowledge, rank)
-	if fresh && !c.suspected && !c.assists(db) && !c.detector.needsFrequentProbes() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
+	if fresh && !c.suspected && !c.assists(db) && !c.detector.needsFrequentProbes() && !c.invalidation.pending() && len(departures) == 0 && !isLeaving(members, lead.Endpoint) && now.Sub(c.lastSurvey) < interval {
 		return
 	}
 	c.lastSurvey = now
@@ -228,13 +230,7 @@
 	if !assessment.Replace {
 		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
 	}
-	if len(assessment.Release) > 0 && c.invalidateOldPromotions(ctx, assessment.Primary) {
-		for _, e := range members {
-			if slices.Contains(assessment.Release, e.Name) {
-				c.releaseHold(ctx, e)
-			}
-		}
-	}
+	c.releaseAbandoned(ctx, db, members, assessment, results, probedAt)
 	if len(assessment.Settled) > 0 {
 		c.options.Logger.Log(event.DepartureSettled, log.Fields{"database": c.name, "endpoints": strings.Join(assessment.Settled, ",")})
 		db.DropSettledDepartures(func(e config.Endpoint) bool { return slices.Contains(assessment.Settled, targets.label(e)) })
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -2,39 +2,74 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"siskincove/config"
+	"siskincove/database"
 	"siskincove/endpoint"
 	"siskincove/event"
 	"siskincove/group"
 	"siskincove/statement"
 )
 
+// releaseAbandoned releases the holds of abandoned successions, once none of their promotions can take effect any more. probedAt is when the
+// survey began.
+func (c *Coordinator) releaseAbandoned(ctx context.Context, db *database.Database, members []config.Endpoint, a Assessment, results []ProbeResult, probedAt time.Time) {
+	var settled bool
+	if c.invalidation, settled = c.invalidation.observe(results, probedAt); settled {
+		i := c.invalidation
+		c.invalidation = invalidation{}
+		c.endInvalidated(db, i)
+		for _, r := range results {
+			if at := indexOf(members, r.Endpoint); at >= 0 && !r.Departed && i.covers(r) {
+				c.releaseHold(ctx, members[at])
+			}
+		}
+		return
+	}
+	if len(a.Release) > 0 && !c.invalidation.pending() {
+		c.invalidation = c.invalidateOldPromotions(ctx, a, results)
+	}
+}
+
 // invalidateOldPromotions invalidates outstanding promotion requests of abandoned successions. It requests the promotion
-// of the endpoint that is already the primary, under a new fencing token, and reports whether the platform accepted it.
+// of the endpoint that is already the primary, under a new fencing token, and returns none if the platform did not accept it.
 // From then on the platform refuses all lower tokens.
-func (c *Coordinator) invalidateOldPromotions(ctx context.Context, primary string) bool {
+func (c *Coordinator) invalidateOldPromotions(ctx context.Context, a Assessment, results []ProbeResult) invalidation {
 	c.reserveTokenAhead(ctx)
-	if c.fencingToken == 0 {
-		return false
+	primary := newestPrimary(results)
+	if c.fencingToken == 0 || primary == nil {
+		return invalidation{}
 	}
 	token := c.fencingToken
 	c.fencingToken = 0
 	ctx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
-	if err := c.options.Promoter.Promote(ctx, c.name, primary, token); err != nil {
-		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": primary, "fence": token, "error": err.Error()})
-		return false
+	if err := c.options.Promoter.Promote(ctx, c.name, primary.Endpoint, token); err != nil {
+		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": primary.Endpoint, "fence": token, "error": err.Error()})
+		return invalidation{}
 	}
-	c.watches.end()
-	if db, ok := c.options.Databases.Get(c.name); ok {
-		db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, Settled: true, At: c.options.Clock.Now()})
-		c.options.Announce(c.name)
+	i := invalidation{fence: token, primary: primary.Endpoint, term: primary.Status.Term, acceptedAt: c.options.Clock.Now()}
+	for _, r := range results {
+		if r.Status != nil && slices.Contains(a.Release, r.Endpoint) {
+			i.holds = append(i.holds, observedHold{endpoint: r.Endpoint, term: r.Status.Held})
+		}
 	}
-	return true
+	return i
+}
+
+// endInvalidated ends the watches of this coordinator and tells the other instances that the invalidated promotions have ended, before the
+// holds are released.
+func (c *Coordinator) endInvalidated(db *database.Database, i invalidation) {
+	if c.watches != nil && c.watches.guard.plan.Fence < i.fence {
+		c.watches.end()
+	}
+	db.RecordPromotion(group.Promotion{Fence: i.fence, Target: i.primary, Ended: true, Settled: true, At: c.options.Clock.Now()})
+	c.options.Announce(c.name)
 }
 
 // releaseHold lets a replica receive the primary's log again. It reports whether the replica confirmed that by returning
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -33,6 +33,8 @@
 type modelPromotion struct {
 	fence  uint64
 	target int
+	// accepted is set once the platform has accepted it. It takes effect later, whatever tokens the platform sees meanwhile.
+	accepted bool
 }
 
 type modelCoordinator struct {
@@ -62,6 +64,9 @@
 	restarting    int
 	restarted     bool
 	holdsReleased bool
+	// invalidated is set once another coordinator's request for the leader was accepted, and invalidatedTerm the term before it.
+	invalidated     bool
+	invalidatedTerm byte
 	// resumed is set once a RESUME that was meant for an older hold has arrived.
 	resumed bool
 	// era is the era of the store, and reserved how many fencing tokens it has counted since the copy.
@@ -95,12 +100,15 @@
 	for _, promotion := range state.latePromotions {
 		number(promotion.fence)
 		number(uint64(promotion.target))
+		flag(promotion.accepted)
 	}
 	flag(state.crashed)
 	flag(state.returned)
 	number(uint64(state.restarting))
 	flag(state.restarted)
 	flag(state.holdsReleased)
+	flag(state.invalidated)
+	number(uint64(state.invalidatedTerm))
 	flag(state.resumed)
 	number(state.era)
 	number(state.reserved)
@@ -184,6 +192,9 @@
 	// releaseUnfenced releases abandoned holds without invalidating old promotion requests first, a mutation that must be
 	// caught.
 	releaseUnfenced bool
+	// releaseUnsettled releases abandoned holds once the platform has accepted the invalidation, while a promotion that it had accepted before
+	// may still take effect, a mutation that must be caught.
+	releaseUnsettled bool
 	// omitCrashed leaves crashed endpoints out of a plan, as if they were no longer registered.
 	omitCrashed bool
 	// omitReplica leaves a replica out of the plan, another mutation that must be caught.
@@ -524,7 +535,7 @@
 		if m.allowDelay && plan.Fence >= n.fence && n.endpoints[i].alive && len(n.latePromotions) < m.maxLatePromotions {
 			delayed := n
 			delayed.fence = plan.Fence
-			delayed.latePromotions = append(slices.Clone(n.latePromotions), modelPromotion{fence: plan.Fence, target: i})
+			delayed.latePromotions = append(slices.Clone(n.latePromotions), modelPromotion{fence: plan.Fence, target: i, accepted: true})
 			m.handle(delayed, c, PromotionResult{Outcome: Accepted})
 		}
 		promoted, outcome := m.executePromotion(n, modelPromotion{fence: plan.Fence, target: i})
@@ -536,12 +547,13 @@
 	}
 }
 
-// executePromotion is the platform's promotion. The fencing token is checked when the promotion takes effect.
+// executePromotion is the platform's promotion. The fencing token is checked when the request is executed, which is before the promotion takes
+// effect if it was accepted then.
 func (m *model) executePromotion(n modelState, promotion modelPromotion) (modelState, Outcome) {
-	if promotion.fence < n.fence || !n.endpoints[promotion.target].alive {
+	if !promotion.accepted && promotion.fence < n.fence || !n.endpoints[promotion.target].alive {
 		return n, Refused
 	}
-	n.fence = promotion.fence
+	n.fence = max(n.fence, promotion.fence)
 	if n.leader == promotion.target {
 		return n, Accepted
 	}
@@ -571,18 +583,36 @@
 		n.latePromotions = append(n.latePromotions[:i:i], n.latePromotions[i+1:]...)
 		n, _ = m.executePromotion(n, promotion)
 		m.push(n)
+		if m.allowDelay && !promotion.accepted && promotion.fence >= state.fence && state.endpoints[promotion.target].alive {
+			n := state.next("late request is accepted")
+			n.fence = promotion.fence
+			n.latePromotions[i].accepted = true
+			m.push(n)
+		}
 	}
 	if m.allowRelease && state.leader >= 0 && state.endpoints[state.leader].alive && !state.holdsReleased {
-		n := state.next("abandoned holds are released")
-		n.holdsReleased = true
-		if !m.releaseUnfenced {
-			n.fence = highestFence
-		}
-		for i := range n.endpoints {
-			n.endpoints[i].held = 0
-		}
+		m.stepRelease(state)
+	}
+}
+
+// stepRelease lets another coordinator invalidate old promotion requests, and release abandoned holds once the same endpoint still leads under
+// the same term after settlingTime, within which all promotions take effect that were accepted before.
+func (m *model) stepRelease(state modelState) {
+	if !m.releaseUnfenced && (!state.invalidated || state.term != state.invalidatedTerm) {
+		n := state.next("old promotions are invalidated")
+		n.fence, n.invalidated, n.invalidatedTerm = highestFence, true, state.term
 		m.push(n)
+		return
+	}
+	if !m.releaseUnfenced && !m.releaseUnsettled && slices.ContainsFunc(state.latePromotions, func(p modelPromotion) bool { return p.accepted }) {
+		return
+	}
+	n := state.next("abandoned holds are released")
+	n.holdsReleased = true
+	for i := range n.endpoints {
+		n.endpoints[i].held = 0
 	}
+	m.push(n)
 }
 
 // TestModel checks that no order of events loses an acknowledged commit, and that two mutations of the model lose one.
@@ -606,6 +636,8 @@
 		"endpoints return while a promotion is carried out, unguarded":      {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true, guardsFirst: true, unguarded: true}, loses: true},
 		"endpoints return, writes are not sent to the old primary":          {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true, announced: true, unguarded: true}},
 		"endpoints return and acknowledge before a guard's call":            {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowDelay: true}, loses: true},
+		"holds are released while a promotion is carried out":               {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 2, allowCrash: true, allowRelease: true, allowDelay: true, guardsFirst: true}},
+		"holds are released before an accepted promotion takes effect":      {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRelease: true, allowDelay: true, guardsFirst: true, releaseUnsettled: true}, loses: true},
 		"a RESUME arrives late while a promotion is carried out":            {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowLateResume: true, allowDelay: true, guardsFirst: true}},
 		"a RESUME arrives late while a promotion is carried out, unguarded": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowLateResume: true, allowDelay: true, guardsFirst: true, unguarded: true}, loses: true},
 		"a replica is not counted, the primary answers":                     {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, omitReplica: true}},
