standin/hosting: keep departed endpoints stopped

Cause: Group.Depart removes an endpoint from the group, and the fault that had let it leave restarted it 7 s later. Endpoint.Restart started and registered it again: an endpoint that instances probe, and that the group doesn't know. Change: a departed endpoint stays stopped. Result: TestDepartedEndpointStaysGone failed before (i-g-1 registered, accepting connections) and passes.

--- a/standin/hosting/commit_test.go
+++ b/standin/hosting/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"maps"
 	"net"
 	"slices"
 	"testing"
@@ -99,3 +100,36 @@
 		t.Errorf("answer on a connection from before the crash: %q", line)
 	}
 }
+
+// TestDepartedEndpointStaysGone guards against an endpoint that departed after its crash, was restarted and registered again by the fault
+// that had crashed it, and of which every promotion was refused since the group no longer knew it (soak seed 402, 4 instances, 30 s).
+func TestDepartedEndpointStaysGone(t *testing.T) {
+	store, err := NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	g, err := NewGroup(store, Options{Name: "g", Zones: []string{"a", "b"}, Slots: 5, Connections: 60})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	departed := g.Members()[1]
+	t.Cleanup(departed.Crash)
+	departed.Crash()
+	if !g.Depart(departed) {
+		t.Fatal("the replica leads")
+	}
+	if err := departed.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	departed.Return()
+	registered := slices.Sorted(maps.Keys(store.Rows("servers")))
+	if diff := cmp.Diff([]string{"i-g-0"}, registered); diff != "" {
+		t.Error(diff)
+	}
+	if conn, err := net.Dial("tcp", departed.address); err == nil {
+		_ = conn.Close()
+		t.Error("the departed endpoint accepts connections")
+	}
+}
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -29,6 +29,8 @@
 	leaving        bool
 	// unlisted keeps the endpoint out of the servers table, as while the platform carries out its registration late.
 	unlisted bool
+	// departed endpoints never start again.
+	departed bool
 	// answersToLose is how many of the next answers are dropped after their statements ran.
 	answersToLose int
 	// failingShare is the share of the requests that fail without an effect.
@@ -86,11 +88,12 @@
 	e.group.changed.Broadcast()
 }
 
-// Restart starts a crashed endpoint with its log. It is primary again only if no other endpoint was promoted meanwhile.
+// Restart starts a crashed endpoint with its log. It is primary again only if no other endpoint was promoted meanwhile. An endpoint that
+// has departed after its crash stays stopped.
 func (e *Endpoint) Restart() error {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
-	if e.alive {
+	if e.alive || e.departed {
 		return nil
 	}
 	if err := e.listen(e.address); err != nil {
--- a/standin/hosting/group.go
+++ b/standin/hosting/group.go
@@ -122,6 +122,7 @@
 		return false
 	}
 	e.stop()
+	e.departed = true
 	e.register()
 	g.members = slices.DeleteFunc(slices.Clone(g.members), func(member *Endpoint) bool { return member == e })
 	return true
