succession: release only a hold whose term has just been told

The release of abandoned holds asked for no term at all.

Cause: the check and the command were two probes, over any connections and any time apart.

Both go over one connection now, back to back. Abandoned holds are released in the same way, each only under the term that it had when the invalidation was requested, and are tried again while the replica has no free slot, which would cost another invalidation now that it has to settle.

--- a/succession/fence.go
+++ b/succession/fence.go
@@ -3,17 +3,18 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/database"
 	"siskincove/endpoint"
 	"siskincove/event"
 	"siskincove/group"
-	"siskincove/statement"
 )
 
 // releaseAbandoned releases the holds of abandoned successions, once none of their promotions can take effect any more. probedAt is when the
@@ -24,11 +25,7 @@
 		i := c.invalidation
 		c.invalidation = invalidation{}
 		c.endInvalidated(db, i)
-		for _, r := range results {
-			if at := indexOf(members, r.Endpoint); at >= 0 && !r.Departed && i.covers(r) {
-				c.releaseHold(ctx, members[at])
-			}
-		}
+		c.releaseCovered(ctx, members, i, results)
 		return
 	}
 	if len(a.Release) > 0 && !c.invalidation.pending() {
@@ -72,15 +69,30 @@
 	c.options.Announce(c.name)
 }
 
-// releaseHold lets a replica receive the primary's log again. It reports whether the replica confirmed that by returning
-// its status.
-func (c *Coordinator) releaseHold(ctx context.Context, e config.Endpoint) bool {
-	result := c.prober.query(ctx, e, statement.ProxyStep(statement.Resume), probeTimeout)
-	if result.Status == nil {
-		return false
+// releaseCovered releases the holds that an invalidation covers.
+func (c *Coordinator) releaseCovered(ctx context.Context, members []config.Endpoint, i invalidation, results []ProbeResult) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, r := range results {
+		if at := indexOf(members, r.Endpoint); at >= 0 && !r.Departed && i.covers(r) {
+			wait.Go(func() { c.releaseHold(ctx, members[at], r.Status.Held) })
+		}
+	}
+}
+
+// releaseHold lets a replica that is held under a term receive the primary's log again. It tries again while the replica has no free slot.
+func (c *Coordinator) releaseHold(ctx context.Context, e config.Endpoint, term endpoint.FencedTerm) {
+	for range releaseAttempts {
+		result, released := c.prober.resume(ctx, e, term, probeTimeout)
+		switch {
+		case released:
+			c.options.Logger.Log(event.HoldReleased, log.Fields{"database": c.name, "endpoint": e.Name})
+			return
+		case result.Status != nil && result.Status.Held != term, !result.Answered:
+			return
+		}
+		_ = clock.Wait(ctx, c.options.Clock, targetPollInterval)
 	}
-	c.options.Logger.Log(event.HoldReleased, log.Fields{"database": c.name, "endpoint": e.Name})
-	return true
 }
 
 // reserveTokenAhead reserves a fencing token in advance, so that a succession need not wait for the store. It does nothing
--- a/succession/probe.go
+++ b/succession/probe.go
@@ -64,6 +64,19 @@
 // query sends one step, that is, one statement, to an endpoint and returns the result. It waits up to timeout for a
 // connection, and then up to timeout plus extraRoundTrips round trips for the answer.
 func (p *prober) query(ctx context.Context, e config.Endpoint, step statement.Step, timeout time.Duration) ProbeResult {
+	conn, result := p.connect(ctx, e, timeout)
+	if conn == nil {
+		return result
+	}
+	result = p.exchange(ctx, conn, result, step, p.clock.Now().Add(timeout+extraRoundTrips*conn.RoundTrip()))
+	if result.Answered {
+		p.release(e.Name, conn)
+	}
+	return result
+}
+
+// connect acquires a connection, nil if none is available in time. The result tells what is known of the endpoint then.
+func (p *prober) connect(ctx context.Context, e config.Endpoint, timeout time.Duration) (*numberedConn, ProbeResult) {
 	result := ProbeResult{Endpoint: e.Name, Leaving: e.Leaving}
 	conn, err := p.acquire(ctx, e, timeout)
 	if err != nil {
@@ -71,14 +84,19 @@
 		// An endpoint that rejects a connection because of its limits is alive.
 		reason := verdict.From(err).Reason
 		result.Answered = reason == verdict.TooManyConnections || reason == verdict.Overload
-		return result
+		return nil, result
 	}
-	answers, err := conn.Exchange(ctx, p.clock.Now().Add(timeout+extraRoundTrips*conn.RoundTrip()), step)
+	return conn, result
+}
+
+// exchange sends one step over a connection and returns the result with its answer. Without an answer the connection is closed.
+func (p *prober) exchange(ctx context.Context, conn *numberedConn, result ProbeResult, step statement.Step, deadline time.Time) ProbeResult {
+	result.Answered, result.Status = false, nil
+	answers, err := conn.Exchange(ctx, deadline, step)
 	if err != nil {
 		conn.Close()
 		return result
 	}
-	p.release(e.Name, conn)
 	result.Answered, result.Status, result.Connection = true, answers[0].Status, conn.number
 	return result
 }
--- a/succession/run.go
+++ b/succession/run.go
@@ -330,18 +330,6 @@
 }
 
 func (r *runner) releaseHold(ctx context.Context, e config.Endpoint) {
-	c := r.coordinator
-	c.watches.stop(e.Name)
-	for range releaseAttempts {
-		result := c.prober.query(ctx, e, statement.ProxyStep(statement.Status), probeTimeout)
-		switch {
-		case result.Status != nil && result.Status.Held != r.plan.Term:
-			return
-		case result.Status != nil && c.releaseHold(ctx, e):
-			return
-		case !result.Answered:
-			return
-		}
-		_ = clock.Wait(ctx, c.options.Clock, targetPollInterval)
-	}
+	r.coordinator.watches.stop(e.Name)
+	r.coordinator.releaseHold(ctx, e, r.plan.Term)
 }
--- a/succession/scriptedgroup_test.go
+++ b/succession/scriptedgroup_test.go
@@ -23,6 +23,8 @@
 	endpoints map[string]endpoint.PlatformStatus
 	// onStep, if set, is called before a step is carried out.
 	onStep func(name string, kind statement.Kind)
+	// onAnswer, if set, is called before the answer of a step is returned.
+	onAnswer func(name string, kind statement.Kind)
 }
 
 func (g *scriptedGroup) Dial(_ context.Context, target connection.Target, _ time.Duration) (connection.Conn, error) {
@@ -72,6 +74,9 @@
 			c.group.onStep(c.name, step.Kind)
 		}
 		out = append(out, c.carryOut(step))
+		if c.group.onAnswer != nil {
+			c.group.onAnswer(c.name, step.Kind)
+		}
 	}
 	return out, nil
 }
