proof: add mutations of how holds are released

Five are added: a hold that has ended is not taken again, abandoned holds are released once an invalidation is accepted, a hold that was taken after it is released, one of another succession is, and one is long after its term was told.

--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -103,6 +103,21 @@
 	"former primary not demoted while a promotion is outstanding": {
 		"succession/guard.go", "	case f == leads:\n		return Demote, true\n", "", "./succession", "TestGuard",
 	},
+	"hold that has ended not taken again while a promotion is outstanding": {
+		"succession/guard.go", "	case f == holdEnded:\n		return Hold, true\n", "", "./succession", "TestGuard|TestHoldEndedByAnother",
+	},
+	"abandoned holds released once an invalidation is accepted": {
+		"succession/invalidation.go", "leads && at.Sub(i.acceptedAt) >= settlingTime", "leads", "./succession", "TestInvalidation|TestReleaseAbandoned",
+	},
+	"hold released that was taken after the invalidation": {
+		"succession/invalidation.go", "h.endpoint == r.Endpoint && h.term == r.Status.Held", "h.endpoint == r.Endpoint", "./succession", "TestReleaseAbandoned",
+	},
+	"hold of another succession released": {
+		"succession/resume.go", "result.Status.Held != term || ", "", "./succession", "TestReleaseOfLaterHold",
+	},
+	"hold released long after its term was told": {
+		"succession/resume.go", " || p.clock.Now().Sub(askedAt) > limit", "", "./succession", "TestReleaseOfLaterHold",
+	},
 	"failed setup of a connection taken for a success": {
 		"connection/sessionstate.go", "	if a.Failure != nil {\n		return s.withFailure(step, a.Failure)\n	}\n", "", "./dispatch", "TestFailedSetup",
 	},
