group: keep an outstanding promotion beside later ones that have ended

Callers saw nothing yet: a view keeps the eight promotions with the highest tokens, so that an outstanding one was forgotten once eight later ones were known, ended ones as well. Instances would then send writes to the primary that it replaces.

Change: of more than eight, the lowest that has ended without settling others is dropped first. Result: TestManyPromotions failed before ("the outstanding promotion is forgotten") and passes.

--- a/group/promotion.go
+++ b/group/promotion.go
@@ -33,7 +33,7 @@
 	MaxPromotionAge = 15 * time.Second
 	// endNoticeAge is the age up to which the end of a promotion is worth telling.
 	endNoticeAge = 5 * time.Second
-	// maxPromotions bounds the promotions that a view keeps, those with the highest tokens.
+	// maxPromotions bounds the promotions that a view keeps.
 	maxPromotions = 8
 )
 
@@ -73,10 +73,23 @@
 	}
 	next = append(next, p)
 	slices.SortFunc(next, func(a, b Promotion) int { return cmp.Compare(b.Fence, a.Fence) })
-	v.promotions = next[:min(len(next), maxPromotions)]
+	v.promotions = trim(next)
 	return v
 }
 
+// trim keeps maxPromotions promotions. Those that have ended without settling others are dropped before those that may take effect.
+func trim(promotions []Promotion) []Promotion {
+	if len(promotions) <= maxPromotions {
+		return promotions
+	}
+	for i, p := range slices.Backward(promotions) {
+		if p.Ended && !p.Settled {
+			return slices.Delete(promotions, i, i+1)
+		}
+	}
+	return promotions[:maxPromotions]
+}
+
 // Promotions returns the known promotions, the highest fencing token first.
 func (v View) Promotions() []Promotion { return v.promotions }
 
--- a/group/promotion_test.go
+++ b/group/promotion_test.go
@@ -84,3 +84,21 @@
 		}
 	})
 }
+
+// TestManyPromotions guards against an outstanding promotion that is forgotten for later ones which have ended: instances would send writes to the
+// primary that it replaces.
+func TestManyPromotions(t *testing.T) {
+	v := View{}.WithPromotion(Promotion{Fence: 1, Replaced: "p", Target: "r1", At: epoch})
+	for fence := range uint64(2 * maxPromotions) {
+		v = v.WithPromotion(Promotion{Fence: 2 + fence, Target: "p", Ended: true, At: epoch})
+	}
+	if got := len(v.Promotions()); got != maxPromotions {
+		t.Errorf("%d promotions are kept, want %d", got, maxPromotions)
+	}
+	if !v.IsBeingReplaced("p", epoch) {
+		t.Error("the outstanding promotion is forgotten")
+	}
+	if newest := v.Promotions()[0].Fence; newest != 1+2*maxPromotions {
+		t.Errorf("the newest promotion has token %d, want %d", newest, 1+2*maxPromotions)
+	}
+}
