succession: request no promotions in turn with another coordinator

Cause: the platform carries out late requests in the order of their tokens, and nothing kept a coordinator whose requests may still be carried out from taking the next token after another had acted. Two ways, both seen in tests: coordinators take a succession over from each other once its holds count as abandoned; and those that find abandoned holds all request the promotion of the present primary, without telling the others before it is answered, and again under a new token while it is not.

Change: `turn`, an immutable value, tells whether an instance may request: not under a new token while one of its requests may still be carried out and one of another instance under a higher token, as announced, refused by the platform, or shown by holds or a newer term, is younger than the lease. Whichever requested last goes on, as does a coordinator that has not requested. It is asked when a succession would begin, before a release of abandoned holds, and again right before the first request under a token, since two may begin at the same time. A request that invalidates older ones is announced before it is made, as one that has ended. A token below one that another has used is exchanged before its first use.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -162,11 +162,12 @@
 
 func (i *Instance) startCoordinators() {
 	o := i.options
+	turns := succession.NewTurns()
 	i.coordinators = coordinator.New(i.ctx, coordinator.Options[*succession.Coordinator]{
 		Self: o.Settings.Instance.ID, Members: i.members, Count: succession.CoordinatorsPerDatabase,
 		Start: func(ctx context.Context, d config.Database, endpoints []config.Endpoint) *succession.Coordinator {
 			return succession.Start(ctx, succession.Options{
-				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter,
+				Timing: succession.DefaultTiming, Clock: o.Clock, Logger: o.Logger, Dialer: o.ProbeDialer, Promoter: o.Promoter, Turns: turns,
 				Rows: o.Rows, Databases: i.databases, Ranking: i.coordinators, Refresh: i.refreshEndpoints,
 				Era: func() uint64 { return i.directory.Versions().Endpoints.Era() }, Announce: i.announce,
 			}, d, endpoints)
--- a/standin/hosting/promotion.go
+++ b/standin/hosting/promotion.go
@@ -16,18 +16,21 @@
 	// LoseAnswers executes this many of the next requests after Delay, without an answer.
 	LoseAnswers int
 	Delay       time.Duration
+	// Withhold keeps requests without an answer until Release executes them.
+	Withhold bool
 	// OnRequest, if set, is called with the id of the endpoint to be promoted when a request arrives.
 	OnRequest func(id string)
 }
 
-// PromotionRequest is a handled promotion request: its lease holder, fencing token, group, endpoint id and the HTTP
-// status of the answer.
+// PromotionRequest is a promotion request: its lease holder, fencing token, group and endpoint id and, once it was handled, the HTTP
+// status of the answer and the time.
 type PromotionRequest struct {
 	Holder string
 	Fence  uint64
 	Group  string
 	ID     string
 	Status int
+	At     time.Time
 }
 
 // Promotion is the platform's promotion service; each request carries a fencing token.
@@ -41,6 +44,7 @@
 	newestToken map[string]uint64
 	faults      PromotionFaults
 	requests    []PromotionRequest
+	withheld    []PromotionRequest
 }
 
 // NewPromotion starts the service for the groups on a loopback port.
@@ -80,6 +84,24 @@
 	return append([]PromotionRequest(nil), p.requests...)
 }
 
+// Withheld returns the requests that are withheld, in order of their arrival.
+func (p *Promotion) Withheld() []PromotionRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]PromotionRequest(nil), p.withheld...)
+}
+
+// Release executes the withheld requests in order of their arrival and ends the faults.
+func (p *Promotion) Release() {
+	p.mu.Lock()
+	withheld := p.withheld
+	p.withheld, p.faults = nil, PromotionFaults{}
+	p.mu.Unlock()
+	for _, request := range withheld {
+		p.execute(request)
+	}
+}
+
 func (p *Promotion) servePromotion(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Service string `json:"service"`
@@ -93,11 +115,16 @@
 	if f.LoseAnswers > 0 {
 		p.faults.LoseAnswers--
 	}
+	if f.Withhold {
+		p.withheld = append(p.withheld, request)
+	}
 	p.mu.Unlock()
 	if f.OnRequest != nil {
 		f.OnRequest(body.ID)
 	}
 	switch {
+	case f.Withhold:
+		panic(http.ErrAbortHandler)
 	case f.Down:
 		http.Error(w, "down", http.StatusServiceUnavailable)
 	case f.LoseAnswers > 0:
@@ -121,6 +148,7 @@
 			request.Status = http.StatusOK
 		}
 	}
+	request.At = time.Now()
 	p.requests = append(p.requests, request)
 	return request.Status
 }
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -72,6 +72,8 @@
 	Rows      store.Rows
 	Databases *database.Registry
 	Ranking   Ranking
+	// Turns are shared by the coordinators of this process.
+	Turns *Turns
 	// Refresh reloads the endpoints if the store answers within a timeout, and returns how current they are.
 	Refresh func(ctx context.Context, timeout time.Duration) directory.Reading
 	// Era returns the latest era of the store that is known.
@@ -227,10 +229,17 @@
 	if c.suspected = suspected; !suspected {
 		c.deferral, c.shortfall = deferral{}, shortfall{}
 	}
-	if !assessment.Replace {
+	now := c.options.Clock.Now()
+	c.options.Turns.update(c.name, func(t turn) turn { return t.WithSurvey(results, c.detector.holds, now) })
+	otherTurn := c.turn(db).BlockedBy(now)
+	switch {
+	case assessment.Replace:
+	case assessment.BlockedBy == "" && len(assessment.Release) > 0:
+		c.setBlocked(otherTurn, Assessment{Reason: Abandoned, Since: now}, lead.Endpoint)
+	default:
 		c.setBlocked(assessment.BlockedBy, assessment, lead.Endpoint)
 	}
-	c.releaseAbandoned(ctx, db, members, assessment, results, probedAt)
+	c.releaseAbandoned(ctx, db, members, assessment, results, probedAt, otherTurn == "")
 	if len(assessment.Settled) > 0 {
 		c.options.Logger.Log(event.DepartureSettled, log.Fields{"database": c.name, "endpoints": strings.Join(assessment.Settled, ",")})
 		db.DropSettledDepartures(func(e config.Endpoint) bool { return slices.Contains(assessment.Settled, targets.label(e)) })
@@ -279,7 +288,7 @@
 	if c.fencingToken == 0 {
 		c.reserveTokenAhead(ctx)
 	}
-	if c.fencingToken == 0 || !c.mayCountMembers(assessment) {
+	if c.fencingToken == 0 || !c.mayCountMembers(assessment) || !c.takeTurn(ctx, db, assessment) {
 		return
 	}
 	relisted := c.relistMembers(ctx)
@@ -301,6 +310,7 @@
 	}
 	plan := Plan{Term: holdTerm(assessment.Term, c.fencingToken), Fence: c.fencingToken, OldPrimary: assessment.OldPrimary, OldPrimaryAnswers: assessment.Primary != "", Unreplicated: assessment.Reason == Isolated, Acknowledge: acknowledge, Floor: assessment.Floor, Contested: assessment.Contested, AcceptLoss: c.shortfall.isAccepted(c.options.Clock.Now())}
 	c.fencingToken = 0
+	c.options.Turns.update(c.name, func(t turn) turn { return t.WithToken(plan.Fence, plan.Term) })
 	for _, e := range counted {
 		if e.Name != plan.OldPrimary {
 			plan.Replicas = append(plan.Replicas, Replica{Name: e.Name, Leaving: e.Leaving})
--- a/succession/detector.go
+++ b/succession/detector.go
@@ -55,6 +55,8 @@
 	Overloaded Reason = "primary has no free slots and all replicas lag"
 	// Isolated means that no replica receives the primary's log.
 	Isolated Reason = "no replica receives from the primary"
+	// Abandoned means that replicas are held for a succession that has ended. It is no evidence against the primary.
+	Abandoned Reason = "holds were abandoned"
 )
 
 // Timing holds how long the evidence for each Reason must last before the primary is replaced, and related limits.
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -18,8 +18,8 @@
 )
 
 // releaseAbandoned releases the holds of abandoned successions, once none of their promotions can take effect any more. probedAt is when the
-// survey began.
-func (c *Coordinator) releaseAbandoned(ctx context.Context, db *database.Database, members []config.Endpoint, a Assessment, results []ProbeResult, probedAt time.Time) {
+// survey began; mayRequest is not set while it is another instance's turn to request promotions.
+func (c *Coordinator) releaseAbandoned(ctx context.Context, db *database.Database, members []config.Endpoint, a Assessment, results []ProbeResult, probedAt time.Time, mayRequest bool) {
 	var settled bool
 	if c.invalidation, settled = c.invalidation.observe(results, probedAt); settled {
 		i := c.invalidation
@@ -28,25 +28,36 @@
 		c.releaseCovered(ctx, members, i, results)
 		return
 	}
-	if len(a.Release) > 0 && !c.invalidation.pending() {
-		c.invalidation = c.invalidateOldPromotions(ctx, a, results)
+	if len(a.Release) > 0 && !c.invalidation.pending() && mayRequest {
+		c.invalidation = c.invalidateOldPromotions(ctx, db, a, results)
 	}
 }
 
 // invalidateOldPromotions invalidates outstanding promotion requests of abandoned successions. It requests the promotion
 // of the endpoint that is already the primary, under a new fencing token, and returns none if the platform did not accept it.
 // From then on the platform refuses all lower tokens.
-func (c *Coordinator) invalidateOldPromotions(ctx context.Context, a Assessment, results []ProbeResult) invalidation {
+func (c *Coordinator) invalidateOldPromotions(ctx context.Context, db *database.Database, a Assessment, results []ProbeResult) invalidation {
 	c.reserveTokenAhead(ctx)
 	primary := newestPrimary(results)
 	if c.fencingToken == 0 || primary == nil {
 		return invalidation{}
 	}
+	c.replaceStaleToken(ctx, c.turn(db))
 	token := c.fencingToken
 	c.fencingToken = 0
+	c.options.Turns.update(c.name, func(t turn) turn { return t.WithToken(token, 0) })
+	announced := c.announceInvalidation(db, primary.Endpoint, token)
+	defer func() { <-announced }()
+	select {
+	case <-announced:
+	case <-ctx.Done():
+	case <-c.options.Clock.After(announceWait):
+	}
 	ctx, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
-	if err := c.options.Promoter.Promote(ctx, c.name, primary.Endpoint, token); err != nil {
+	if err := c.requestPromotion(ctx, db, primary.Endpoint, token); err != nil {
+		// The others may leave the next request to this coordinator, so the next round must not wait for a proof of the lead to age.
+		c.lastSurvey = time.Time{}
 		c.options.Logger.Log(event.PromotionRefused, log.Fields{"database": c.name, "endpoint": primary.Endpoint, "fence": token, "error": err.Error()})
 		return invalidation{}
 	}
@@ -69,6 +80,18 @@
 	c.options.Announce(c.name)
 }
 
+// announceInvalidation tells the other instances that a request for the present primary is about to be made, so that they know who has requested
+// last even if it gets no answer. The returned channel is closed when they have been told.
+func (c *Coordinator) announceInvalidation(db *database.Database, primary string, token uint64) <-chan struct{} {
+	db.RecordPromotion(group.Promotion{Fence: token, Target: primary, Ended: true, At: c.options.Clock.Now()})
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		c.options.Announce(c.name)
+	}()
+	return announced
+}
+
 // releaseCovered releases the holds that an invalidation covers.
 func (c *Coordinator) releaseCovered(ctx context.Context, members []config.Endpoint, i invalidation, results []ProbeResult) {
 	var wait sync.WaitGroup
--- a/succession/invalidation_test.go
+++ b/succession/invalidation_test.go
@@ -87,7 +87,7 @@
 			results = append(results, ProbeResult{Endpoint: e.Name, Answered: true, Status: &status})
 		}
 		c.lastReservation = time.Now()
-		c.releaseAbandoned(ctx, db, members, Assessment{Primary: "p", Release: []string{"a", "b"}}, results, time.Now().Add(after))
+		c.releaseAbandoned(ctx, db, members, Assessment{Primary: "p", Release: []string{"a", "b"}}, results, time.Now().Add(after), true)
 	}
 	for _, after := range []time.Duration{0, settlingTime / 2, settlingTime - 100*time.Millisecond} {
 		round(after)
--- a/succession/release_test.go
+++ b/succession/release_test.go
@@ -32,7 +32,7 @@
 		c.invalidation = invalidation{fence: 9, primary: "p", term: 1, acceptedAt: now, holds: []observedHold{{endpoint: "a", term: planTerm}}}
 		held := replicaResult("a", 5)
 		held.Status.Term, held.Status.Held = 1, planTerm
-		c.releaseAbandoned(ctx, r.database, r.members, Assessment{Primary: "p"}, []ProbeResult{primaryResult("p", 5), held}, now.Add(settlingTime))
+		c.releaseAbandoned(ctx, r.database, r.members, Assessment{Primary: "p"}, []ProbeResult{primaryResult("p", 5), held}, now.Add(settlingTime), true)
 	}
 	tests := map[string]struct {
 		release func(ctx context.Context, r *runner)
--- a/succession/run.go
+++ b/succession/run.go
@@ -273,7 +273,7 @@
 	o.Logger.Log(event.PromotionRequested, fields())
 	call, cancel := context.WithTimeout(ctx, promoteCallTimeout)
 	defer cancel()
-	err := o.Promoter.Promote(call, r.database.Name(), e.Name, plan.Fence)
+	err := r.coordinator.requestPromotion(call, r.database, e.Name, plan.Fence)
 	if ctx.Err() != nil {
 		return
 	}
--- a/succession/scriptedgroup_test.go
+++ b/succession/scriptedgroup_test.go
@@ -101,7 +101,7 @@
 func newScriptedCoordinator(t *testing.T, g *scriptedGroup) (*Coordinator, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	o := Options{Clock: clock.System{}, Logger: event.Discard(), Dialer: g, Timing: DefaultTiming, Announce: func(string) {}}
+	o := Options{Clock: clock.System{}, Logger: event.Discard(), Dialer: g, Timing: DefaultTiming, Announce: func(string) {}, Turns: NewTurns()}
 	c := &Coordinator{options: o, name: "db", prober: newProber(ctx, g, o.Clock)}
 	t.Cleanup(func() {
 		cancel()
