succession: hand a demoted primary back only as far as that is safe

- a hand-back counted as done when the target led its old term again after a restart, so that its late request could undo a later promotion (model with two coordinators: a commit lost)
- positions told after the first request were ignored when it was repeated, and those beyond a demoted primary's end
- a leaving primary that replicates to nobody was handed back, and its unacknowledged records then blocked every succession: no write for the 8 s observed; now it waits, and counts as isolated after 0.7 s
- a hand-back for a told position that is too high was never given up: no write for 40 s; now 15 s, like every shortfall, during which the endpoints must have been read
- a primary was demoted though a replica had ended since the last probes, or had just been handed the lead (by reading); it is probed again

TestUncountedEndpoint, TestShortfall and TestDetector have a case for each; TestCanDemote is new. Two cases of TestDetector name the new field Unreplicated.

--- a/layout/imports_test.go
+++ b/layout/imports_test.go
@@ -38,7 +38,7 @@
 	"freshness/proof.go", "freshness/ledger.go", "freshness/policy.go",
 	"directory/snapshot.go", "directory/changes.go", "directory/decoder.go", "directory/endpointfeed.go", "directory/sources.go", "succession/succession.go", "succession/detector.go", "succession/event.go",
 	"succession/memberlist.go", "succession/memberrow.go", "succession/deferral.go", "succession/invalidation.go", "succession/turn.go",
-	"succession/shortfall.go",
+	"succession/shortfall.go", "succession/blocked.go",
 	"allotment/bounds.go", "allotment/share.go", "allotment/bucket.go", "allotment/account.go", "allotment/balance.go", "allotment/standing.go",
 	"allotment/order.go", "allotment/ask.go", "allotment/demand.go", "allotment/pauses.go", "allotment/desk.go",
 	"connection/flight.go", "connection/shortage.go", "connection/usage.go", "connection/victim.go",
--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -112,6 +112,15 @@
 	"hold released that was taken after the invalidation": {
 		"succession/invalidation.go", "h.endpoint == r.Endpoint && h.term == r.Status.Held", "h.endpoint == r.Endpoint", "./succession", "TestReleaseAbandoned",
 	},
+	"lead of an old term taken for the end of a hand-back": {
+		"succession/succession.go", "case r.Endpoint == s.target && s.leadsAnew(r):", "case r.Endpoint == s.target:", "./succession", "TestUncountedEndpoint",
+	},
+	"end of a demoted primary's log not reached": {
+		"succession/succession.go", "s.ended && !(s.plan.Unreplicated || best.log.Covers(s.end)), ", "", "./succession", "TestUncountedEndpoint",
+	},
+	"positions that callers were told ignored": {
+		"succession/succession.go", "s.plan.AcceptLoss || log.Covers(s.acknowledged)", "true", "./succession", "TestUncountedEndpoint",
+	},
 	"hold of another succession released": {
 		"succession/resume.go", "result.Status.Held != term || ", "", "./succession", "TestReleaseOfLaterHold",
 	},
--- a/succession/blocked.go
+++ b/succession/blocked.go
@@ -42,7 +42,7 @@
 	switch {
 	case len(missing) >= required || len(leftOut) > required:
 		return "no answer from replicas that may hold acknowledged commits: " + strings.Join(append(missing, departed...), ", ")
-	case !reached:
+	case !reached && !s.AcceptLoss:
 		return "no replica has reached the start of the primary's term"
 	case d.otherInProgress(t, rank, now):
 		return "another succession is in progress"
--- a/succession/coordinator.go
+++ b/succession/coordinator.go
@@ -213,7 +213,7 @@
 	c.assist(ctx, db, targets.all(), results, probedAt)
 	lead, _ := db.View().Lead()
 	_, acknowledge := c.group()
-	survey := Survey{Primary: lead.Endpoint, Results: results, Acknowledge: acknowledge}
+	survey := Survey{Primary: lead.Endpoint, Results: results, Acknowledge: acknowledge, AcceptLoss: c.shortfall.isAccepted(c.options.Clock.Now())}
 	if !lead.Claimed {
 		survey.ProvenAt = lead.At
 	}
@@ -308,7 +308,10 @@
 		// An endpoint joined or left since the probes; the next round includes the change.
 		return
 	}
-	plan := Plan{Term: holdTerm(assessment.Term, c.fencingToken), Fence: c.fencingToken, OldPrimary: assessment.OldPrimary, OldPrimaryAnswers: assessment.Primary != "", Unreplicated: assessment.Reason == Isolated, Acknowledge: acknowledge, Floor: assessment.Floor, Contested: assessment.Contested, AcceptLoss: c.shortfall.isAccepted(c.options.Clock.Now())}
+	if assessment.Primary != "" && !c.mayDemote(ctx, targets, counted, results, assessment.Primary) {
+		return
+	}
+	plan := Plan{Term: holdTerm(assessment.Term, c.fencingToken), Fence: c.fencingToken, OldPrimary: assessment.OldPrimary, OldPrimaryAnswers: assessment.Primary != "", Unreplicated: assessment.Unreplicated, Acknowledge: acknowledge, Floor: assessment.Floor, Contested: assessment.Contested, AcceptLoss: c.shortfall.isAccepted(c.options.Clock.Now())}
 	c.fencingToken = 0
 	c.options.Turns.update(c.name, func(t turn) turn { return t.WithToken(plan.Fence, plan.Term) })
 	for _, e := range counted {
@@ -325,7 +328,7 @@
 	c.options.Logger.Log(event.SuccessionStarted, fields)
 	r := &runner{coordinator: c, database: db, members: counted, plan: plan, succession: New(plan)}
 	r.run(ctx)
-	c.shortfall = c.shortfall.with(r.succession, c.options.Clock.Now())
+	c.shortfall = c.shortfall.with(r.succession, reading.Err != nil, c.options.Clock.Now())
 	c.detector, c.suspected, c.deferral = c.detector.afterAttempt(plan.Term), true, deferral{}
 	c.lastSurvey = time.Time{}
 	c.reserveTokenAhead(ctx)
--- a/succession/detector.go
+++ b/succession/detector.go
@@ -34,6 +34,8 @@
 	Results  []ProbeResult
 	// Acknowledge is the number of replicas that must receive a commit before it is acknowledged.
 	Acknowledge int
+	// AcceptLoss is set if no endpoint has been found for long whose log has every acknowledged commit.
+	AcceptLoss bool
 }
 
 // Reason is why a primary should be replaced.
@@ -123,6 +125,8 @@
 	OldPrimary string
 	// BlockedBy says why a due succession cannot start, empty if it can.
 	BlockedBy string
+	// Unreplicated is set if no replica has received from the primary for Timing.Isolated.
+	Unreplicated bool
 	// Floor is what an endpoint's log must reach for its promotion.
 	Floor Floor
 	// Contested is set if replicas are held by another succession.
@@ -154,7 +158,7 @@
 	if reason != NoReason && reason != Leaving && reason != Isolated && reason != Overloaded && s.ProvenAt.After(d.since) {
 		d.since = now
 	}
-	a.Floor = d.floor
+	a.Floor, a.Unreplicated = d.floor, d.isUnreplicated(t, now)
 	a.Reason, a.Since, a.OldPrimary = reason, d.since, oldPrimary(s, a.Primary)
 	d = d.withHolds(s.Results, now)
 	a.Contested = len(d.holds) > 0
@@ -206,11 +210,12 @@
 func (d Detector) evidence(s Survey, primary *ProbeResult, t Timing, now time.Time) Reason {
 	if primary != nil {
 		switch {
-		case primary.Leaving && countSuccessors(s.Results, primary.Endpoint) > 0:
+		case primary.Leaving && countSuccessors(s.Results, primary.Endpoint) > 0 && d.unreplicated == (endpoint.Position{}):
+			// Otherwise no replica may have the whole log, and a demotion would be in vain.
 			return Leaving
 		case s.Acknowledge > 0 && d.isOverloaded(t, now):
 			return Overloaded
-		case d.unreplicated != (endpoint.Position{}) && now.Sub(d.unreplicatedSince) >= t.Isolated:
+		case d.isUnreplicated(t, now):
 			return Isolated
 		default:
 			return NoReason
@@ -233,6 +238,11 @@
 	return Leaderless
 }
 
+// isUnreplicated reports whether no replica has received from the primary for long.
+func (d Detector) isUnreplicated(t Timing, now time.Time) bool {
+	return d.unreplicated != (endpoint.Position{}) && now.Sub(d.unreplicatedSince) >= t.Isolated
+}
+
 // withUnreplicated records a position of the primary's log until a replica reaches it.
 func (d Detector) withUnreplicated(primary *ProbeResult, results []ProbeResult, now time.Time) Detector {
 	if primary == nil {
--- a/succession/detector_test.go
+++ b/succession/detector_test.go
@@ -124,7 +124,20 @@
 		},
 		"isolated primary": {
 			surveys: []surveyAt{{results: with(primaryResult("p", 8), both...)}, {after: 700 * time.Millisecond, results: with(primaryResult("p", 8), both...)}},
-			want:    Assessment{Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(700 * time.Millisecond), Replace: true, OldPrimary: "p", Term: 1},
+			want:    Assessment{Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(700 * time.Millisecond), Replace: true, OldPrimary: "p", Term: 1, Unreplicated: true},
+		},
+		// A demotion that no replica can follow hands the lead back, and the records that nobody has acknowledged then count as acknowledged.
+		"leaving primary whose log no replica has waits": {
+			surveys: []surveyAt{{results: with(withLeaving(primaryResult("p", 8)), both...)}, {after: 100 * time.Millisecond, results: with(withLeaving(primaryResult("p", 9)), both...)}},
+			want:    Assessment{Primary: "p", Position: position(9), OldPrimary: "p", Term: 1},
+		},
+		"leaving primary whose log a replica has reached": {
+			surveys: []surveyAt{{results: with(withLeaving(primaryResult("p", 8)), both...)}, {after: 100 * time.Millisecond, results: with(withLeaving(primaryResult("p", 9)), replicaResult("a", 8))}},
+			want:    Assessment{Primary: "p", Position: position(9), Reason: Leaving, Since: epoch.Add(100 * time.Millisecond), Replace: true, OldPrimary: "p", Term: 1},
+		},
+		"leaving primary whose log no replica receives": {
+			surveys: []surveyAt{{results: with(withLeaving(primaryResult("p", 8)), both...)}, {after: 700 * time.Millisecond, results: with(withLeaving(primaryResult("p", 8)), both...)}},
+			want:    Assessment{Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(700 * time.Millisecond), Replace: true, OldPrimary: "p", Term: 1, Unreplicated: true},
 		},
 		"one receiving replica is enough": {
 			surveys: []surveyAt{{results: with(primaryResult("p", 8), both...)}, {after: time.Second, results: with(primaryResult("p", 12), replicaResult("a", 9), replicaResult("b", 5))}},
@@ -170,7 +183,7 @@
 				{after: 2500 * time.Millisecond, results: with(primaryResult("p", 8), withHold(replicaResult("a", 5), 1026), withHold(replicaResult("b", 5), 1026), ProbeResult{Endpoint: "a/1", Departed: true})},
 			},
 			want: Assessment{
-				Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(2500 * time.Millisecond), OldPrimary: "p", Term: 1026, Contested: true,
+				Primary: "p", Position: position(8), Reason: Isolated, Since: epoch.Add(2500 * time.Millisecond), OldPrimary: "p", Term: 1026, Contested: true, Unreplicated: true,
 				BlockedBy: "no answer from replicas that may hold acknowledged commits: a/1", Release: []string{"a", "b"},
 			},
 		},
--- a/succession/guard.go
+++ b/succession/guard.go
@@ -71,9 +71,9 @@
 }
 
 // succeededBy reports whether the lead of an endpoint shows that the old primary has been replaced. If no primary was known at the
-// request, any endpoint but the target may be the old one.
+// request, any endpoint but the target may be the old one. A demoted primary that is the target may lead its old term again.
 func (g guard) succeededBy(name string) bool {
-	return name == g.target || g.plan.OldPrimary != "" && name != g.plan.OldPrimary
+	return name == g.target && name != g.plan.OldPrimary || g.plan.OldPrimary != "" && name != g.plan.OldPrimary
 }
 
 // succeeded reports whether an endpoint leads under a newer term than was known at the request.
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -147,7 +147,7 @@
 // endpoint than the old primary, the succession is no longer needed.
 func (s Succession) handlePrimary(r Reply) (Succession, []Action) {
 	switch {
-	case r.Endpoint == s.target:
+	case r.Endpoint == s.target && s.leadsAnew(r):
 		s.phase = Done
 		return s, s.release()
 	case r.Endpoint == s.plan.OldPrimary || s.phase >= Promoting:
@@ -157,6 +157,12 @@
 	}
 }
 
+// leadsAnew reports whether the target leads as it does after the promotion. A demoted primary leads its old term again after a restart,
+// while the request for it may be carried out later.
+func (s Succession) leadsAnew(r Reply) bool {
+	return s.target != s.plan.OldPrimary || s.accepted || r.Status.Term > s.plan.Floor.Term
+}
+
 func (s Succession) recordHold(r Reply) (Succession, []Action) {
 	for _, h := range s.held {
 		if h.replica.Name == r.Endpoint {
@@ -200,10 +206,16 @@
 	switch {
 	case len(s.confirmed) < len(s.held):
 		return s, nil
-	case s.phase == Reconfirming:
+	case s.phase == Confirming:
+		return s.choose()
+	case s.target == s.plan.OldPrimary || s.holdsAcknowledged(s.longest().log):
 		return s.promote()
 	default:
-		return s.choose()
+		s.lacking = true
+		if s.unknown {
+			return s.stopKeepingHolds(s.lacks())
+		}
+		return s.stop(s.lacks())
 	}
 }
 
@@ -234,24 +246,26 @@
 func (s Succession) choose() (Succession, []Action) {
 	best := s.longest()
 	switch {
-	case !s.reachesEnd(best.log) && !(s.plan.Unreplicated && s.reachesAcknowledged(best.log)):
+	case s.ended && !(s.plan.Unreplicated || best.log.Covers(s.end)), s.ended && !s.holdsAcknowledged(best.log):
 		return s.handBack()
-	case !s.plan.Floor.reachedBy(best.log):
+	case !s.plan.Floor.reachedBy(best.log) && !s.plan.AcceptLoss:
 		return s.stop("log of " + best.replica.Name + " may lack acknowledged commits")
-	case !s.ended && !s.reachesAcknowledged(best.log) && !s.plan.AcceptLoss:
+	case !s.holdsAcknowledged(best.log):
 		s.lacking = true
-		return s.stop("log of " + best.replica.Name + " lacks commits that were acknowledged up to " + s.acknowledged.String())
+		return s.stop(s.lacks())
 	}
 	s.target = best.replica.Name
 	return s.promote()
 }
 
-// reachesEnd reports whether a log has all of the log of the old primary, as far as its end is known.
-func (s Succession) reachesEnd(log endpoint.Position) bool { return !s.ended || log.Covers(s.end) }
+// lacks returns why no log is promoted although the replicas are held.
+func (s Succession) lacks() string {
+	return "log of " + s.longest().replica.Name + " lacks commits that were acknowledged up to " + s.acknowledged.String()
+}
 
-// reachesAcknowledged reports whether a log has every commit that is known to have been acknowledged.
-func (s Succession) reachesAcknowledged(log endpoint.Position) bool {
-	return log.Covers(s.acknowledged)
+// holdsAcknowledged reports whether a log has every commit that is known to have been acknowledged, as far as that counts.
+func (s Succession) holdsAcknowledged(log endpoint.Position) bool {
+	return s.plan.AcceptLoss || log.Covers(s.acknowledged)
 }
 
 // handBack requests the promotion of the demoted primary, whose log has every acknowledged commit.
@@ -263,7 +277,7 @@
 // candidate returns the endpoint that is to be promoted as far as is known.
 func (s Succession) candidate() string {
 	best := s.longest()
-	if s.plan.Unreplicated || s.reachesEnd(best.log) {
+	if !s.ended || s.plan.Unreplicated || best.log.Covers(s.end) {
 		return best.replica.Name
 	}
 	return s.plan.OldPrimary
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"siskincove/config"
 	"siskincove/endpoint"
 )
 
@@ -121,6 +122,9 @@
 	unreplicated.Unreplicated, accepting.AcceptLoss = true, true
 	answers.Floor.Term, unreplicated.Floor.Term, oldFloor.Floor.Term = 1, 1, 2
 	demoted := func(end uint64) Event { return heldReply("p", end, 0) }
+	overdue := unreplicated
+	overdue.AcceptLoss = true
+	leadsOldTerm := Reply{Endpoint: "p", Status: endpoint.PlatformStatus{Role: endpoint.Primary, Term: 1, Log: position(10)}}
 	replaced := Reply{Endpoint: "p", Status: endpoint.PlatformStatus{Role: endpoint.Replica, Term: 2, Log: position(9)}}
 	heldBoth := []Event{heldReply("a", 5, planTerm), heldReply("b", 9, planTerm)}
 	told := func(acknowledged uint64) []Event {
@@ -149,6 +153,24 @@
 		"no replica has it, nothing is acknowledged": {plan: unreplicated, events: events([]Event{demoted(30)}, heldBoth, told(9)), want: result{Phase: Promoting, Target: "b", Last: promote("b")}},
 		"no replica has it, but callers were told":   {plan: unreplicated, events: events([]Event{demoted(30)}, heldBoth, told(10)), want: result{Phase: Promoting, Target: "p", Last: promote("p")}},
 		"a replica has the log, not that of before":  {plan: oldFloor, events: events([]Event{demoted(9)}, heldBoth, told(0)), want: result{Phase: Stopped, Last: resume}},
+		"the demoted primary leads its old term again": {
+			plan: answers, events: events([]Event{demoted(10)}, heldBoth, told(0), []Event{leadsOldTerm}), want: result{Phase: Promoting, Target: "p"},
+		},
+		"the demoted primary was promoted": {
+			plan: answers, events: events([]Event{demoted(10)}, heldBoth, told(0), []Event{leadsOldTerm, primaryReply("p")}), want: result{Phase: Done, Target: "p", Last: resume},
+		},
+		"a replica has the demoted log, but callers were told more": {
+			plan: answers, events: events([]Event{demoted(9)}, heldBoth, told(10)), want: result{Phase: Promoting, Target: "p", Last: promote("p")},
+		},
+		"callers were told more, and no such endpoint for long": {
+			plan: overdue, events: events([]Event{demoted(30)}, heldBoth, told(10)), want: result{Phase: Promoting, Target: "b", Last: promote("b")},
+		},
+		"told before a request is repeated": {
+			plan: newPlan(), events: events(heldBoth, told(0), []Event{PromotionResult{Outcome: Retryable}}, told(10)), want: result{Phase: Stopped, Target: "b", Lacking: true, Last: resume},
+		},
+		"told after a request without an answer": {
+			plan: newPlan(), events: events(heldBoth, told(0), []Event{PromotionResult{Outcome: Unknown}}, told(10)), want: result{Phase: Stopped, Target: "b", Lacking: true},
+		},
 		"a silent primary, all that callers were told": {
 			plan: newPlan(), events: events(heldBoth, told(9)), want: result{Phase: Promoting, Target: "b", Last: promote("b")},
 		},
@@ -174,25 +196,37 @@
 
 // TestShortfall checks that a loss is accepted only after successions have found for shortfallLimit no endpoint that has what callers were told.
 func TestShortfall(t *testing.T) {
-	lacking, other, done := Succession{phase: Stopped, lacking: true}, Succession{phase: Stopped}, Succession{phase: Done}
+	plan := newPlan()
+	lacking, other, done := Succession{phase: Stopped, lacking: true}, Succession{phase: Stopped}, Succession{phase: Done, target: "b"}
+	chosen, handedBack := Succession{plan: plan, phase: Stopped, target: "b"}, Succession{plan: plan, phase: Done, target: "p"}
 	start := time.Unix(1000, 0)
+	type attempt struct {
+		succession Succession
+		after      time.Duration
+		unread     bool
+	}
+	const second = time.Second
 	tests := map[string]struct {
-		attempts []Succession
+		attempts []attempt
 		after    time.Duration
 		want     bool
 	}{
-		"none":                      {after: time.Hour},
-		"just found":                {attempts: []Succession{lacking}, after: shortfallLimit - 1},
-		"for long":                  {attempts: []Succession{lacking}, after: shortfallLimit, want: true},
-		"again and again":           {attempts: []Succession{lacking, lacking}, after: shortfallLimit, want: true},
-		"stopped otherwise between": {attempts: []Succession{lacking, other}, after: shortfallLimit, want: true},
-		"an endpoint was promoted":  {attempts: []Succession{lacking, done}, after: shortfallLimit},
+		"none":                              {after: time.Hour},
+		"just found":                        {attempts: []attempt{{succession: lacking}}, after: shortfallLimit - 1},
+		"for long":                          {attempts: []attempt{{succession: lacking}}, after: shortfallLimit, want: true},
+		"again and again":                   {attempts: []attempt{{succession: lacking}, {succession: lacking, after: second}}, after: shortfallLimit, want: true},
+		"stopped otherwise between":         {attempts: []attempt{{succession: lacking}, {succession: other, after: second}}, after: shortfallLimit, want: true},
+		"an endpoint was promoted":          {attempts: []attempt{{succession: lacking}, {succession: done, after: second}}, after: shortfallLimit},
+		"an endpoint was chosen":            {attempts: []attempt{{succession: lacking}, {succession: chosen, after: second}}, after: shortfallLimit},
+		"a demoted primary was handed back": {attempts: []attempt{{succession: handedBack}, {succession: handedBack, after: second}}, after: shortfallLimit, want: true},
+		"the endpoints could not be read":   {attempts: []attempt{{succession: lacking}, {succession: lacking, after: second, unread: true}}, after: shortfallLimit},
+		"and were read for long after that": {attempts: []attempt{{succession: lacking, unread: true}, {succession: lacking, after: second}}, after: shortfallLimit, want: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var s shortfall
-			for n, attempt := range test.attempts {
-				s = s.with(attempt, start.Add(time.Duration(n)*time.Millisecond))
+			for _, a := range test.attempts {
+				s = s.with(a.succession, a.unread, start.Add(a.after))
 			}
 			if got := s.isAccepted(start.Add(test.after)); got != test.want {
 				t.Errorf("accepted: %v", got)
@@ -201,6 +235,36 @@
 	}
 }
 
+// TestCanDemote guards against a database that nobody leads: its primary was demoted though a replica had ended since the last probes, or was
+// demoted again right after another coordinator had handed the lead back.
+func TestCanDemote(t *testing.T) {
+	status := func(name string, role endpoint.Role, term endpoint.FencedTerm) ProbeResult {
+		return ProbeResult{Endpoint: name, Answered: true, Status: &endpoint.PlatformStatus{Role: role, Term: term}}
+	}
+	before := []ProbeResult{status("p", endpoint.Primary, 1), status("a", endpoint.Replica, 1)}
+	counted := []config.Endpoint{{Name: "p"}, {Name: "a"}}
+	tests := map[string]struct {
+		now  []ProbeResult
+		want bool
+	}{
+		"unchanged":                      {now: before, want: true},
+		"a replica has ended":            {now: []ProbeResult{before[0], {Endpoint: "a"}}},
+		"a replica has no free slot":     {now: []ProbeResult{before[0], {Endpoint: "a", Answered: true}}},
+		"a replica leads":                {now: []ProbeResult{before[0], status("a", endpoint.Primary, 2)}},
+		"the primary has no free slot":   {now: []ProbeResult{{Endpoint: "p", Answered: true}, before[1]}, want: true},
+		"the primary leads a later term": {now: []ProbeResult{status("p", endpoint.Primary, 2), before[1]}},
+		"the primary was demoted":        {now: []ProbeResult{status("p", endpoint.Replica, 1), before[1]}},
+		"another endpoint has ended":     {now: append(slices.Clone(before), ProbeResult{Endpoint: "c"}), want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := canDemote(counted, before, test.now, "p"); got != test.want {
+				t.Errorf("may be demoted: %v", got)
+			}
+		})
+	}
+}
+
 // TestHoldLostWhilePromoting guards against the loss of acknowledged commits: the platform accepts no promotion for some seconds, a held
 // replica restarts meanwhile, which ends its hold, and receives and acknowledges commits with the old primary; a request that is
 // repeated after that promotes a log which lacks them (soak seed 139, 9 instances).
