succession: stop for a primary that is back while the platform refuses

What callers saw: writes were not acknowledged for as long as the platform refused promotions (503), although the primary was back after a crash. Cause: a former primary that leads while a promotion may be outstanding is demoted. A request is under way nearly always, and the guards did not tell requests that certainly had no effect from others. The other coordinators demote it too. Change: while no request was accepted or went without an answer, a succession stops for its old primary. It sends no further request, awaits the answer to the one under way, tells that the promotion has ended, and releases the holds.

--- a/group/promotion.go
+++ b/group/promotion.go
@@ -108,6 +108,11 @@
 	return slices.ContainsFunc(v.promotions, func(p Promotion) bool { return p.Fence == fence && p.Outstanding(now) })
 }
 
+// IsOtherOutstanding reports whether a promotion with another fencing token may still take effect.
+func (v View) IsOtherOutstanding(fence uint64, now time.Time) bool {
+	return slices.ContainsFunc(v.promotions, func(p Promotion) bool { return p.Fence != fence && p.Outstanding(now) })
+}
+
 // IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead. A commit that
 // the endpoint acknowledges then may not be in the promoted log. If no primary was known at the request, any other endpoint may
 // be the one that is replaced, such as a demoted primary after a restart.
--- a/group/promotion_test.go
+++ b/group/promotion_test.go
@@ -63,6 +63,32 @@
 	}
 }
 
+// TestIsOtherOutstanding guards against leaving a primary alone that another promotion may replace.
+func TestIsOtherOutstanding(t *testing.T) {
+	tests := map[string]struct {
+		promotions []Promotion
+		want       bool
+	}{
+		"none":              {},
+		"itself":            {promotions: []Promotion{{Fence: 5, At: epoch}}},
+		"a lower one":       {promotions: []Promotion{{Fence: 5, At: epoch}, {Fence: 4, At: epoch}}, want: true},
+		"a higher one":      {promotions: []Promotion{{Fence: 5, At: epoch}, {Fence: 6, At: epoch}}, want: true},
+		"one that is ended": {promotions: []Promotion{{Fence: 5, At: epoch}, {Fence: 4, At: epoch, Ended: true}}},
+		"an old one":        {promotions: []Promotion{{Fence: 5, At: epoch}, {Fence: 4, At: epoch.Add(-MaxPromotionAge)}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := viewLedByP()
+			for _, p := range test.promotions {
+				v = v.WithPromotion(p)
+			}
+			if got := v.IsOtherOutstanding(5, epoch); got != test.want {
+				t.Errorf("outstanding: %t", got)
+			}
+		})
+	}
+}
+
 // TestPromotionOrder checks that instances which were told the same in different orders know the same.
 func TestPromotionOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/succession/announce.go
+++ b/succession/announce.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// shareYield tells the watches whether the succession may stop for its old primary.
+func (r *runner) shareYield() {
+	// Watches that have nothing to guard any more are about to end and must not demote the old primary before.
+	if !r.promoteUntil.IsZero() && r.succession.guards() {
+		r.coordinator.watches.mayYield.Store(r.succession.mayYield())
+	}
+}
+
 // recordEnd records that the promotion, if one was announced, has taken effect or can't do so any more, and reports whether that is news
 // for the other instances.
 func (r *runner) recordEnd() bool {
--- a/succession/assist.go
+++ b/succession/assist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"siskincove/config"
@@ -13,6 +14,8 @@
 	fence uint64
 	// held has the endpoints that were seen to be held.
 	held map[string]bool
+	// leadsSince is when the old primary was first seen to lead.
+	leadsSince time.Time
 }
 
 // assists reports whether another coordinator's promotion may be outstanding, which this one guards as well.
@@ -52,12 +55,34 @@
 		if found == held {
 			c.assistance.held[r.Endpoint] = true
 		}
+		if found == leads && c.leavesToRequester(db, w.guard, r, results) {
+			continue
+		}
 		if command, ok := w.guard.command(found); ok && (command == Demote || c.assistance.held[r.Endpoint]) {
 			w.log(members[at], found, w.send(ctx, members[at], command), *r.Status, probedAt)
 		}
 	}
 }
 
+// leavesToRequester reports whether an old primary that leads again is left for now to the coordinator that has requested the promotion, which may
+// stop for it. That ends as soon as a replica is not seen to be held.
+func (c *Coordinator) leavesToRequester(db *database.Database, g guard, leader ProbeResult, results []ProbeResult) bool {
+	now := c.options.Clock.Now()
+	if _, acknowledge := c.group(); acknowledge == 0 || leader.Endpoint != g.plan.OldPrimary || db.View().IsOtherOutstanding(g.plan.Fence, now) {
+		return false
+	}
+	if c.assistance.leadsSince.IsZero() {
+		c.assistance.leadsSince = now
+	}
+	for _, replica := range g.plan.Replicas {
+		at := slices.IndexFunc(results, func(r ProbeResult) bool { return r.Endpoint == replica.Name })
+		if replica.Name != g.target && (at < 0 || results[at].Status == nil || g.inspect(replica.Name, *results[at].Status) != held) {
+			return false
+		}
+	}
+	return now.Sub(c.assistance.leadsSince) < assistYieldTime
+}
+
 func indexOf(members []config.Endpoint, name string) int {
 	for i, e := range members {
 		if e.Name == name {
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -132,6 +132,7 @@
 		flag(c.succession.accepted)
 		flag(c.succession.unknown)
 		flag(c.succession.inFlight)
+		flag(c.succession.yielding)
 		// The order in which replicas were held and confirmed makes no difference.
 		var held []string
 		for _, h := range c.succession.held {
@@ -225,12 +226,16 @@
 	// announced lets no instance send a primary writes, nor report them as acknowledged, while its replacement may be outstanding.
 	announced bool
 	// told lets the instances tell a coordinator that has announced a promotion what they have passed on as acknowledged.
-	told       bool
-	unguarded  bool
-	visited    map[string]bool
-	pending    []modelState
-	lostCommit string
-	promoted   int
+	told      bool
+	unguarded bool
+	// yieldsUnknown, a mutation that must be caught, lets a succession stop for its old primary whatever its requests may do.
+	yieldsUnknown bool
+	visited       map[string]bool
+	pending       []modelState
+	lostCommit    string
+	promoted      int
+	// yielded counts the stops of a succession for its old primary.
+	yielded int
 }
 
 func (m *model) push(state modelState) {
@@ -371,6 +376,9 @@
 		}
 	}
 	for i := range state.endpoints {
+		if m.spares(state, c, i) && state.endpoints[i].alive {
+			m.handle(state.next(fmt.Sprintf("%d: sees %s lead", c, endpointNames[i])), c, Reply{Endpoint: endpointNames[i], Status: state.status(i)})
+		}
 		if command, ok := m.guardCommand(state, c, i); ok {
 			m.stepGuard(state, c, i, command)
 		}
@@ -389,10 +397,36 @@
 	if m.unguarded || state.holdsReleased || !s.guards() || s.target == endpointNames[i] || !state.endpoints[i].alive {
 		return 0, false
 	}
+	if m.spares(state, c, i) {
+		return 0, false
+	}
 	g := s.guard()
 	return g.command(g.inspect(endpointNames[i], state.status(i)))
 }
 
+// spares reports whether the i-th endpoint is an old primary for which a coordinator's succession may stop, while all replicas but the target are
+// held.
+func (m *model) spares(state modelState, c, i int) bool {
+	s := state.coordinators[c].succession
+	if !m.yields(s) || i != state.leader || s.plan.OldPrimary != endpointNames[i] {
+		return false
+	}
+	for k, e := range state.endpoints {
+		if k != i && endpointNames[k] != s.target && (!e.alive || e.held < s.plan.Term) {
+			return false
+		}
+	}
+	return true
+}
+
+// yields reports whether a succession may stop for its old primary.
+func (m *model) yields(s Succession) bool {
+	if m.yieldsUnknown {
+		s.unknown, s.accepted = false, false
+	}
+	return s.mayYield()
+}
+
 // isBeingReplaced reports whether the instances know that the i-th endpoint's replacement may be outstanding.
 func (m *model) isBeingReplaced(state modelState, i int) bool {
 	for c := range m.coordinators {
@@ -479,10 +513,17 @@
 
 // handle passes an event to a coordinator's succession.
 func (m *model) handle(n modelState, c int, e Event) {
-	next, actions := n.coordinators[c].succession.Handle(e)
+	before := n.coordinators[c].succession
+	if reply, ok := e.(Reply); m.yieldsUnknown && ok && before.plan.isOldPrimary(reply) {
+		before.unknown, before.accepted, before.inFlight = false, false, false
+	}
+	next, actions := before.Handle(e)
 	if m.repeatUnconfirmed && next.phase == Reconfirming {
 		next.phase, actions = Promoting, []Action{{Command: Promote, Endpoint: next.target}}
 	}
+	if next.stopReason == oldPrimaryBack && before.stopReason == "" {
+		m.yielded++
+	}
 	reply, isReply := e.(Reply)
 	n.coordinators[c].succession = next
 	n.coordinators[c].holdsConfirmed = isReply && (reply.Confirms || n.coordinators[c].holdsConfirmed) && next.phase == Promoting
@@ -620,6 +661,8 @@
 	tests := map[string]struct {
 		model model
 		loses bool
+		// yields is set if a succession must have stopped for its old primary.
+		yields bool
 	}{
 		"one coordinator, late promotions, a crash":                {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 2, allowCrash: true, allowRelease: true}},
 		"two coordinators, a late promotion":                       {model: model{maxCommits: 1, coordinators: 2, maxLatePromotions: 1}},
@@ -643,19 +686,26 @@
 		"a replica is not counted, the primary answers":                     {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, omitReplica: true}},
 		"a replica is not counted, nothing is told":                         {model: model{maxCommits: 2, coordinators: 1, allowCrash: true, omitReplica: true}, loses: true},
 		"a replica is not counted, instances tell":                          {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, omitReplica: true, announced: true, told: true}},
+		"the old primary returns, requests are repeated":                    {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowRetries: true, allowDelay: true, guardsFirst: true}, yields: true},
+		"the old primary returns, writes are not sent to it":                {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowRetries: true, allowDelay: true, announced: true}, yields: true},
+		"two coordinators, the old primary returns, requests are repeated":  {model: model{maxCommits: 1, coordinators: 2, allowCrash: true, allowRetries: true, guardsFirst: true}, yields: true},
+		"the old primary goes on while a request may take effect":           {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowDelay: true, guardsFirst: true, yieldsUnknown: true}, loses: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			m := test.model
 			m.t = t
 			m.run()
-			t.Logf("%d states, %d promotions", len(m.visited), m.promoted)
+			t.Logf("%d states, %d promotions, %d stops for the old primary", len(m.visited), m.promoted, m.yielded)
 			if (m.lostCommit != "") != test.loses {
 				t.Errorf("lost commit: %q", m.lostCommit)
 			}
 			if !test.loses && (m.promoted == 0 || len(m.visited) >= maxModelStates) {
 				t.Error("no promotion happened, or the model has too many states")
 			}
+			if test.yields && m.yielded == 0 {
+				t.Error("no succession stopped for its old primary")
+			}
 		})
 	}
 }
--- a/succession/run.go
+++ b/succession/run.go
@@ -55,7 +55,9 @@
 	promoteUntil    time.Time
 	// announced is closed when the announcement of the promotion has been answered, nil before the announcement.
 	announced <-chan struct{}
-	running   sync.WaitGroup
+	// events are the succession's events.
+	events  chan Event
+	running sync.WaitGroup
 }
 
 // run executes the succession's actions and feeds it their results until it ends.
@@ -68,6 +70,7 @@
 	started := o.Clock.Now()
 	r.confirmingSince = started
 	events := make(chan Event, eventBuffer)
+	r.events = events
 	r.execute(ctx, r.succession.Start(), events)
 	timeout := o.Clock.After(holdTimeout)
 	for r.succession.Phase() < Done {
@@ -81,6 +84,7 @@
 			e = Timeout{}
 		}
 		actions := r.handle(e)
+		r.shareYield()
 		if r.succession.Phase() >= Done {
 			r.settleWatches()
 			r.tellEnd(ctx)
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -62,6 +62,8 @@
 	accepted bool
 	unknown  bool
 	inFlight bool
+	// yielding is set once the old primary leads again and the succession is to stop for it.
+	yielding bool
 }
 
 // heldReplica is a replica that has stopped receiving, and the end of its log.
@@ -150,6 +152,8 @@
 	case r.Endpoint == s.target && s.leadsAnew(r):
 		s.phase = Done
 		return s, s.release()
+	case s.mayYield() && s.plan.isOldPrimary(r):
+		return s.yield()
 	case r.Endpoint == s.plan.OldPrimary || s.phase >= Promoting:
 		return s, nil
 	default:
@@ -311,7 +315,7 @@
 	s.inFlight = false
 	switch result.Outcome {
 	case Accepted:
-		s.accepted, s.unknown = true, false
+		s.accepted, s.unknown, s.yielding = true, false, false
 		return s, nil
 	case Refused:
 		if s.unknown {
@@ -320,10 +324,13 @@
 		}
 		return s.stop("promotion was refused")
 	case Unknown:
-		s.unknown = true
+		s.unknown, s.yielding = true, false
 	}
-	if s.accepted {
+	switch {
+	case s.accepted:
 		return s, nil
+	case s.yielding:
+		return s.stop(oldPrimaryBack)
 	}
 	return s.confirm(Reconfirming)
 }
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -285,3 +285,62 @@
 		}
 	}
 }
+
+// TestYield guards against a database that nobody leads: a primary that is back after a crash was demoted for a promotion that the platform
+// had certainly refused so far. It also guards against the loss of acknowledged commits where that is not certain.
+func TestYield(t *testing.T) {
+	requested := []Event{heldReply("a", 5, planTerm), heldReply("b", 9, planTerm), confirmReply("a", 5), confirmReply("b", 9)}
+	back := Reply{Endpoint: "p", Status: endpoint.PlatformStatus{Role: endpoint.Primary, Term: 1}}
+	refused, unknown, accepted := PromotionResult{Outcome: Retryable}, PromotionResult{Outcome: Unknown}, PromotionResult{Outcome: Accepted}
+	type result struct {
+		Phase    Phase
+		Resumes  int
+		MayYield bool
+	}
+	yielded := result{Phase: Stopped, Resumes: 2}
+	tests := map[string]struct {
+		change func(p *Plan)
+		events []Event
+		want   result
+	}{
+		"after a refusal":                    {events: []Event{refused, back}, want: yielded},
+		"request under way":                  {events: []Event{back}, want: result{Phase: Promoting, MayYield: true}},
+		"request under way, refused":         {events: []Event{back, refused}, want: yielded},
+		"request under way, no answer":       {events: []Event{back, unknown}, want: result{Phase: Reconfirming}},
+		"request under way, accepted":        {events: []Event{back, accepted}, want: result{Phase: Promoting}},
+		"no answer before":                   {events: []Event{unknown, back}, want: result{Phase: Reconfirming}},
+		"no answer before, then refused":     {events: []Event{unknown, confirmReply("a", 5), confirmReply("b", 9), back, refused}, want: result{Phase: Reconfirming}},
+		"another endpoint leads":             {events: []Event{refused, primaryReply("a")}, want: result{Phase: Reconfirming, MayYield: true}},
+		"it leads a newer term":              {events: []Event{refused, primaryReply("p")}, want: result{Phase: Reconfirming, MayYield: true}},
+		"it was to be replaced while it led": {change: func(p *Plan) { p.OldPrimaryAnswers = true }, events: []Event{refused, back}, want: result{Phase: Reconfirming}},
+		"another succession held replicas":   {change: func(p *Plan) { p.Contested = true }, events: []Event{refused, back}, want: result{Phase: Reconfirming}},
+		"commits need no replica":            {change: func(p *Plan) { p.Acknowledge = 0 }, events: []Event{refused, back}, want: result{Phase: Reconfirming}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			plan := newPlan()
+			plan.Floor.Term = 1
+			s := New(plan)
+			for _, e := range requested {
+				s, _ = s.Handle(e)
+			}
+			if test.change != nil {
+				test.change(&s.plan)
+			}
+			var got result
+			for _, e := range test.events {
+				var actions []Action
+				s, actions = s.Handle(e)
+				for _, a := range actions {
+					if a.Command == Resume {
+						got.Resumes++
+					}
+				}
+			}
+			got.Phase, got.MayYield = s.Phase(), s.mayYield()
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -27,6 +27,9 @@
 	guard       guard
 	since       time.Time
 	all         []*watch
+	// mayYield is set while the succession may stop for its old primary, whose lead is reported to events.
+	mayYield atomic.Bool
+	events   chan<- Event
 	// cancel ends all watches without waiting for them.
 	cancel context.CancelFunc
 }
@@ -53,12 +56,18 @@
 	c := r.coordinator
 	c.watches.end()
 	watching, cancel := context.WithTimeout(ctx, promoteTimeout)
-	c.watches = &watches{coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), cancel: cancel}
+	c.watches = &watches{coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), cancel: cancel, events: r.events}
+	c.watches.mayYield.Store(r.succession.mayYield())
+	// A watch looks at what the others have found, so that all exist before the first starts.
+	var starts []func()
 	for _, e := range r.watchedMembers(c.watches.guard) {
 		one, cancel := context.WithCancel(watching)
 		w := &watch{endpoint: e, cancel: cancel, done: make(chan struct{})}
 		c.watches.all = append(c.watches.all, w)
-		go c.watches.observe(one, ctx, w)
+		starts = append(starts, func() { c.watches.observe(one, ctx, w) })
+	}
+	for _, start := range starts {
+		go start()
 	}
 }
 
@@ -125,6 +134,8 @@
 	defer close(one.done)
 	o := w.coordinator.options
 	before := silent
+	// leadsSince is when the endpoint was first seen to lead.
+	var leadsSince time.Time
 	for ctx.Err() == nil {
 		probedAt := o.Clock.Now()
 		result := w.coordinator.prober.query(parent, one.endpoint, statement.ProxyStep(statement.Status), probeTimeout)
@@ -135,6 +146,13 @@
 		one.last.Store(found)
 		after := found
 		command, ok := w.guard.command(found)
+		if found == leads && leadsSince.IsZero() {
+			leadsSince = probedAt
+		}
+		if found == leads && w.spares(one.endpoint.Name, leadsSince) {
+			w.report(Reply{Endpoint: one.endpoint.Name, Status: *result.Status})
+			ok = false
+		}
 		switch {
 		case !w.outstanding():
 			// Another coordinator has told of the end.
@@ -159,6 +177,30 @@
 	}
 }
 
+// spares reports whether an endpoint that has led again since a time is left alone, as its succession is about to stop for it. That ends
+// once a replica is not seen to be held.
+func (w *watches) spares(name string, since time.Time) bool {
+	now := w.coordinator.options.Clock.Now()
+	plan := w.guard.plan
+	if !w.mayYield.Load() || name != plan.OldPrimary || now.Sub(since) >= yieldTime || w.database.View().IsOtherOutstanding(plan.Fence, now) {
+		return false
+	}
+	for _, one := range w.all {
+		if last, _ := one.last.Load().(finding); one.endpoint.Name != name && (last != held || one.ended.Load() > 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// report passes a reply to the succession; one that does not fit is repeated by the next probe.
+func (w *watches) report(r Reply) {
+	select {
+	case w.events <- r:
+	default:
+	}
+}
+
 // close ends the watches, and records that the promotion can't take effect any more. Heartbeats tell the others.
 func (w *watches) close() {
 	w.cancel()
