succession: say what two functions return

Two functions of Succession had no sentence of their own, and a paragraph of its comment broke in the middle of a line.

--- a/succession/succession.go
+++ b/succession/succession.go
@@ -40,9 +40,8 @@
 // the replicas tell: every acknowledged commit is in the logs of Plan.Acknowledge of them. Once so many are held that fewer than
 // that remain, no further commit can be acknowledged, and the longest held log has all acknowledged ones, unless an endpoint that
 // is not counted has received some. The positions that instances have passed on as acknowledged show that. Only a log that has all of them
-// is promoted. A request without an answer may take effect later, so no hold
-// is released until its outcome is known. The same request is repeated while all holds stand; once one has ended, only a
-// succession with a higher fencing token may follow.
+// is promoted. A request without an answer may take effect later, so no hold is released until its outcome is known. The same request is
+// repeated while all holds stand; once one has ended, only a succession with a higher fencing token may follow.
 type Succession struct {
 	plan       Plan
 	phase      Phase
@@ -100,6 +99,7 @@
 	return s.hold()
 }
 
+// hold returns the actions that hold the replicas.
 func (s Succession) hold() []Action {
 	out := make([]Action, 0, len(s.plan.Replicas))
 	for _, r := range s.plan.Replicas {
@@ -167,6 +167,7 @@
 	return s.target != s.plan.OldPrimary || s.accepted || r.Status.Term > s.plan.Floor.Term
 }
 
+// recordHold counts a held replica, and confirms the holds once no further commit can be acknowledged.
 func (s Succession) recordHold(r Reply) (Succession, []Action) {
 	for _, h := range s.held {
 		if h.replica.Name == r.Endpoint {
