succession: log what is concluded from an invalidation and from what callers were told

No decision changes.

Result: TestInvalidationLogged, 3 of 3 cases failed before. Packages succession, event and layout pass.

--- a/succession/evidence.go
+++ b/succession/evidence.go
@@ -25,6 +25,9 @@
 		departed = append(departed, targets.label(d.Endpoint))
 	}
 	fields["counted"], fields["omitted"], fields["departed"] = strings.Join(counted, ","), strings.Join(omitted, ","), strings.Join(departed, ",")
+	if plan.AcceptLoss {
+		fields["acceptloss"] = true
+	}
 	if !reading.ReadAt.IsZero() {
 		fields["endpointsage"] = c.options.Clock.Now().Sub(reading.ReadAt).String()
 	}
--- a/succession/fence.go
+++ b/succession/fence.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,10 +22,15 @@
 // releaseAbandoned releases the holds of abandoned successions, once none of their promotions can take effect any more. probedAt is when the
 // survey began; mayRequest is not set while it is another instance's turn to request promotions.
 func (c *Coordinator) releaseAbandoned(ctx context.Context, db *database.Database, members []config.Endpoint, a Assessment, results []ProbeResult, probedAt time.Time, mayRequest bool) {
-	var settled bool
-	if c.invalidation, settled = c.invalidation.observe(results, probedAt); settled {
-		i := c.invalidation
+	i := c.invalidation
+	next, settled := i.observe(results, probedAt)
+	c.invalidation = next
+	if i.pending() && !next.pending() {
+		c.logInvalidation(event.InvalidationEnded, i, "primary has changed")
+	}
+	if settled {
 		c.invalidation = invalidation{}
+		c.logInvalidation(event.InvalidationEnded, i, "settled")
 		c.endInvalidated(db, i)
 		c.releaseCovered(ctx, members, i, results)
 		return
@@ -67,9 +74,22 @@
 			i.holds = append(i.holds, observedHold{endpoint: r.Endpoint, term: r.Status.Held})
 		}
 	}
+	c.logInvalidation(event.PromotionsInvalid, i, "accepted")
 	return i
 }
 
+// logInvalidation logs what has become of an invalidation.
+func (c *Coordinator) logInvalidation(what event.Event, i invalidation, outcome string) {
+	var holds []string
+	for _, h := range i.holds {
+		holds = append(holds, fmt.Sprintf("%s=%d", h.endpoint, h.term))
+	}
+	c.options.Logger.Log(what, log.Fields{
+		"database": c.name, "endpoint": i.primary, "fence": i.fence, "term": uint64(i.term), "holds": strings.Join(holds, ","),
+		"since": c.options.Clock.Now().Sub(i.acceptedAt).String(), "outcome": outcome,
+	})
+}
+
 // endInvalidated ends the watches of this coordinator and tells the other instances that the invalidated promotions have ended, before the
 // holds are released.
 func (c *Coordinator) endInvalidated(db *database.Database, i invalidation) {
--- a/succession/invalidation_test.go
+++ b/succession/invalidation_test.go
@@ -5,9 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/google/go-cmp/cmp"
 
 	"siskincove/endpoint"
+	"siskincove/event"
 )
 
 // TestInvalidation guards against holds that are released while a promotion may still take effect which the platform had accepted before
@@ -108,3 +110,41 @@
 		t.Errorf("hold of a later succession is %d", got)
 	}
 }
+
+// TestInvalidationLogged guards against an incident whose logs can't tell why holds were released (issue 53): neither the acceptance of an
+// invalidation nor its end was logged.
+func TestInvalidationLogged(t *testing.T) {
+	const term = 3
+	tests := map[string]struct {
+		primary endpoint.PlatformStatus
+		want    []string
+	}{
+		"settled":             {primary: endpoint.PlatformStatus{Role: endpoint.Primary, Term: term}, want: []string{"accepted", "settled"}},
+		"a newer term":        {primary: endpoint.PlatformStatus{Role: endpoint.Primary, Term: term + 1}, want: []string{"accepted", "primary has changed"}},
+		"the primary is gone": {primary: endpoint.PlatformStatus{Role: endpoint.Replica, Term: term}, want: []string{"accepted", "primary has changed"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			db, members := newGuardedDatabase(t)
+			g := &scriptedGroup{endpoints: map[string]endpoint.PlatformStatus{"a": {Role: endpoint.Replica, Term: term, Held: planTerm}}}
+			c, ctx := newScriptedCoordinator(t, g)
+			c.options.Promoter, c.fencingToken = &countingPromoter{}, 9
+			var got []string
+			c.options.Logger = event.NewLogger(log.HandlerFunc(func(e *log.Entry) error {
+				if outcome, ok := e.Fields.Get("outcome").(string); ok && e.Fields.Get("fence") == uint64(9) {
+					got = append(got, outcome)
+				}
+				return nil
+			}), log.InfoLevel, c.options.Clock)
+			held := ProbeResult{Endpoint: "a", Answered: true, Status: &endpoint.PlatformStatus{Role: endpoint.Replica, Term: term, Held: planTerm}}
+			before := ProbeResult{Endpoint: "p", Answered: true, Status: &endpoint.PlatformStatus{Role: endpoint.Primary, Term: term}}
+			release := Assessment{Primary: "p", Release: []string{"a"}}
+			c.releaseAbandoned(ctx, db, members, release, []ProbeResult{before, held}, time.Now(), true)
+			after := ProbeResult{Endpoint: "p", Answered: true, Status: &test.primary}
+			c.releaseAbandoned(ctx, db, members, Assessment{Primary: "p"}, []ProbeResult{after, held}, time.Now().Add(settlingTime+time.Second), true)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/succession/run.go
+++ b/succession/run.go
@@ -148,6 +148,7 @@
 		"database": r.database.Name(), "term": uint64(plan.Term), "fence": plan.Fence, "endpoint": r.succession.Target(),
 		"took": took.String(), "watched": r.watched(),
 	}
+	maps.Copy(fields, r.evidence())
 	if r.succession.Phase() == Done {
 		o.Logger.Log(event.SuccessionDone, fields)
 		return
