--- a/connection/pool_test.go
+++ b/connection/pool_test.go
@@ -293,8 +293,8 @@
 
 // TestPrepare checks that a reset connection forgets its prepared statements.
 func TestPrepare(t *testing.T) {
-	h, s := &PooledConn{}, PreparedStatement{Name: "s", Text: "shape"}
-	prepare := []statement.Step{statement.ProxyPrepare("s", "shape", false)}
+	h, s := &PooledConn{}, statement.NewPrepared("shape", false)
+	prepare := []statement.Step{statement.ProxyPrepare(s)}
 	first := h.Setup(nil, s)
 	h.recordSuccess(first)
 	if diff := cmp.Diff(prepare, first); diff != "" {
--- a/connection/pooledconn.go
+++ b/connection/pooledconn.go
@@ -155,7 +155,7 @@
 
 // Setup returns the steps that give the connection a session's settings and the prepared statements that it lacks. They begin with a
 // reset if the state is uncertain, a setting has to be removed or too many statements are prepared.
-func (h *PooledConn) Setup(settings map[string]string, statements ...PreparedStatement) []statement.Step {
+func (h *PooledConn) Setup(settings map[string]string, statements ...statement.Prepared) []statement.Step {
 	return h.session.setup(settings, statements)
 }
 
--- a/connection/sessionstate.go
+++ b/connection/sessionstate.go
@@ -10,13 +10,6 @@
 // preparedMaximum bounds the prepared statements on a connection; beyond it the connection is reset.
 const preparedMaximum = 200
 
-// PreparedStatement is a statement under the name that it has on connections to endpoints.
-type PreparedStatement struct {
-	Name, Text string
-	// Writes is set if the statement changes data.
-	Writes bool
-}
-
 // sessionState is what the endpoint's answers tell about the settings and prepared statements of a connection. It is immutable.
 type sessionState struct {
 	settings map[string]string
@@ -27,7 +20,7 @@
 
 // setup returns the steps that give the connection a session's settings and the prepared statements that it lacks. They begin with a
 // reset if the state is uncertain, a setting has to be removed or too many statements are prepared.
-func (s sessionState) setup(settings map[string]string, statements []PreparedStatement) []statement.Step {
+func (s sessionState) setup(settings map[string]string, statements []statement.Prepared) []statement.Step {
 	var steps []statement.Step
 	if s.uncertain || len(s.prepared) > preparedMaximum || !covers(settings, s.settings) {
 		steps = append(steps, statement.ProxyStep(statement.Reset))
@@ -40,9 +33,9 @@
 	}
 	added := make(map[string]bool, len(statements))
 	for _, p := range statements {
-		if !s.prepared[p.Name] && !added[p.Name] {
-			added[p.Name] = true
-			steps = append(steps, statement.ProxyPrepare(p.Name, p.Text, p.Writes))
+		if name := p.Name(); !s.prepared[name] && !added[name] {
+			added[name] = true
+			steps = append(steps, statement.ProxyPrepare(p))
 		}
 	}
 	return steps
--- a/connection/sessionstate_test.go
+++ b/connection/sessionstate_test.go
@@ -19,13 +19,14 @@
 	const refused, failedWithEffect, failedWithout, lostNames = "refused", "failed with effect", "failed without effect", "lost names"
 	reactions := rapid.SampledFrom([]string{"runs", "runs", "runs", refused, failedWithEffect, failedWithout, lostNames})
 	values := rapid.MapOf(rapid.SampledFrom([]string{"lab", "zone"}), rapid.SampledFrom([]string{"1", "2"}))
-	names := rapid.SampledFrom([]string{"s1", "s2", "s3"})
+	texts := rapid.SampledFrom([]string{"shape 1", "shape 2", "shape 3"})
 	rapid.Check(t, func(t *rapid.T) {
 		var recorded sessionState
 		settings, prepared := map[string]string{}, map[string]bool{}
 		for range rapid.IntRange(1, 30).Draw(t, "statements") {
-			wanted, name := values.Draw(t, "settings"), names.Draw(t, "name")
-			steps := append(recorded.setup(wanted, []PreparedStatement{{Name: name, Text: "shape of " + name}}),
+			wanted, needed := values.Draw(t, "settings"), statement.NewPrepared(texts.Draw(t, "text"), false)
+			name := needed.Name()
+			steps := append(recorded.setup(wanted, []statement.Prepared{needed}),
 				statement.Step{Request: statement.Request{ID: "q", Kind: statement.Execute, Name: name}})
 			for _, s := range steps {
 				reaction := reactions.Draw(t, s.Kind.String())
--- a/dispatch/grey_test.go
+++ b/dispatch/grey_test.go
@@ -439,7 +439,7 @@
 	requests := rapid.SampledFrom([]statement.Request{
 		set("1"), set("2"),
 		{Kind: statement.Set, Name: "zone", Value: "utc"},
-		prepare("s1", "q1"), prepare("s1", "q2"), prepare("s2", "q1"), execute("s1"), execute("s2"), execute("s1"),
+		prepare("s1", "q1"), prepare("s1", "q2"), prepare("s2", "q1"), prepare("s1", equalChecksums[0]), prepare("s2", equalChecksums[1]), execute("s1"), execute("s2"), execute("s1"),
 		read(""), write(""), write(""),
 		{Kind: statement.Begin},
 		{Kind: statement.BeginRead},
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"siskincove/clock"
 	"siskincove/config"
 	"siskincove/session"
@@ -28,14 +25,6 @@
 	proofTimeout = 400 * time.Millisecond
 )
 
-// preparedStatement is a statement that the caller has prepared. endpointName is its name on connections to endpoints, and
-// text its statement text.
-type preparedStatement struct {
-	endpointName string
-	text         string
-	writes       bool
-}
-
 // Session is one caller's session on a route. It is not safe for concurrent use.
 type Session struct {
 	dispatcher *Dispatcher
@@ -43,7 +32,7 @@
 	salt       string
 	state      statement.State
 	settings   map[string]string
-	prepared   map[string]preparedStatement
+	prepared   map[string]statement.Prepared
 	token      session.Token
 	tx         *transaction
 	key        config.KeyHash
@@ -162,27 +151,18 @@
 	return statement.Answer{}
 }
 
-// prepare stores a statement. It is prepared on a connection before its first use there, under a name that depends only
-// on its text and on whether it writes, so that sessions share it.
+// prepare stores a statement. It is prepared on a connection before its first use there.
 func (s *Session) prepare(r statement.Request) statement.Answer {
 	if len(s.prepared) >= maxPreparedStatements {
 		return statement.Refusal(verdict.New(verdict.NotRun, verdict.Oversized, "session already has %d prepared statements, the maximum", maxPreparedStatements), s.state)
 	}
 	if s.prepared == nil {
-		s.prepared = make(map[string]preparedStatement)
+		s.prepared = make(map[string]statement.Prepared)
 	}
-	s.prepared[r.Name] = preparedStatement{endpointName: preparedName(r.Value, r.Writes), text: r.Value, writes: r.Writes}
+	s.prepared[r.Name] = statement.NewPrepared(r.Value, r.Writes)
 	return statement.Answer{}
 }
 
-func preparedName(text string, writes bool) string {
-	mode := "r"
-	if writes {
-		mode = "w"
-	}
-	return fmt.Sprintf("%s%016x", mode, xxhash.Sum64String(text))
-}
-
 // execute runs a read or a write, inside or outside a transaction.
 func (s *Session) execute(ctx context.Context, r statement.Request) statement.Answer {
 	j := job{request: r}
@@ -192,7 +172,7 @@
 			return statement.Refusal(verdict.New(verdict.NotRun, verdict.Unprepared, "no prepared statement is named %s", r.Name), s.state)
 		}
 		j.prepared = known
-		j.request.Name, j.request.Writes = known.endpointName, known.writes
+		j.request.Name, j.request.Writes = known.Name(), known.Writes()
 	}
 	if s.tx != nil {
 		return s.runInTransaction(ctx, j)
@@ -203,7 +183,7 @@
 // job is a caller's statement that needs an endpoint, with its prepared statement if it executes one.
 type job struct {
 	request  statement.Request
-	prepared preparedStatement
+	prepared statement.Prepared
 }
 
 // Close ends the session and rolls back an open transaction.
--- a/dispatch/single.go
+++ b/dispatch/single.go
@@ -118,11 +118,11 @@
 }
 
 // needed returns the prepared statement that the statement executes, none if it executes none.
-func (j job) needed() []connection.PreparedStatement {
+func (j job) needed() []statement.Prepared {
 	if j.request.Kind != statement.Execute {
 		return nil
 	}
-	return []connection.PreparedStatement{{Name: j.prepared.endpointName, Text: j.prepared.text, Writes: j.prepared.writes}}
+	return []statement.Prepared{j.prepared}
 }
 
 // acquire takes a connection to the chosen endpoint from its pool. Its errors have the verdict verdict.NotRun.
--- a/loan/loan.go
+++ b/loan/loan.go
@@ -42,7 +42,8 @@
 	stream peer.Stream
 
 	settings map[string]string
-	prepared map[string]connection.PreparedStatement
+	// prepared maps the borrower's names to statements. Those of older builds don't tell all texts apart.
+	prepared map[string]statement.Prepared
 	pool     *connection.Pool
 	conn     *connection.PooledConn
 	acquired time.Time
@@ -90,6 +91,7 @@
 func (l *loan) exchange(ctx context.Context, request *wire.Steps) *wire.Results {
 	steps := make([]statement.Step, 0, len(request.GetSteps()))
 	endpointSteps := make([]statement.Step, 0, len(request.GetSteps()))
+	var needed []statement.Prepared
 	guard := 0
 	for i, m := range request.GetSteps() {
 		s := fromStep(m)
@@ -97,12 +99,16 @@
 		if l.applySessionStep(s) {
 			continue
 		}
+		if p, known := l.prepared[s.Name]; known && s.Kind == statement.Execute {
+			s.Name = p.Name()
+			needed = append(needed, p)
+		}
 		endpointSteps = append(endpointSteps, s)
 		if i < int(request.GetGuard()) {
 			guard = len(endpointSteps)
 		}
 	}
-	answers, broken := l.runSteps(ctx, endpointSteps, guard, request)
+	answers, broken := l.runSteps(ctx, endpointSteps, needed, guard, request)
 	out := &wire.Results{Broken: broken, Retired: l.conn == nil && !l.available(), Crowded: l.isCrowded()}
 	for _, s := range steps {
 		switch {
@@ -135,9 +141,9 @@
 		l.settings[s.Name] = s.Value
 	case statement.Prepare:
 		if l.prepared == nil {
-			l.prepared = make(map[string]connection.PreparedStatement)
+			l.prepared = make(map[string]statement.Prepared)
 		}
-		l.prepared[s.Name] = connection.PreparedStatement{Name: s.Name, Text: s.Value, Writes: s.Writes}
+		l.prepared[s.Name] = statement.NewPrepared(s.Value, s.Writes)
 	default:
 		return false
 	}
@@ -152,9 +158,9 @@
 	return statement.Idle
 }
 
-// runSteps runs steps on a pooled connection once it has the borrower's settings and prepared statements, those after the first guard
+// runSteps runs steps on a pooled connection once it has the borrower's settings and the needed statements, those after the first guard
 // steps only if all of these succeeded. It returns true if the connection was lost before every step was answered.
-func (l *loan) runSteps(ctx context.Context, steps []statement.Step, guard int, request *wire.Steps) ([]statement.Answer, bool) {
+func (l *loan) runSteps(ctx context.Context, steps []statement.Step, needed []statement.Prepared, guard int, request *wire.Steps) ([]statement.Answer, bool) {
 	if len(steps) == 0 {
 		return nil, false
 	}
@@ -178,7 +184,7 @@
 			return refusals(err, len(steps), statement.Idle), false
 		}
 	}
-	setup := l.conn.Setup(l.settings, l.needed(steps)...)
+	setup := l.conn.Setup(l.settings, needed...)
 	if guard >= len(steps) {
 		guard = 0
 	}
@@ -203,17 +209,6 @@
 	return answers, false
 }
 
-// needed returns the prepared statements that steps execute.
-func (l *loan) needed(steps []statement.Step) []connection.PreparedStatement {
-	var needed []connection.PreparedStatement
-	for _, s := range steps {
-		if p, ok := l.prepared[s.Name]; ok && s.Kind == statement.Execute {
-			needed = append(needed, p)
-		}
-	}
-	return needed
-}
-
 // endRefused ends an exchange whose steps were not sent, and returns the state of the loan. What the exchange has begun is rolled back,
 // since the borrower takes it for refused; an earlier transaction stays open.
 func (l *loan) endRefused(begins bool, state statement.State) statement.State {
--- a/loan/loan_test.go
+++ b/loan/loan_test.go
@@ -31,6 +31,8 @@
 	peak   int
 	dialed int
 	steps  []string
+	// ran holds the texts of the prepared statements that were executed.
+	ran []string
 	// silent leaves exchanges unanswered until their deadline.
 	silent bool
 	// refuses is the kind of the steps that are refused, and breaks of those that end the connection; 0 for none.
@@ -43,7 +45,7 @@
 	f.dialed++
 	f.open++
 	f.peak = max(f.peak, f.open)
-	return &fakeConn{endpoint: f, number: f.dialed, broken: make(chan struct{})}, nil
+	return &fakeConn{endpoint: f, number: f.dialed, prepared: make(map[string]string), broken: make(chan struct{})}, nil
 }
 
 // fail sets the kinds of the steps that are refused and that end the connection.
@@ -62,6 +64,7 @@
 	endpoint *fakeEndpoint
 	number   int
 	state    statement.State
+	prepared map[string]string
 	broken   chan struct{}
 	once     sync.Once
 }
@@ -107,6 +110,12 @@
 			c.state = statement.Open
 		case statement.Commit, statement.Rollback:
 			c.state = statement.Idle
+		case statement.Prepare:
+			c.prepared[s.Name] = s.Value
+		case statement.Reset:
+			clear(c.prepared)
+		case statement.Execute:
+			c.endpoint.ran = append(c.endpoint.ran, c.prepared[s.Name])
 		}
 		answers = append(answers, statement.Answer{State: c.state, Receipt: s.ID, Rows: []string{"a\xff"}})
 	}
@@ -227,20 +236,20 @@
 
 // TestState checks that settings and prepared statements are restored when a borrower is served by another connection.
 func TestState(t *testing.T) {
-	h := newHolder(t, 2)
+	h, shape := newHolder(t, 2), statement.NewPrepared("READ ?", false)
 	c, other := h.borrow(t), h.borrow(t)
-	mustExchange(t, c, statement.ProxySet("zone", "utc"), statement.ProxyPrepare("s1", "READ ?", false))
+	mustExchange(t, c, statement.ProxySet("zone", "utc"), statement.ProxyPrepare(shape))
 	if diff := cmp.Diff(0, len(h.executed())); diff != "" {
 		t.Errorf("steps reached the endpoint before any statement: %s", diff)
 	}
-	execute := statement.Step{Request: statement.Request{ID: "q1", Kind: statement.Execute, Name: "s1"}}
+	execute := statement.Step{Request: statement.Request{ID: "q1", Kind: statement.Execute, Name: shape.Name()}}
 	mustExchange(t, c, execute)
 	mustExchange(t, other, statement.ProxyStep(statement.Begin))
 	mustExchange(t, c, execute)
 	want := []string{
-		"1 set zone", "1 prepare s1", "1 execute s1",
+		"1 set zone", "1 prepare " + shape.Name(), "1 execute " + shape.Name(),
 		"1 reset ", "1 begin ",
-		"2 set zone", "2 prepare s1", "2 execute s1",
+		"2 set zone", "2 prepare " + shape.Name(), "2 execute " + shape.Name(),
 	}
 	if diff := cmp.Diff(want, h.executed()); diff != "" {
 		t.Error(diff)
--- a/loan/setup_test.go
+++ b/loan/setup_test.go
@@ -13,10 +13,10 @@
 // TestFailedSetup guards against a borrower's statement that runs though the endpoint has failed the SET or PREPARE that the holder
 // sends before it. The holder has acknowledged both to the borrower, so only the holder can notice.
 func TestFailedSetup(t *testing.T) {
-	set := statement.ProxySet("zone", "utc")
-	prepare := statement.ProxyPrepare("s", "shape", false)
+	set, shape := statement.ProxySet("zone", "utc"), statement.NewPrepared("shape", false)
+	prepare := statement.ProxyPrepare(shape)
 	begin, rollback := statement.ProxyStep(statement.Begin), statement.ProxyStep(statement.Rollback)
-	execute := statement.Step{Request: statement.Request{ID: "q2", Kind: statement.Execute, Name: "s"}}
+	execute := statement.Step{Request: statement.Request{ID: "q2", Kind: statement.Execute, Name: shape.Name()}}
 	tests := map[string]struct {
 		refuses, breaks statement.Kind
 		// before is exchanged before the endpoint fails anything.
@@ -32,7 +32,7 @@
 		},
 		"prepare refused before an execution": {
 			refuses: statement.Prepare, steps: []statement.Step{prepare, execute},
-			executed: []string{"1 prepare s"}, again: []string{"1 prepare s", "1 execute s"},
+			executed: []string{"1 prepare " + shape.Name()}, again: []string{"1 prepare " + shape.Name(), "1 execute " + shape.Name()},
 		},
 		"set refused before the begin": {
 			refuses: statement.Set, steps: []statement.Step{set, begin, read("q1"), rollback}, guard: 2,
@@ -40,7 +40,7 @@
 		},
 		"prepare refused in a transaction": {
 			refuses: statement.Prepare, before: []statement.Step{begin, read("q0")}, steps: []statement.Step{prepare, execute},
-			executed: []string{"1 begin ", "1 read ", "1 prepare s"}, again: []string{"1 prepare s", "1 execute s"},
+			executed: []string{"1 begin ", "1 read ", "1 prepare " + shape.Name()}, again: []string{"1 prepare " + shape.Name(), "1 execute " + shape.Name()},
 		},
 		"connection lost at the set": {
 			breaks: statement.Set, steps: []statement.Step{set, read("q1")},
--- a/statement/step.go
+++ b/statement/step.go
@@ -21,7 +21,7 @@
 	return Step{Request: Request{Kind: Set, Name: name, Value: value}}
 }
 
-// ProxyPrepare returns the step that prepares a statement text on a connection under a name.
-func ProxyPrepare(name, text string, writes bool) Step {
-	return Step{Request: Request{Kind: Prepare, Name: name, Value: text, Writes: writes}}
+// ProxyPrepare returns the step that prepares a statement on a connection.
+func ProxyPrepare(p Prepared) Step {
+	return Step{Request: Request{Kind: Prepare, Name: p.name, Value: p.text, Writes: p.writes}}
 }
