instance: start at other addresses in tests if one has been taken

Cause: the test asks the system for a free address, closes it and lets the instance listen there; another process can take it in between.

Change: the test starts the instance at other addresses if, and only if, the error is EADDRINUSE; ListenError unwraps to its cause for that. TestFailedStart checks that it does. What is tested is unchanged.

--- a/instance/differential_test.go
+++ b/instance/differential_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
 	"pgregory.net/rapid"
 
@@ -62,6 +64,24 @@
 	return set
 }
 
+// startInstance starts an instance and returns its address for callers. If another process takes a free address before the instance
+// does, it tries others.
+func startInstance(ctx context.Context, t *testing.T, n int, platformStore Store) (*Instance, string) {
+	s := settings.Default()
+	s.Instance = settings.Instance{ID: fmt.Sprintf("i%d", n), Domain: "r/a"}
+	s.Token = settings.Token{Keys: []string{"a key for the differential test"}}
+	for {
+		s.Listen = settings.Listen{Callers: freeAddress(t), Peers: freeAddress(t), Health: freeAddress(t)}
+		i, err := New(ctx, s, clock.System{}, event.Discard(), platformStore)
+		if err == nil {
+			return i, s.Listen.Callers
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			t.Fatal(err)
+		}
+	}
+}
+
 // startDeployment starts a deployment and waits until it accepts a write.
 func startDeployment(t *testing.T) *deployment {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -83,16 +103,9 @@
 	d := &deployment{group: g}
 	var instances []*Instance
 	for n := range instanceCount {
-		instanceSettings := settings.Default()
-		instanceSettings.Instance = settings.Instance{ID: fmt.Sprintf("i%d", n), Domain: "r/a"}
-		instanceSettings.Listen = settings.Listen{Callers: freeAddress(t), Peers: freeAddress(t), Health: freeAddress(t)}
-		instanceSettings.Token = settings.Token{Keys: []string{"a key for the differential test"}}
-		i, err := New(ctx, instanceSettings, clock.System{}, event.Discard(), platformStore)
-		if err != nil {
-			t.Fatal(err)
-		}
+		i, address := startInstance(ctx, t, n, platformStore)
 		instances = append(instances, i)
-		d.callerAddresses = append(d.callerAddresses, instanceSettings.Listen.Callers)
+		d.callerAddresses = append(d.callerAddresses, address)
 	}
 	t.Cleanup(func() {
 		for _, i := range instances {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -67,6 +67,9 @@
 // Error returns the message of the cause.
 func (e *ListenError) Error() string { return e.Cause.Error() }
 
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
 // listen opens all listeners, or none if it fails.
 func listen(s settings.Listen) (listeners, error) {
 	var l listeners
--- a/instance/listen_test.go
+++ b/instance/listen_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net"
+	"strings"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"siskincove/clock"
 	"siskincove/event"
 	"siskincove/settings"
@@ -38,9 +42,13 @@
 			s := settings.Default()
 			s.Listen.Callers, s.Listen.Peers, s.Listen.Health = free(), free(), free()
 			change(&s)
-			if _, err := New(context.Background(), s, clock.System{}, event.Discard(), nil); err == nil {
+			_, err := New(context.Background(), s, clock.System{}, event.Discard(), nil)
+			if err == nil {
 				t.Fatal("started")
 			}
+			if inUse := strings.HasSuffix(name, "in use"); errors.Is(err, syscall.EADDRINUSE) != inUse {
+				t.Errorf("failed with %v, address in use: %t", err, inUse)
+			}
 			again, err := net.Listen("tcp", s.Listen.Callers)
 			if err != nil {
 				t.Fatalf("address of a failed start: %v", err)
