--- a/entry/request.go
+++ b/entry/request.go
@@ -1,12 +1,10 @@
 package entry
 
 import (
-	"fmt"
 	"os"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"siskincove/message"
@@ -206,8 +204,8 @@
 // closedName replaces the statement name in a Close message, since the statement stays prepared at the endpoint.
 const closedName = "closed"
 
-// appendParse records a statement that the caller prepares and adds its Parse message to the request. The shared name is
-// a hash of the statement's text and parameter types; the unnamed statement stays unnamed.
+// appendParse records a statement that the caller prepares and adds its Parse message to the request, under a name that sessions
+// share; the unnamed statement stays unnamed.
 func (c *caller) appendParse(r *request, m message.Raw, name string) error {
 	query, err := message.ParseQuery(m)
 	if err != nil {
@@ -219,7 +217,9 @@
 	}
 	sharedName := ""
 	if name != "" {
-		sharedName = fmt.Sprintf("s%016x", xxhash.Sum64(m.Body()[len(name)+1:]))
+		if sharedName, err = message.SharedName(m); err != nil {
+			return sqlErrorf(codeProtocol, "parse message is malformed")
+		}
 	}
 	renamed, err := message.WithStatementName(m, sharedName)
 	if err != nil {
