entry: count transaction IDs from a random number

Found by looking for checksums that stand for names; nobody has reported it.

Cause: an ID was made from the upper 12 bits of the XXH64 checksum of the instance's ID and a counter that begins at 1, and an owner finds transactions by ID. Of 113 instances named frontend-N two share these bits (49 and 112); a restarted instance shares them with its former self.

Change: the counter begins at a random number of 64 bits. Process IDs keep the 12 bits, as a cancel request is forwarded to all instances that share them and each compares the secret.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,7 +20,7 @@
 	done       chan struct{}
 	databases  *databaseStates
 	inflight   atomic.Int64
-	// lastTransaction is the counter from which transaction IDs are made.
+	// lastTransaction is the last transaction ID that was given.
 	lastTransaction atomic.Uint64
 	counters        *counters
 	retries         *retryBudget
@@ -56,6 +57,7 @@
 		retries:  newRetryBudget(),
 		draining: make(chan struct{}),
 	}
+	s.lastTransaction.Store(rand.Uint64())
 	s.databases = newDatabaseStates(ctx, o)
 	s.goroutines.Go(s.accept)
 	go s.awaitShutdown()
--- a/entry/token.go
+++ b/entry/token.go
@@ -18,11 +18,9 @@
 	c.send(&pgproto3.ParameterStatus{Name: session.TokenParameter, Value: text})
 }
 
-// nextTransactionID returns an ID for a transaction that is very probably unique at the owner: it consists of hash bits
-// of the instance ID and a counter.
-func (s *Server) nextTransactionID() uint64 {
-	return uint64(instanceBits(s.options.ID))<<32 | s.lastTransaction.Add(1)
-}
+// nextTransactionID returns an ID for a transaction that is very probably unique at the owner, since each instance counts from a random
+// number.
+func (s *Server) nextTransactionID() uint64 { return s.lastTransaction.Add(1) }
 
 const cancelTimeout = 2 * time.Second
 
