--- a/hosted/fetch.go
+++ b/hosted/fetch.go
@@ -178,13 +178,12 @@
 		}
 		received += offer.Bytes()
 		accepted := f.instance.directory.Accept(offer)
-		n, err := f.pullConfiguration(ctx, source, offer)
+		n, err := f.pull(ctx, source, offer)
 		received += n
-		if err != nil {
-			return received, err
+		if errors.Is(err, transfer.ErrOtherValue) {
+			n, err = f.takeWhole(ctx, source, err)
+			return received + n, err
 		}
-		n, err = f.pullTable(ctx, source, offer)
-		received += n
 		if err != nil || accepted {
 			return received, err
 		}
@@ -192,6 +191,27 @@
 	return received, nil
 }
 
+// pull pulls and applies what an offer only lists the pieces of.
+func (f *fetcher) pull(ctx context.Context, source directory.Source, offer directory.Offer) (int, error) {
+	received, err := f.pullConfiguration(ctx, source, offer)
+	if err != nil {
+		return received, err
+	}
+	n, err := f.pullTable(ctx, source, offer)
+	return received + n, err
+}
+
+// takeWhole takes what is newer at a source without pieces, after those have given another value.
+func (f *fetcher) takeWhole(ctx context.Context, source directory.Source, cause error) (int, error) {
+	f.instance.options.Logger.Log(event.DirectoryFailed, log.Fields{"address": source.Address, "error": cause.Error()})
+	offer, err := f.instance.inquireWhole(ctx, source.Address, f.instance.directory.Known())
+	if err != nil {
+		return 0, err
+	}
+	f.instance.directory.Accept(offer)
+	return offer.Bytes(), nil
+}
+
 // pullConfiguration pulls and applies an offered configuration of which only the pieces were listed.
 func (f *fetcher) pullConfiguration(ctx context.Context, source directory.Source, offer directory.Offer) (int, error) {
 	if len(offer.Manifest.Hashes) == 0 {
--- a/hosted/inquiry.go
+++ b/hosted/inquiry.go
@@ -14,17 +14,32 @@
 	"siskincove/transfer"
 )
 
-// inquiryTimeout bounds an inquiry for a peer's directory.
-const inquiryTimeout = 500 * time.Millisecond
+const (
+	// inquiryTimeout bounds an inquiry for a peer's directory.
+	inquiryTimeout = 500 * time.Millisecond
+	// wholeTimeout bounds one whose answer holds large values whole.
+	wholeTimeout = 10 * time.Second
+)
 
 // inquire asks a peer for what is newer than the given versions. It records the proof in the answer.
 func (i *Instance) inquire(ctx context.Context, address string, than directory.Versions, acceptsChanges bool) (directory.Offer, error) {
 	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
 	defer cancel()
-	sentAt := i.options.Clock.Now()
-	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: &wire.Inquiry{
+	return i.sendInquiry(ctx, address, &wire.Inquiry{
 		Configuration: than.Configuration, Endpoints: uint64(than.Endpoints), Changes: acceptsChanges, Pieces: true,
-	}}})
+	})
+}
+
+// inquireWhole is inquire for an answer without pieces.
+func (i *Instance) inquireWhole(ctx context.Context, address string, than directory.Versions) (directory.Offer, error) {
+	ctx, cancel := context.WithTimeout(ctx, wholeTimeout)
+	defer cancel()
+	return i.sendInquiry(ctx, address, &wire.Inquiry{Configuration: than.Configuration, Endpoints: uint64(than.Endpoints)})
+}
+
+func (i *Instance) sendInquiry(ctx context.Context, address string, inquiry *wire.Inquiry) (directory.Offer, error) {
+	sentAt := i.options.Clock.Now()
+	reply, err := peer.Call(ctx, i.node, address, &wire.Frame{Body: &wire.Frame_Inquiry{Inquiry: inquiry}})
 	if err != nil {
 		return directory.Offer{}, err
 	}
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -41,8 +41,8 @@
 	Obsolete func() bool
 }
 
-// Pull returns the value of a manifest and the number of bytes received. Besides the errors above it returns those of calls and of
-// damaged pieces.
+// Pull returns the value of a manifest and the number of bytes received. Besides the errors above it returns transfer.ErrOtherValue and
+// the errors of calls and of damaged pieces.
 func (p Puller) Pull(ctx context.Context, m transfer.Manifest) (value []byte, received int, err error) {
 	if *p.Arrived, err = transfer.NewAssembly(m, p.Own, *p.Arrived); err != nil {
 		return nil, 0, err
@@ -110,7 +110,7 @@
 
 // ToManifest returns the message of a manifest.
 func ToManifest(m transfer.Manifest) *wire.Manifest {
-	out := &wire.Manifest{Hashes: toHashes(m.Hashes), Digest: m.Digest}
+	out := &wire.Manifest{Hashes: toHashes(m.Hashes), Digest: m.Digest, Sum: m.Sum[:]}
 	for _, n := range m.Sizes {
 		out.Sizes = append(out.Sizes, uint32(n))
 	}
@@ -120,6 +120,9 @@
 // FromManifest returns the manifest in a message, an empty one for nil.
 func FromManifest(m *wire.Manifest) transfer.Manifest {
 	out := transfer.Manifest{Hashes: fromHashes(m.GetHashes()), Digest: m.GetDigest()}
+	if len(m.GetSum()) == len(out.Sum) {
+		out.Sum = transfer.Sum(m.GetSum())
+	}
 	for _, n := range m.GetSizes() {
 		out.Sizes = append(out.Sizes, int(n))
 	}
--- a/transfer/assembly.go
+++ b/transfer/assembly.go
@@ -1,6 +1,7 @@
 package transfer
 
 import (
+	"crypto/sha256"
 	"maps"
 	"slices"
 
@@ -11,6 +12,9 @@
 // MaxValueBytes is the size of the largest value that is accepted; it exceeds the largest row of a store.
 const MaxValueBytes = 20 << 20
 
+// ErrOtherValue is returned if the pieces of a manifest give another value, since two pieces have the same hash.
+var ErrOtherValue = errors.New("pieces give another value")
+
 // PieceSource has pieces, such as a Document or an Assembly.
 type PieceSource interface {
 	// Piece returns the content of a piece, and false if the source does not have it.
@@ -115,7 +119,7 @@
 	return data, ok
 }
 
-// Value returns the value once nothing is missing. It returns an error if the pieces do not give the value of the manifest.
+// Value returns the value once nothing is missing. It returns ErrOtherValue if the pieces do not give the value of the manifest.
 func (a Assembly) Value() ([]byte, error) {
 	out := make([]byte, 0, a.manifest.Size())
 	for _, h := range a.manifest.Hashes {
@@ -125,8 +129,14 @@
 		}
 		out = append(out, data...)
 	}
+	if a.manifest.Sum != (Sum{}) {
+		if sum := sha256.Sum256(out); sum != a.manifest.Sum {
+			return nil, errors.Wrapf(ErrOtherValue, "value with hash %x, want %x", sum, a.manifest.Sum)
+		}
+		return out, nil
+	}
 	if digest := xxhash.Sum64(out); digest != a.manifest.Digest {
-		return nil, errors.Newf("value with hash %016x, want %016x", digest, a.manifest.Digest)
+		return nil, errors.Wrapf(ErrOtherValue, "value with hash %016x, want %016x", digest, a.manifest.Digest)
 	}
 	return out, nil
 }
--- a/transfer/document.go
+++ b/transfer/document.go
@@ -1,6 +1,10 @@
 package transfer
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"crypto/sha256"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // MinDocumentBytes is the size from which a value is sent in pieces.
 const MinDocumentBytes = 16 << 10
@@ -10,10 +14,16 @@
 	Hashes []Hash
 	// Sizes are those of the pieces, in bytes.
 	Sizes []int
-	// Digest is a hash of the whole value.
+	// Digest is a checksum of the whole value.
 	Digest uint64
+	// Sum is the hash of the whole value, zero if the sender is of a build that sends only Digest. Two values can be built to have equal
+	// checksums, so only Sum proves that the value is the sender's.
+	Sum Sum
 }
 
+// Sum is the SHA-256 hash of a value.
+type Sum [sha256.Size]byte
+
 // Size returns the size of the value in bytes.
 func (m Manifest) Size() int {
 	size := 0
@@ -39,7 +49,7 @@
 
 // NewDocument returns the document of a value, which must not change afterwards.
 func NewDocument(value []byte) Document {
-	d := Document{manifest: Manifest{Digest: xxhash.Sum64(value)}, pieces: make(map[Hash][]byte)}
+	d := Document{manifest: Manifest{Digest: xxhash.Sum64(value), Sum: sha256.Sum256(value)}, pieces: make(map[Hash][]byte)}
 	for _, p := range Split(value) {
 		d.manifest.Hashes = append(d.manifest.Hashes, p.Hash)
 		d.manifest.Sizes = append(d.manifest.Sizes, len(p.Data))
--- a/transfer/document_test.go
+++ b/transfer/document_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
@@ -94,6 +95,20 @@
 	})
 }
 
+// TestEqualChecksums guards against a value that is put together from a piece of another one with the same checksum. The first 64 bytes
+// were built so that the checksums of the first pieces and those of the values are equal.
+func TestEqualChecksums(t *testing.T) {
+	known := []byte("--x3fujbselect-in-a-comment-24--0q5yghe1-the-second-block-of-32-" + string(routes(500)))
+	value := []byte("--28ek0jselect-in-a-comment-24--hitppbqp-the-second-block-of-32-" + string(routes(500)))
+	a, err := NewAssembly(NewDocument(value).Manifest(), NewDocument(known))
+	if err != nil || a.Missing() != 0 {
+		t.Fatalf("%d bytes are missing, %v; want 0", a.Missing(), err)
+	}
+	if got, err := a.Value(); !errors.Is(err, ErrOtherValue) {
+		t.Errorf("%d bytes, equal to the value: %t, %v", len(got), bytes.Equal(got, value), err)
+	}
+}
+
 // TestDamagedPieces guards against a damaged or malformed transfer that is applied or that ends the process.
 func TestDamagedPieces(t *testing.T) {
 	d := NewDocument(routes(1000))
@@ -106,7 +121,9 @@
 		"sound":              {whole, func(p []Piece) []Piece { return p }, ""},
 		"content of another": {whole, func(p []Piece) []Piece { p[0].Data = p[1].Data; return p }, "piece"},
 		"piece lacking":      {whole, func(p []Piece) []Piece { return p[1:] }, "missing"},
-		"other digest":       {Manifest{whole.Hashes, whole.Sizes, 1}, func(p []Piece) []Piece { return p }, "value with hash"},
+		"other sum":          {Manifest{whole.Hashes, whole.Sizes, whole.Digest, Sum{1}}, func(p []Piece) []Piece { return p }, "value with hash"},
+		"older sender":       {Manifest{Hashes: whole.Hashes, Sizes: whole.Sizes, Digest: whole.Digest}, func(p []Piece) []Piece { return p }, ""},
+		"other digest":       {Manifest{Hashes: whole.Hashes, Sizes: whole.Sizes, Digest: 1}, func(p []Piece) []Piece { return p }, "value with hash"},
 		"sizes lacking":      {Manifest{Hashes: whole.Hashes}, nil, "sizes"},
 		"size of nothing":    {Manifest{Hashes: whole.Hashes[:1], Sizes: []int{0}}, nil, "piece of 0 bytes"},
 		"negative size":      {Manifest{Hashes: whole.Hashes[:1], Sizes: []int{-1}}, nil, "piece of -1 bytes"},
--- a/transfer/piece.go
+++ b/transfer/piece.go
@@ -15,7 +15,7 @@
 	cutBits = 13
 )
 
-// Hash names a piece by its content.
+// Hash is a checksum of a piece's content, by which the pieces of one value are asked for. Two pieces can be built to have the same one.
 type Hash uint64
 
 // Piece is a part of a value.
