--- a/directory/changes.go
+++ b/directory/changes.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"maps"
 	"slices"
 
 	"siskincove/store"
+	"siskincove/transfer"
 )
 
 // maxDelisted bounds the endpoints in Snapshot.delisted. A peer whose version is older than the ones left out gets all rows.
@@ -38,8 +40,30 @@
 	return out, true
 }
 
-// Digest returns a hash of the listed endpoints and their registrations, by which a peer that applied Changes verifies the
-// result.
+// Sum returns a hash of the listed endpoints and their registrations, by which a peer that applied Changes verifies the result.
+func (s Snapshot) Sum() transfer.Sum { return s.sum }
+
+func (s Snapshot) computeSum() transfer.Sum {
+	var names []string
+	for name, e := range s.entries {
+		if e.missingSince.IsZero() {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return transfer.Sum{}
+	}
+	slices.Sort(names)
+	h := sha256.New()
+	for _, name := range names {
+		sum := s.entries[name].sum
+		_, _ = h.Write(sum[:])
+	}
+	return transfer.Sum(h.Sum(nil))
+}
+
+// Digest returns a checksum of the same, for peers of builds that don't know Sum. Two sets of endpoints can be built to have the same
+// one.
 func (s Snapshot) Digest() uint64 {
 	var out uint64
 	for _, e := range s.entries {
--- a/directory/changes_test.go
+++ b/directory/changes_test.go
@@ -22,7 +22,7 @@
 
 // TestChanges guards against peers that end with other endpoints than the table has, when they take over only the changes
 // since their version: from different peers in turn, which read the table at different versions, and after gaps. What
-// appeared and vanished between two reads of a peer is not among its changes; the digest must tell.
+// appeared and vanished between two reads of a peer is not among its changes; digest and sum must tell.
 func TestChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const readers = 3
@@ -49,7 +49,10 @@
 					continue
 				}
 				next, _ := snapshots[to].With(snapshots[to].RowsAfter(changes), offered, wordDecoder{}, now, ignore)
-				if next.Digest() != snapshots[from].Digest() {
+				if (next.Digest() == snapshots[from].Digest()) != (next.Sum() == snapshots[from].Sum()) {
+					t.Fatal("digest and sum differ on whether these are the peer's endpoints")
+				}
+				if next.Sum() != snapshots[from].Sum() {
 					// The peer asks for all rows instead.
 					continue
 				}
--- a/directory/offer.go
+++ b/directory/offer.go
@@ -19,8 +19,10 @@
 	Endpoints []store.Row
 	Delisted  []string
 	Partial   bool
-	// Digest is the Snapshot.Digest of the peer that made the offer.
+	// Digest and Sum are the Snapshot.Digest and Snapshot.Sum of the peer that made the offer. Sum is zero if the peer has no endpoints or
+	// is of a build that sends only Digest.
 	Digest uint64
+	Sum    transfer.Sum
 	// EndpointsVersion is the store version at which the endpoints last changed.
 	EndpointsVersion store.Version
 	// Table, in an offer that was received without Endpoints, lists the pieces of all of them.
@@ -86,7 +88,7 @@
 	if d.snapshot.Version() <= peer.Endpoints {
 		return o
 	}
-	o.EndpointsVersion, o.Digest = d.snapshot.Version(), d.snapshot.Digest()
+	o.EndpointsVersion, o.Digest, o.Sum = d.snapshot.Version(), d.snapshot.Digest(), d.snapshot.Sum()
 	changes, complete := d.snapshot.ChangesSince(peer.Endpoints)
 	if o.Partial = acceptsChanges && complete; o.Partial {
 		o.Endpoints, o.Delisted = changes.Rows, changes.Delisted
@@ -130,5 +132,8 @@
 	rows := d.snapshot.RowsAfter(Changes{Rows: o.Endpoints, Delisted: o.Delisted})
 	ignore := func(string, error) {}
 	after, _ := d.snapshot.With(rows, o.EndpointsVersion, d.options.Decoder, d.options.Clock.Now(), ignore)
+	if o.Sum != (transfer.Sum{}) {
+		return rows, after.Sum() == o.Sum
+	}
 	return rows, after.Digest() == o.Digest
 }
--- a/directory/snapshot.go
+++ b/directory/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -10,6 +11,7 @@
 	"siskincove/config"
 	"siskincove/endpoint"
 	"siskincove/store"
+	"siskincove/transfer"
 )
 
 const (
@@ -29,8 +31,9 @@
 	promotedVersion store.Version
 	// changedAt is the store version at which the present registration was first read.
 	changedAt store.Version
-	// digest is a hash of the name and the registration.
+	// digest is a checksum and sum a hash of the name and the registration.
 	digest uint64
+	sum    transfer.Sum
 	// missingSince is when the endpoint was first found not to be listed; zero while it is listed.
 	missingSince time.Time
 }
@@ -39,11 +42,13 @@
 type Snapshot struct {
 	version store.Version
 	entries map[string]entry
+	// sum is a hash of all entries that are listed, zero for none.
+	sum transfer.Sum
 	// delisted holds the endpoints that are no longer listed, with the store version at which that was first read. It and
 	// entry.changedAt cover all changes after recordedFrom.
 	delisted     map[string]store.Version
 	recordedFrom store.Version
-	// refused maps the rows that could not be decoded to hashes of their values.
+	// refused maps the rows that could not be decoded to checksums of their values, by which they are reported once.
 	refused map[string]uint64
 }
 
@@ -115,6 +120,9 @@
 		}
 	}
 	next = next.withDelisted(s.delisted, diff, version)
+	if next.sum = s.sum; !diff.Empty() {
+		next.sum = next.computeSum()
+	}
 	if !diff.Empty() || version.Era() > s.version.Era() {
 		next.version = version
 	}
@@ -132,7 +140,8 @@
 // newEntry returns the entry for a row, and true if the endpoint is new, listed again or registered with other values.
 func (s Snapshot) newEntry(name string, row store.Row, registration Registration, version store.Version) (entry, bool) {
 	previous, known := s.entries[name]
-	e := entry{row: row, registration: registration, promotedVersion: previous.promotedVersion, changedAt: previous.changedAt, digest: previous.digest}
+	e := entry{row: row, registration: registration, promotedVersion: previous.promotedVersion, changedAt: previous.changedAt}
+	e.digest, e.sum = previous.digest, previous.sum
 	switch {
 	case registration.Role != endpoint.Primary:
 		e.promotedVersion = notPromoted
@@ -142,6 +151,7 @@
 	changed := !known || !previous.missingSince.IsZero() || previous.registration != registration
 	if changed {
 		e.changedAt, e.digest = version, xxhash.Sum64String(fmt.Sprintf("%s %+v", name, registration))
+		e.sum = sha256.Sum256(fmt.Appendf(nil, "%q %#v", name, registration))
 	}
 	return e, changed
 }
--- a/hosted/inquiry.go
+++ b/hosted/inquiry.go
@@ -49,7 +49,7 @@
 		Configuration: fromRow(received.GetConfiguration()), EndpointsVersion: store.Version(received.GetVersion()),
 		Partial: received.GetPartial(), Delisted: received.GetDelisted(), Digest: received.GetDigest(),
 		Manifest: peer.FromManifest(received.GetManifest()), Offered: received.GetOffered(), Table: peer.FromManifest(received.GetTable()),
-		Endpoints: fromRows(received.GetEndpoints()),
+		Endpoints: fromRows(received.GetEndpoints()), Sum: transfer.ToSum(received.GetSum()),
 	}
 	return out, nil
 }
@@ -60,7 +60,7 @@
 	offer := i.directory.Offer(than, inquiry.GetChanges())
 	answer := &wire.Offer{
 		Configuration: toRow(offer.Configuration), Version: uint64(offer.EndpointsVersion), Partial: offer.Partial, Delisted: offer.Delisted,
-		Digest: offer.Digest, Offered: offer.Offered,
+		Digest: offer.Digest, Sum: offer.Sum.Bytes(), Offered: offer.Offered,
 	}
 	if inquiry.GetPieces() && !offer.Document.Empty() {
 		answer.Configuration.Value, answer.Manifest = nil, peer.ToManifest(offer.Document.Manifest())
--- a/hosted/tables.go
+++ b/hosted/tables.go
@@ -19,17 +19,17 @@
 type tables struct {
 	logger *event.Logger
 
-	mu     sync.Mutex
-	digest uint64
-	of     transfer.Document
+	mu  sync.Mutex
+	sum transfer.Sum
+	of  transfer.Document
 }
 
 // document returns the pieces of the endpoints in an offer of all of them.
 func (t *tables) document(offer directory.Offer) transfer.Document {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.digest != offer.Digest || t.of.Empty() {
-		t.digest, t.of = offer.Digest, transfer.NewDocument(t.encode(offer.Endpoints))
+	if t.sum != offer.Sum || t.of.Empty() {
+		t.sum, t.of = offer.Sum, transfer.NewDocument(t.encode(offer.Endpoints))
 	}
 	return t.of
 }
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -110,7 +110,7 @@
 
 // ToManifest returns the message of a manifest.
 func ToManifest(m transfer.Manifest) *wire.Manifest {
-	out := &wire.Manifest{Hashes: toHashes(m.Hashes), Digest: m.Digest, Sum: m.Sum[:]}
+	out := &wire.Manifest{Hashes: toHashes(m.Hashes), Digest: m.Digest, Sum: m.Sum.Bytes()}
 	for _, n := range m.Sizes {
 		out.Sizes = append(out.Sizes, uint32(n))
 	}
@@ -119,10 +119,7 @@
 
 // FromManifest returns the manifest in a message, an empty one for nil.
 func FromManifest(m *wire.Manifest) transfer.Manifest {
-	out := transfer.Manifest{Hashes: fromHashes(m.GetHashes()), Digest: m.GetDigest()}
-	if len(m.GetSum()) == len(out.Sum) {
-		out.Sum = transfer.Sum(m.GetSum())
-	}
+	out := transfer.Manifest{Hashes: fromHashes(m.GetHashes()), Digest: m.GetDigest(), Sum: transfer.ToSum(m.GetSum())}
 	for _, n := range m.GetSizes() {
 		out.Sizes = append(out.Sizes, int(n))
 	}
--- a/transfer/document.go
+++ b/transfer/document.go
@@ -21,9 +21,6 @@
 	Sum Sum
 }
 
-// Sum is the SHA-256 hash of a value.
-type Sum [sha256.Size]byte
-
 // Size returns the size of the value in bytes.
 func (m Manifest) Size() int {
 	size := 0
