config: compare secrets before they are masked

What operators would see: `siskincove plan` leaves out an object whose password, verifier or key of a workspace has changed, and exits as if nothing differed. Found by looking for shortened hashes; nobody has reported it.

Cause: objects were compared after masking, which keeps 4 bytes of a checksum or hash. Two secrets that look the same are found in some 100,000 attempts, and a new key for a given old one in 2^32.

Evidence: TestChangedSecrets failed in 3 of 3 cases before and passes.

Change: objects are compared as they are, and shown masked as before.

--- a/config/change.go
+++ b/config/change.go
@@ -63,30 +63,37 @@
 	b, has := next[name]
 	c := Change{Kind: kind, Name: name, Action: ActionChange}
 	if had {
-		c.Before = redactedJSON(a)
+		c.Before = encode(redacted(a))
 	} else {
 		c.Action = ActionAdd
 	}
 	if has {
-		c.After = redactedJSON(b)
+		c.After = encode(redacted(b))
 	} else {
 		c.Action = ActionRemove
 	}
-	return c, c.Before != c.After
+	// Different secrets can look the same once they are masked.
+	return c, !had || !has || encode(a) != encode(b)
 }
 
-// redactedJSON returns the JSON of an object with its secrets masked.
-func redactedJSON(object any) string {
+// redacted returns an object with its secrets masked.
+func redacted(object any) any {
 	switch o := object.(type) {
 	case Database:
 		o.Password = masked(o.Password)
-		object = o
+		return o
 	case Caller:
 		o.Verifier = masked(o.Verifier)
-		object = o
+		return o
 	case Workspace:
-		object = o.masked()
+		return o.masked()
+	default:
+		return object
 	}
+}
+
+// encode returns the JSON of an object.
+func encode(object any) string {
 	data, err := json.Marshal(object)
 	if err != nil {
 		return fmt.Sprintf("%v", err)
