succession: know the primary to be replaced by its term

The primary had crashed for 0.8 s and was back under another id before its replacement took effect.

Cause: instances and guards knew the primary to be replaced by its name. So instances sent writes to the returned one and passed on what it acknowledged with a replica that nobody held; and its lead, as that of an endpoint with another name, was recorded as the end of the promotion.

Another endpoint's lead ends a promotion only under a newer term.

--- a/database/promotion.go
+++ b/database/promotion.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"siskincove/endpoint"
 	"siskincove/group"
 )
 
@@ -64,11 +65,18 @@
 	d.promoting.add(d.name)
 }
 
+// MayLack reports whether a promotion may be outstanding whose log may lack a commit that an endpoint has acknowledged at a position.
+func (d *Database) MayLack(name string, position endpoint.Position) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.MayLack(name, position.Term, d.options.Clock.Now())
+}
+
 // IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead.
-func (d *Database) IsBeingReplaced(endpoint string) bool {
+func (d *Database) IsBeingReplaced(name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.view.IsBeingReplaced(endpoint, d.options.Clock.Now())
+	return d.view.IsBeingReplaced(name, d.options.Clock.Now())
 }
 
 func (d *Database) hasPromotions() bool {
--- a/dispatch/replaced.go
+++ b/dispatch/replaced.go
@@ -17,7 +17,7 @@
 // coordinator of the write.
 func (w *workItem) acknowledgedDoubtfully(c group.Choice, a statement.Answer) bool {
 	w.database.RecordAcknowledged(a.Position)
-	return w.database.IsBeingReplaced(c.Endpoint.Name)
+	return w.database.MayLack(c.Endpoint.Name, a.Position)
 }
 
 // doubtful returns the answer to a write that a primary acknowledged after its replacement had been requested.
--- a/group/promotion.go
+++ b/group/promotion.go
@@ -13,7 +13,7 @@
 	// Fence is the fencing token of the request.
 	Fence uint64
 	// Term is the term under which replicas are held for the promotion, and Newest the newest term that was known when it was
-	// requested.
+	// requested, 0 if none was.
 	Term   endpoint.FencedTerm
 	Newest endpoint.FencedTerm
 	// Replaced is the primary to be replaced, empty when none is known, and Target the endpoint to be promoted.
@@ -113,11 +113,25 @@
 	return slices.ContainsFunc(v.promotions, func(p Promotion) bool { return p.Fence != fence && p.Outstanding(now) })
 }
 
-// IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead. A commit that
-// the endpoint acknowledges then may not be in the promoted log. If no primary was known at the request, any other endpoint may
-// be the one that is replaced, such as a demoted primary after a restart.
+// Replaces reports whether the promoted log may lack what an endpoint acknowledges under a term, 0 if that is not known. The primary to be
+// replaced is known by the term that it leads too, since it may return from a crash under another name. If none was known at the
+// request, any endpoint may be the one, such as a demoted primary after a restart.
+func (p Promotion) Replaces(name string, term endpoint.LogTerm) bool {
+	old := p.Replaced == "" || p.Replaced == name || p.Newest == 0 || uint64(term) <= uint64(p.Newest)
+	return old && p.Target != name
+}
+
+// IsBeingReplaced reports whether the promotion of another endpoint may be outstanding while an endpoint may lead, unless it has
+// proved to lead a newer term than was known at the request.
 func (v View) IsBeingReplaced(name string, now time.Time) bool {
-	return slices.ContainsFunc(v.promotions, func(p Promotion) bool {
-		return (p.Replaced == name || p.Replaced == "") && p.Target != name && p.Outstanding(now)
-	})
+	var term endpoint.LogTerm
+	if v.lead.Endpoint == name && !v.lead.Claimed {
+		term = v.lead.Term
+	}
+	return v.MayLack(name, term, now)
+}
+
+// MayLack reports whether a promotion may be outstanding whose log may lack a commit that an endpoint has acknowledged under a term.
+func (v View) MayLack(name string, term endpoint.LogTerm, now time.Time) bool {
+	return slices.ContainsFunc(v.promotions, func(p Promotion) bool { return p.Outstanding(now) && p.Replaces(name, term) })
 }
--- a/group/view.go
+++ b/group/view.go
@@ -14,6 +14,9 @@
 	Endpoint string
 	At       time.Time
 	Claimed  bool
+	// Term is the term of the last record in the endpoint's log at the proof, 0 if that is not known. The endpoint leads this term or
+	// a newer one.
+	Term endpoint.LogTerm
 }
 
 // View is what an instance has observed of a group. It is an immutable value.
@@ -77,7 +80,7 @@
 		return v
 	}
 	if v.lead.Endpoint == "" || v.lead.Endpoint == name && v.lead.Claimed || !at.Before(v.lead.At) {
-		v.lead = Lead{Endpoint: name, At: at}
+		v.lead = Lead{Endpoint: name, At: at, Term: position.Term}
 	}
 	return v.WithCertificate(session.FreshnessCertificate{Position: position, At: at})
 }
--- a/standin/hosting/endpoint.go
+++ b/standin/hosting/endpoint.go
@@ -63,7 +63,11 @@
 }
 
 // ID returns the endpoint's id, which is its key in the servers table.
-func (e *Endpoint) ID() string { return e.id }
+func (e *Endpoint) ID() string {
+	e.group.mu.Lock()
+	defer e.group.mu.Unlock()
+	return e.id
+}
 
 // Zone returns the endpoint's failure domain.
 func (e *Endpoint) Zone() string { return e.zone }
@@ -90,12 +94,19 @@
 
 // Restart starts a crashed endpoint with its log. It is primary again only if no other endpoint was promoted meanwhile. An endpoint that
 // has departed after its crash stays stopped.
-func (e *Endpoint) Restart() error {
+func (e *Endpoint) Restart() error { return e.RestartAs(e.ID()) }
+
+// RestartAs is Restart under another id, at the same address.
+func (e *Endpoint) RestartAs(id string) error {
 	e.group.mu.Lock()
 	defer e.group.mu.Unlock()
 	if e.alive || e.departed {
 		return nil
 	}
+	if e.id != id {
+		e.group.store.Write("servers", e.id, nil)
+		e.id = id
+	}
 	if err := e.listen(e.address); err != nil {
 		return err
 	}
--- a/succession/guard.go
+++ b/succession/guard.go
@@ -1,8 +1,6 @@
 package succession
 
 import (
-	"slices"
-
 	"siskincove/endpoint"
 )
 
@@ -40,6 +38,7 @@
 	held      finding = "held"
 	holdEnded finding = "hold ended"
 	leads     finding = "leads"
+	succeeded finding = "leads a newer term"
 )
 
 // inspect returns what an endpoint's status tells.
@@ -47,6 +46,8 @@
 	switch {
 	case status.Role == endpoint.Primary && status.Term <= g.plan.Floor.Term:
 		return leads
+	case status.Role == endpoint.Primary && g.succeededBy(name, endpoint.LogTerm(status.Term)):
+		return succeeded
 	case status.Role == endpoint.Primary || !g.counts(name):
 		return harmless
 	case status.Held >= g.plan.Term:
@@ -70,19 +71,25 @@
 	}
 }
 
-// succeededBy reports whether the lead of an endpoint shows that the old primary has been replaced. If no primary was known at the
-// request, any endpoint but the target may be the old one. A demoted primary that is the target may lead its old term again.
-func (g guard) succeededBy(name string) bool {
-	return name == g.target && name != g.plan.OldPrimary || g.plan.OldPrimary != "" && name != g.plan.OldPrimary
+// succeededBy reports whether the lead of an endpoint, whose log ends in a term, shows that the old primary has been replaced. Another
+// endpoint than the target may be the old primary under another name, unless its term is newer. If no primary was known at the request,
+// any may be the old one. A demoted primary that is the target may lead its old term again.
+func (g guard) succeededBy(name string, term endpoint.LogTerm) bool {
+	return name != g.plan.OldPrimary && (name == g.target || g.plan.OldPrimary != "" && g.isNewTerm(endpoint.FencedTerm(term)))
 }
 
 // succeeded reports whether an endpoint leads under a newer term than was known at the request.
 func (g guard) succeeded(results []ProbeResult) bool {
 	primary := newestPrimary(results)
-	return primary != nil && primary.Status.Term > g.plan.Floor.Term
+	return primary != nil && g.isNewTerm(primary.Status.Term)
+}
+
+// isNewTerm reports whether a term began after the request. Nothing tells if no term was known then.
+func (g guard) isNewTerm(term endpoint.FencedTerm) bool {
+	return g.plan.Floor.Term != 0 && term > g.plan.Floor.Term
 }
 
 // counts reports whether an endpoint is one of the plan's replicas. Those that did not answer before are held too.
 func (g guard) counts(name string) bool {
-	return slices.ContainsFunc(g.plan.Replicas, func(r Replica) bool { return r.Name == name })
+	return g.plan.hasReplica(name)
 }
--- a/succession/outstanding_test.go
+++ b/succession/outstanding_test.go
@@ -101,6 +101,40 @@
 	}
 }
 
+// TestAssistRenamedPrimary guards against the loss of acknowledged commits (review case 6): the former primary returns under another name
+// and a read proves that it leads; that is not the end of the promotion which replaces it.
+func TestAssistRenamedPrimary(t *testing.T) {
+	const oldTerm = 3
+	tests := map[string]struct {
+		term    endpoint.FencedTerm
+		log     endpoint.Position
+		outlast bool
+	}{
+		"the old term":                  {term: oldTerm, log: endpoint.Position{Term: oldTerm, Offset: 9}, outlast: true},
+		"a newer term":                  {term: oldTerm + 1, log: endpoint.Position{Term: oldTerm + 1, Offset: 9}},
+		"a newer term, nothing written": {term: oldTerm + 1, log: endpoint.Position{Term: oldTerm, Offset: 9}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			db, members := newGuardedDatabase(t)
+			remote := &leadingEndpoint{term: test.term}
+			ctx, cancel := context.WithCancel(context.Background())
+			o := Options{Clock: clock.System{}, Logger: event.Discard(), Dialer: remote}
+			c := &Coordinator{options: o, name: "db", prober: newProber(ctx, remote, o.Clock)}
+			defer c.prober.close()
+			defer cancel()
+			now := time.Now()
+			db.RecordPromotion(group.Promotion{Fence: 5, Term: planTerm, Newest: oldTerm, Replaced: "gone", Target: "b", At: now})
+			db.RecordLead("p", test.log, now.Add(time.Millisecond))
+			status := endpoint.PlatformStatus{Role: endpoint.Primary, Term: test.term, Log: test.log}
+			c.assist(ctx, db, members, []ProbeResult{{Endpoint: "p", Answered: true, Status: &status, Connection: 1}}, now)
+			if db.IsBeingReplaced("p") != test.outlast || remote.demoted() != test.outlast {
+				t.Errorf("promotion outstanding: %t, demoted: %t; want %t", db.IsBeingReplaced("p"), remote.demoted(), test.outlast)
+			}
+		})
+	}
+}
+
 // TestWatchAfterInvalidation guards against the demotion of a healthy primary: another coordinator has invalidated the promotion and has
 // told so, and the watches of the coordinator that requested it reach the primary only then.
 func TestWatchAfterInvalidation(t *testing.T) {
--- a/succession/plan.go
+++ b/succession/plan.go
@@ -1,6 +1,8 @@
 package succession
 
 import (
+	"slices"
+
 	"siskincove/endpoint"
 )
 
@@ -51,5 +53,10 @@
 	return uint64(log.Term) >= uint64(f.Term) || f.Known && log.Covers(f.Start)
 }
 
+// hasReplica reports whether an endpoint is one of the plan's replicas.
+func (p Plan) hasReplica(name string) bool {
+	return slices.ContainsFunc(p.Replicas, func(r Replica) bool { return r.Name == name })
+}
+
 // Plan returns the plan that the succession was created with.
 func (s Succession) Plan() Plan { return s.plan }
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -158,7 +158,7 @@
 			// Another coordinator has told of the end.
 			w.cancel()
 			return
-		case w.settled():
+		case w.settled() || found == succeeded:
 			w.close()
 			return
 		case ok && ctx.Err() == nil:
@@ -219,7 +219,7 @@
 // settled reports whether an endpoint that the promotion does not replace has been proved to lead since the request.
 func (w *watches) settled() bool {
 	lead, known := w.database.View().Lead()
-	return known && !lead.Claimed && lead.At.After(w.since) && w.guard.succeededBy(lead.Endpoint)
+	return known && !lead.Claimed && lead.At.After(w.since) && w.guard.succeededBy(lead.Endpoint, lead.Term)
 }
 
 // send sends a command to an endpoint and returns what its answer tells.
