succession: stop for a primary that is back under another id

Cause: a succession stops for its old primary while the platform has accepted nothing (yield.go), but it and the other coordinators knew that one by its name, and the watches of a promotion covered the endpoints that were known at the request.

Change: the old primary is whichever endpoint leads a term known at the request and is none of the plan's replicas. The watches take in endpoints that register later.

TestModel, "the old primary returns under another name, requests are repeated": stops for it, no commit lost.

--- a/succession/assist.go
+++ b/succession/assist.go
@@ -68,7 +68,7 @@
 // stop for it. That ends as soon as a replica is not seen to be held.
 func (c *Coordinator) leavesToRequester(db *database.Database, g guard, leader ProbeResult, results []ProbeResult) bool {
 	now := c.options.Clock.Now()
-	if _, acknowledge := c.group(); acknowledge == 0 || leader.Endpoint != g.plan.OldPrimary || db.View().IsOtherOutstanding(g.plan.Fence, now) {
+	if _, acknowledge := c.group(); acknowledge == 0 || g.plan.OldPrimary == "" || db.View().IsOtherOutstanding(g.plan.Fence, now) {
 		return false
 	}
 	if c.assistance.leadsSince.IsZero() {
@@ -76,7 +76,7 @@
 	}
 	for _, replica := range g.plan.Replicas {
 		at := slices.IndexFunc(results, func(r ProbeResult) bool { return r.Endpoint == replica.Name })
-		if replica.Name != g.target && (at < 0 || results[at].Status == nil || g.inspect(replica.Name, *results[at].Status) != held) {
+		if replica.Name != g.target && replica.Name != leader.Endpoint && (at < 0 || results[at].Status == nil || g.inspect(replica.Name, *results[at].Status) != held) {
 			return false
 		}
 	}
--- a/succession/model_test.go
+++ b/succession/model_test.go
@@ -719,6 +719,7 @@
 		"the old primary returns, requests are repeated":                    {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowRetries: true, allowDelay: true, guardsFirst: true}, yields: true},
 		"the old primary returns, writes are not sent to it":                {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowRetries: true, allowDelay: true, announced: true}, yields: true},
 		"two coordinators, the old primary returns, requests are repeated":  {model: model{maxCommits: 1, coordinators: 2, allowCrash: true, allowRetries: true, guardsFirst: true}, yields: true},
+		"the old primary returns under another name, requests are repeated": {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowRestart: true, allowRetries: true, allowDelay: true, guardsFirst: true, renames: true}, yields: true},
 		"the old primary goes on while a request may take effect":           {model: model{maxCommits: 2, coordinators: 1, maxLatePromotions: 1, allowCrash: true, allowDelay: true, guardsFirst: true, yieldsUnknown: true}, loses: true},
 	}
 	for name, test := range tests {
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +28,10 @@
 	database    *database.Database
 	guard       guard
 	since       time.Time
+	mu          sync.Mutex
 	all         []*watch
+	// followed is closed once no further watch is added.
+	followed chan struct{}
 	// mayYield is set while the succession may stop for its old primary, whose lead is reported to events.
 	mayYield atomic.Bool
 	events   chan<- Event
@@ -56,21 +61,50 @@
 	c := r.coordinator
 	c.watches.end()
 	watching, cancel := context.WithTimeout(ctx, promoteTimeout)
-	c.watches = &watches{coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), cancel: cancel, events: r.events}
-	c.watches.mayYield.Store(r.succession.mayYield())
-	// A watch looks at what the others have found, so that all exist before the first starts.
+	w := &watches{
+		coordinator: c, database: r.database, guard: r.succession.guard(), since: c.options.Clock.Now(), followed: make(chan struct{}), cancel: cancel, events: r.events,
+	}
+	c.watches = w
+	w.mayYield.Store(r.succession.mayYield())
+	w.add(watching, ctx, r.watchedMembers(w.guard))
+	go w.follow(watching, ctx)
+}
+
+// add starts watches of endpoints. A watch looks at what the others have found, so that all exist before the first starts.
+func (w *watches) add(ctx, parent context.Context, endpoints []config.Endpoint) {
 	var starts []func()
-	for _, e := range r.watchedMembers(c.watches.guard) {
-		one, cancel := context.WithCancel(watching)
-		w := &watch{endpoint: e, cancel: cancel, done: make(chan struct{})}
-		c.watches.all = append(c.watches.all, w)
-		starts = append(starts, func() { c.watches.observe(one, ctx, w) })
+	w.mu.Lock()
+	for _, e := range endpoints {
+		watching, cancel := context.WithCancel(ctx)
+		one := &watch{endpoint: e, cancel: cancel, done: make(chan struct{})}
+		w.all = append(w.all, one)
+		starts = append(starts, func() { w.observe(watching, parent, one) })
 	}
+	w.mu.Unlock()
 	for _, start := range starts {
 		go start()
 	}
 }
 
+// follow watches endpoints that are registered later too, such as the old primary under another name, until ctx ends.
+func (w *watches) follow(ctx, parent context.Context) {
+	defer close(w.followed)
+	for clock.Wait(ctx, w.coordinator.options.Clock, targetPollInterval) == nil {
+		members, _ := w.coordinator.group()
+		known := w.list()
+		w.add(ctx, parent, slices.DeleteFunc(slices.Clone(members), func(e config.Endpoint) bool {
+			return e.Name == w.guard.target || slices.ContainsFunc(known, func(one *watch) bool { return one.endpoint.Name == e.Name })
+		}))
+	}
+}
+
+// list returns the watches that exist.
+func (w *watches) list() []*watch {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.all)
+}
+
 // settleWatches ends the watches unless the promotion may still take effect.
 func (r *runner) settleWatches() {
 	if !r.succession.guards() {
@@ -91,7 +125,8 @@
 		return
 	}
 	w.cancel()
-	for _, one := range w.all {
+	<-w.followed
+	for _, one := range w.list() {
 		<-one.done
 	}
 }
@@ -101,7 +136,7 @@
 	if w == nil {
 		return
 	}
-	for _, one := range w.all {
+	for _, one := range w.list() {
 		if one.endpoint.Name == name {
 			one.stop()
 		}
@@ -182,10 +217,14 @@
 func (w *watches) spares(name string, since time.Time) bool {
 	now := w.coordinator.options.Clock.Now()
 	plan := w.guard.plan
-	if !w.mayYield.Load() || name != plan.OldPrimary || now.Sub(since) >= yieldTime || w.database.View().IsOtherOutstanding(plan.Fence, now) {
+	if !w.mayYield.Load() || plan.hasReplica(name) || now.Sub(since) >= yieldTime || w.database.View().IsOtherOutstanding(plan.Fence, now) {
 		return false
 	}
-	for _, one := range w.all {
+	for _, one := range w.list() {
+		if one.endpoint.Name == plan.OldPrimary {
+			// Its place has been taken by the endpoint.
+			continue
+		}
 		if last, _ := one.last.Load().(finding); one.endpoint.Name != name && (last != held || one.ended.Load() > 0) {
 			return false
 		}
@@ -255,8 +294,9 @@
 	if w == nil {
 		return ""
 	}
-	out := make([]string, 0, len(w.all))
-	for _, one := range w.all {
+	all := w.list()
+	out := make([]string, 0, len(all))
+	for _, one := range all {
 		last, _ := one.last.Load().(finding)
 		out = append(out, fmt.Sprintf("%s=%s/%d", one.endpoint.Name, cmp.Or(last, silent), one.ended.Load()))
 	}
--- a/succession/yield.go
+++ b/succession/yield.go
@@ -15,9 +15,9 @@
 	assistYieldTime = 500 * time.Millisecond
 )
 
-// isOldPrimary reports whether a reply shows that the old primary leads again.
+// isOldPrimary reports whether a reply shows that the old primary leads again, under its name or another one.
 func (p Plan) isOldPrimary(r Reply) bool {
-	return r.Endpoint == p.OldPrimary && r.Status.Role == endpoint.Primary && r.Status.Term <= p.Floor.Term
+	return !p.hasReplica(r.Endpoint) && r.Status.Role == endpoint.Primary && r.Status.Term <= p.Floor.Term
 }
 
 // mayYield reports whether the old primary may go on if it leads again: no request has had an effect or may have one, but for one that is
