soak: let a crashed primary return under another id

Where the primary and then a replica crash during a promotion, the primary of every second target returns under another id.

--- a/soak/compound.go
+++ b/soak/compound.go
@@ -59,7 +59,7 @@
 }
 
 // crashInTurn crashes the primary, and a replica once both have been held for a promotion. The replica is back before the primary, and the primary
-// at about the time of the promotion.
+// at about the time of the promotion, for every second target under another id.
 func (i *Injector) crashInTurn(target int) {
 	primary := i.deployment.Group.Primary()
 	if primary == nil {
@@ -76,7 +76,11 @@
 			i.record(replica.Restart())
 		}
 		time.Sleep(returnTime + time.Duration(target%returnSpread)*time.Millisecond)
-		i.record(primary.Restart())
+		id := primary.ID()
+		if target%2 == 1 {
+			id = fmt.Sprintf("i-returned-%d", i.renamed.Add(1))
+		}
+		i.record(primary.RestartAs(id))
 	})
 }
 
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -99,6 +100,8 @@
 	held []sync.Mutex
 	// losing is locked while a replica is lost and not yet replaced.
 	losing sync.Mutex
+	// renamed counts the endpoints that have returned under another id.
+	renamed atomic.Int32
 
 	mu       sync.Mutex
 	errs     []error
