--- a/proof/mutation_test.go
+++ b/proof/mutation_test.go
@@ -98,7 +98,31 @@
 		"succession/detector.go", "if primary != nil && !a.Replace {", "if primary != nil && reason == NoReason {", "./succession", "TestDetector",
 	},
 	"promotion without a known primary ended by any lead": {
-		"succession/guard.go", "return name == g.target && name != g.plan.OldPrimary || g.plan.OldPrimary != \"\" && name != g.plan.OldPrimary", "return name != g.plan.OldPrimary", "./succession", "TestAssist",
+		"succession/guard.go", "return name != g.plan.OldPrimary && (name == g.target || g.plan.OldPrimary != \"\" && g.isNewTerm(endpoint.FencedTerm(term)))", "return name != g.plan.OldPrimary", "./succession", "TestAssist",
+	},
+	"promotion ended by the lead of the old primary under another name": {
+		"succession/guard.go", "g.plan.OldPrimary != \"\" && g.isNewTerm(endpoint.FencedTerm(term))", "g.plan.OldPrimary != \"\"", "./succession", "TestAssist",
+	},
+	"primary to be replaced known by its name only": {
+		"group/promotion.go", " || p.Newest == 0 || uint64(term) <= uint64(p.Newest)", "", "./group", "TestIsBeingReplaced",
+	},
+	"endpoints that register later not watched": {
+		"succession/watch.go", "	go w.follow(watching, ctx)\n", "	close(w.followed)\n", "./hosted", "TestReturnsWhilePromotionsAreRefused",
+	},
+	"statements named by a part of their text": {
+		"statement/prepared.go", "sha256.Sum256([]byte(text))", "sha256.Sum256([]byte(text[:min(len(text), 1<<20)]))", "./statement", "TestPreparedNames",
+	},
+	"names of borrowers used at the endpoint": {
+		"loan/loan.go", "			s.Name = p.Name()\n", "", "./loan", "TestNamesOfOlderBorrowers",
+	},
+	"names of older entries used at the endpoint": {
+		"pool/batch.go", "if name == \"\" || message.IsSharedName(name) {", "if name == \"\" || name != \"\" {", "./pool", "TestNamesOfOlderEntries",
+	},
+	"value of pieces verified by its checksum": {
+		"transfer/assembly.go", "if a.manifest.Sum != (Sum{}) {", "if false {", "./hosted", "TestConfigurationWithEqualChecksum",
+	},
+	"endpoints of a peer compared by their checksum": {
+		"directory/offer.go", "if o.Sum != (transfer.Sum{}) {", "if false {", "./directory", "TestEqualChecksums",
 	},
 	"former primary not demoted while a promotion is outstanding": {
 		"succession/guard.go", "	case f == leads:\n		return Demote, true\n", "", "./succession", "TestGuard",
