succession: leave no primary alone beside an endpoint under its former name

What callers could have seen: a commit acknowledged while the request for a promotion was under way, and lost with it.

Change: the former name is left out only once it was found not to answer; at the other coordinators the primary is demoted if anything answers under it.

--- a/succession/assist.go
+++ b/succession/assist.go
@@ -74,6 +74,10 @@
 	if c.assistance.leadsSince.IsZero() {
 		c.assistance.leadsSince = now
 	}
+	former := slices.IndexFunc(results, func(r ProbeResult) bool { return r.Endpoint == g.plan.OldPrimary })
+	if leader.Endpoint != g.plan.OldPrimary && former >= 0 && results[former].Status != nil {
+		return false
+	}
 	for _, replica := range g.plan.Replicas {
 		at := slices.IndexFunc(results, func(r ProbeResult) bool { return r.Endpoint == replica.Name })
 		if replica.Name != g.target && replica.Name != leader.Endpoint && (at < 0 || results[at].Status == nil || g.inspect(replica.Name, *results[at].Status) != held) {
--- a/succession/watch.go
+++ b/succession/watch.go
@@ -221,11 +221,10 @@
 		return false
 	}
 	for _, one := range w.list() {
-		if one.endpoint.Name == plan.OldPrimary {
-			// Its place has been taken by the endpoint.
-			continue
-		}
-		if last, _ := one.last.Load().(finding); one.endpoint.Name != name && (last != held || one.ended.Load() > 0) {
+		last, _ := one.last.Load().(finding)
+		// Nothing answers under the former name of an endpoint that has another one.
+		formerName := one.endpoint.Name == plan.OldPrimary && last == silent
+		if one.endpoint.Name != name && !formerName && (last != held || one.ended.Load() > 0) {
 			return false
 		}
 	}
--- a/succession/yield_test.go
+++ b/succession/yield_test.go
@@ -23,7 +23,10 @@
 		acknowledge int
 		wait        time.Duration
 		other       bool
-		demoted     bool
+		// otherName is set if the primary leads under another name, and oldName the status of the endpoint that has its former one.
+		otherName bool
+		oldName   *endpoint.PlatformStatus
+		demoted   bool
 	}{
 		"the replica is held":              {replica: heldStatus, acknowledge: 1},
 		"the requester does not stop":      {replica: heldStatus, acknowledge: 1, wait: assistYieldTime, demoted: true},
@@ -31,6 +34,8 @@
 		"the replica does not answer":      {acknowledge: 1, demoted: true},
 		"commits need no replica":          {replica: heldStatus, demoted: true},
 		"another promotion is outstanding": {replica: heldStatus, acknowledge: 1, other: true, demoted: true},
+		"it has another name":              {replica: heldStatus, acknowledge: 1, otherName: true},
+		"the old name answers too":         {replica: heldStatus, acknowledge: 1, otherName: true, oldName: &endpoint.PlatformStatus{Role: endpoint.Replica, Term: oldTerm}, demoted: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,6 +59,11 @@
 				{Endpoint: "a", Answered: test.replica != nil, Status: test.replica, Connection: 1},
 				{Endpoint: "b", Answered: true, Status: heldStatus, Connection: 1},
 			}
+			if test.otherName {
+				results[0].Endpoint = "q"
+				members = append(members, config.Endpoint{Name: "q", Database: "db", Address: "127.0.0.1:4"})
+				results = append(results, ProbeResult{Endpoint: "p", Answered: test.oldName != nil, Status: test.oldName, Connection: 1})
+			}
 			c.assist(ctx, db, members, results, now)
 			time.Sleep(test.wait)
 			c.assist(ctx, db, members, results, time.Now())
@@ -81,7 +91,19 @@
 		"the succession does not end": {name: "p", ago: yieldTime},
 		"the replica does not answer": {name: "p", change: func(w *watches) { w.all[1].last.Store(silent) }},
 		"a hold had ended":            {name: "p", change: func(w *watches) { w.all[1].ended.Add(1) }},
-		"the replica was not seen":    {name: "p", change: func(w *watches) { w.all = append(w.all, &watch{endpoint: config.Endpoint{Name: "c"}}) }},
+		"the primary has another name": {name: "q", change: func(w *watches) {
+			w.all[0].last.Store(silent)
+			w.all = append(w.all, &watch{endpoint: config.Endpoint{Name: "q"}})
+		}, want: true},
+		"the old name answers too": {name: "q", change: func(w *watches) {
+			w.all[0].last.Store(harmless)
+			w.all = append(w.all, &watch{endpoint: config.Endpoint{Name: "q"}})
+		}},
+		"the old name was not seen": {name: "q", change: func(w *watches) {
+			w.all[0] = &watch{endpoint: members[0]}
+			w.all = append(w.all, &watch{endpoint: config.Endpoint{Name: "q"}})
+		}},
+		"the replica was not seen": {name: "p", change: func(w *watches) { w.all = append(w.all, &watch{endpoint: config.Endpoint{Name: "c"}}) }},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
