pool: take statements that a request prepares itself

What callers could have seen: a request of the PostgreSQL path refused as malformed though it prepares the statement that it executes. Entries list each statement, so no build of ours sends such a request; found by reading the diff as a whole.

Change: a Parse that the list leaves out adds its statement.

--- a/pool/batch.go
+++ b/pool/batch.go
@@ -120,6 +120,9 @@
 	if err != nil {
 		return err
 	}
+	if _, listed := b.statements[name]; !listed {
+		b.statements[name] = s
+	}
 	if s.name != "" && b.hasStatement(s.name) {
 		b.expectReply(operation{kind: message.Parse, handling: synthesizeReply})
 		return nil
--- a/pool/prepared_test.go
+++ b/pool/prepared_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -72,6 +73,19 @@
 	}
 }
 
+// TestStatementOfSameRequest guards against a request that is refused though it prepares the statement that it executes, since the list
+// of its statements leaves that out.
+func TestStatementOfSameRequest(t *testing.T) {
+	b := newTestbed(t, "managed")
+	for _, name := range []string{"", nameOfOlderEntry, strings.Repeat("s", 44)} {
+		parse := encodeMessages(t, &pgproto3.Parse{Name: name, Query: "SELECT count(*) FROM t WHERE key = 'first'"})
+		run := encodeMessages(t, &pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		if r := b.execute(nil, append(parse, run...)); r.GetFailure() != nil || messageTypes(r.GetPayload()) != "12DCZ" {
+			t.Errorf("name %q: %v, answers %s", name, r.GetFailure(), messageTypes(r.GetPayload()))
+		}
+	}
+}
+
 // TestUnnamedStatements checks that an unnamed statement of an earlier request is executed before another one replaces it.
 func TestUnnamedStatements(t *testing.T) {
 	b := newTestbed(t, "managed")
