revision: ask for objects whole if their pieces give others

What operators would see: on the PostgreSQL path an instance does not get a revision from its peers while the store is away.

Cause: pieces of a revision are taken from the one before if their XXH64 checksums are equal. Names of services that are built for it suffice.

Change: objects whose pieces give others are asked for without pieces at once, and the failure is logged as event 303 with the revision. That request may take 10 s.

Result: go test ./revision passes.

--- a/revision/tracker.go
+++ b/revision/tracker.go
@@ -27,6 +27,8 @@
 	// pollJitter is the fraction by which an interval is randomly shortened or lengthened.
 	pollJitter  = 0.2
 	readTimeout = 3 * time.Second
+	// wholeTimeout bounds a request for objects that are sent whole.
+	wholeTimeout = 10 * time.Second
 	// peerFallbackDelay is how long an instance without a revision waits for the store before it takes the highest
 	// revision that its peers have announced.
 	peerFallbackDelay = 1500 * time.Millisecond
@@ -238,18 +240,19 @@
 
 // fetch returns the objects of the announced revision or a later one from the peer that announced it. It checks their hash.
 func (t *Tracker) fetch(ctx context.Context, announced Announcement) (*wire.Objects, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	request := &wire.Frame{Body: &wire.Frame_Fetch{Fetch: &wire.Fetch{Revision: announced.Number, Pieces: true}}}
-	reply, err := peer.Call(callCtx, t.options.Dialer, announced.Address, request)
+	objects, err := t.request(ctx, announced, true)
 	if err != nil {
 		return nil, err
 	}
-	objects := reply.GetObjects()
 	if objects.GetManifest() != nil {
-		if objects.Data, err = t.pull(ctx, announced.Address, peer.FromManifest(objects.GetManifest())); err != nil {
-			return nil, err
-		}
+		objects.Data, err = t.pull(ctx, announced.Address, peer.FromManifest(objects.GetManifest()))
+	}
+	if errors.Is(err, transfer.ErrOtherValue) {
+		t.options.Logger.Log(event.RevisionReadFailed, log.Fields{"error": err.Error(), "revision": announced.Number})
+		objects, err = t.request(ctx, announced, false)
+	}
+	if err != nil {
+		return nil, err
 	}
 	if objects.GetRevision() < announced.Number || config.Hash(objects.GetData()) != objects.GetHash() {
 		return nil, errors.Newf("peer %s did not return intact objects of revision %d or later", announced.Address, announced.Number)
@@ -257,6 +260,19 @@
 	return objects, nil
 }
 
+// request asks the peer that announced a revision for its objects, whose data may be listed in pieces.
+func (t *Tracker) request(ctx context.Context, announced Announcement, pieces bool) (*wire.Objects, error) {
+	timeout := readTimeout
+	if !pieces {
+		timeout = wholeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request := &wire.Frame{Body: &wire.Frame_Fetch{Fetch: &wire.Fetch{Revision: announced.Number, Pieces: pieces}}}
+	reply, err := peer.Call(ctx, t.options.Dialer, announced.Address, request)
+	return reply.GetObjects(), err
+}
+
 // pull returns the data of a manifest from a peer. While the peer serves others it asks again, for busyLimit at most.
 func (t *Tracker) pull(ctx context.Context, address string, m transfer.Manifest) ([]byte, error) {
 	puller := peer.Puller{Dialer: t.options.Dialer, Address: address, Receiver: t.options.Self, Arrived: &t.arrived}
--- a/revision/tracker_test.go
+++ b/revision/tracker_test.go
@@ -255,6 +255,40 @@
 	return s.Stream.Send(frame)
 }
 
+// largeSet returns the objects of a large revision with a service of the given name first.
+func largeSet(t *testing.T, first string) []byte {
+	t.Helper()
+	set := config.Set{Services: []config.Service{{Name: first, Route: "r"}}}
+	for n := range 1000 {
+		set.Services = append(set.Services, config.Service{Name: fmt.Sprintf("%x", sha256.Sum256([]byte(fmt.Sprint(n)))), Route: "r"})
+	}
+	data, err := set.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// TestRevisionWithEqualChecksum guards against a revision that a peer never supplies while the store is away, since one of its pieces has
+// the XXH64 checksum of a piece of the revision before.
+func TestRevisionWithEqualChecksum(t *testing.T) {
+	const first, second = "00000000000c2nhpdum-24-bytes-between-them--zm3xiy9f-24-bytes-after-the-two-", "000000000005jqbsg6f-24-bytes-between-them--absm7hrq-24-bytes-after-the-two-"
+	options := Options{Clock: clock.System{}, Logger: event.Discard(), Apply: func(*config.Catalog, bool) {}}
+	before, after := largeSet(t, first), largeSet(t, second)
+	supplier := &Tracker{options: options}
+	supplier.apply(8, config.Hash(after), after)
+	receiver := &Tracker{options: options}
+	receiver.options.Dialer, receiver.options.Self = slowPeer{supplier}, "receiver"
+	receiver.apply(7, config.Hash(before), before)
+	objects, err := receiver.fetch(t.Context(), Announcement{Number: 8, Address: "supplier"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(after), string(objects.GetData())); diff != "" {
+		t.Error("objects of another revision")
+	}
+}
+
 // TestLargeRevisionOverSlowLink guards against a revision that a peer never supplies while the store is away, since its objects are sent
 // whole within a fixed time.
 func TestLargeRevisionOverSlowLink(t *testing.T) {
